--- /dev/null
+++ b/crates/agent/src/control.rs
@@ -0,0 +1,180 @@
+//! What an agent answers to control calls.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::FutureExt as _;
+use futures::future::BoxFuture;
+use stairhinge::declaration::Fleet;
+use stairhinge::document::{Document, Kind};
+use stairhinge::request::{Attempt, Claim, Key};
+use stairhinge::{Code, Error, Ran};
+use stairhinge_shell::control::{ClaimAsk, Control, Grant, Report};
+
+use crate::Agent;
+
+/// How long an earlier guard may take to answer.
+const FORMER: Duration = Duration::from_millis(500);
+
+impl Control for Agent {
+    fn exchange(&self, from: Report) -> Report {
+        let now = self.node.now();
+        self.rings().hear(&from.name, from.config.revision(), now);
+        self.node.hear(from);
+        self.node.report()
+    }
+
+    fn pull(&self, kind: Kind, above: u64) -> Option<Document> {
+        self.node.document(kind, above)
+    }
+
+    fn revoke(&self, attempt: &Attempt, incarnation: u64) -> Ran {
+        let now = self.node.now();
+        let ran = self.attempts().revoke(attempt, incarnation, now);
+        let fields = [("attempt", attempt.as_str()), ("ran", ran.as_str())];
+        self.node.event("request.revoked", &fields);
+        ran
+    }
+
+    fn claim(&self, ask: ClaimAsk) -> BoxFuture<'static, Grant> {
+        let revision = self.node.view().revision();
+        let guard = self.rings().guard(&ask.key);
+        let name = &self.node.identity().name;
+        if revision == 0 {
+            let why = "the guard has no configuration yet";
+            let grant = Grant::refused(Code::Behind, why, revision);
+            return futures::future::ready(grant).boxed();
+        }
+        if !ask.former {
+            if ask.revision > revision {
+                let why = "the guard's configuration is older";
+                let grant = Grant::refused(Code::Behind, why, revision);
+                return futures::future::ready(grant).boxed();
+            }
+            if guard.as_ref() != Some(name) {
+                let why = "another backend server guards this key";
+                let grant = Grant::refused(Code::NotGuard, why, revision);
+                return futures::future::ready(grant).boxed();
+            }
+        }
+        let window = self.window();
+        let now = self.node.now();
+        let formers = self.rings().formers(&ask.key, name, window, now);
+        if ask.former || formers.is_empty() {
+            let grant = self.grant(&ask, revision);
+            return futures::future::ready(grant).boxed();
+        }
+        self.ask_formers(ask, formers, revision)
+    }
+
+    fn settle(&self, key: &Key, holder: &str, ran: Ran) {
+        self.keys().settle(key, holder, ran);
+        let name = &self.node.identity().name;
+        let now = self.node.now();
+        let formers = self.rings().formers(key, name, self.window(), now);
+        for former in formers {
+            let Some(addr) = self.node.control_of(&former) else { continue };
+            let node = Arc::clone(&self.node);
+            let (key, holder) = (key.clone(), Arc::from(holder));
+            self.node.detach(async move {
+                let wire = node.wire();
+                let told = wire.settle(addr, FORMER, key, holder, ran).await;
+                if let Err(err) = told {
+                    log::debug!("settle: {err}");
+                }
+            });
+        }
+    }
+
+    fn reports(&self) -> Vec<Report> {
+        self.node.reports()
+    }
+
+    fn explain(&self, version: &str) -> Vec<String> {
+        let progress = self.progress();
+        if *progress.version != *version {
+            return vec![format!(
+                "version {version} is not wanted here; wanted: \"{}\"",
+                progress.version
+            )];
+        }
+        let mut lines = progress.drawn.lines();
+        lines.extend(progress.lines.iter().cloned());
+        lines
+    }
+
+    fn drain(&self, based_on: u64) -> Result<(), Error> {
+        self.node.order(based_on)?;
+        self.leave();
+        Ok(())
+    }
+
+    fn fleet(&self) -> Option<Arc<Fleet>> {
+        self.node.view().fleet.clone()
+    }
+}
+
+impl Agent {
+    fn window(&self) -> Duration {
+        let view = self.node.view();
+        view.fleet.as_ref().map_or(Duration::MAX, |f| f.key_window())
+    }
+
+    fn grant(&self, ask: &ClaimAsk, revision: u64) -> Grant {
+        let now = self.node.now();
+        let claim = self.keys().claim(&ask.key, &ask.holder, now);
+        let (word, result) = match claim {
+            Claim::Granted => ("granted", Ok(())),
+            Claim::Refused(err, wait) => (err.code().name(), Err((err, wait))),
+        };
+        let fields = [
+            ("key", ask.key.as_str()),
+            ("holder", &ask.holder),
+            ("word", word),
+        ];
+        self.node.event("request.claim", &fields);
+        Grant { result, revision }
+    }
+
+    /// Grants a key only if those who guarded it before have not.
+    fn ask_formers(
+        &self,
+        ask: ClaimAsk,
+        formers: Vec<Arc<str>>,
+        revision: u64,
+    ) -> BoxFuture<'static, Grant> {
+        // Granted here first: two askers must not both go on to the former.
+        let own = self.grant(&ask, revision);
+        if own.result.is_err() {
+            return futures::future::ready(own).boxed();
+        }
+        let node = Arc::clone(&self.node);
+        let mut addrs = Vec::new();
+        for name in formers {
+            let addr = node.control_of(&name);
+            addrs.push((name, addr));
+        }
+        async move {
+            let question = ClaimAsk { former: true, ..ask };
+            for (name, addr) in addrs {
+                let Some(addr) = addr else {
+                    return unreachable_former(&name, revision);
+                };
+                let question = question.clone();
+                match node.wire().claim(addr, FORMER, question).await {
+                    Ok(Grant { result: Ok(()), .. }) => {}
+                    Ok(refused) => return Grant { revision, ..refused },
+                    Err(_) => return unreachable_former(&name, revision),
+                }
+            }
+            own
+        }
+        .boxed()
+    }
+}
+
+fn unreachable_former(name: &str, revision: u64) -> Grant {
+    let why = format!("{name}, which guarded this key, cannot be reached");
+    let err = Error::new(Code::GuardUnreachable, why);
+    Grant { result: Err((err, Duration::from_secs(5))), revision }
+}
--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,78 @@
+//! The agent: the gate in front of one backend server.
+//!
+//! It takes the one slot on a backend server's instance. It fetches, verifies
+//! and passes on weights, orders its engine, admits requests for what the
+//! engine has loaded, and guards its share of the keys.
+
+mod agent;
+mod control;
+mod drive;
+mod engine;
+mod fetch;
+mod gate;
+mod orders;
+mod proxy;
+mod settings;
+mod tally;
+mod weights;
+
+pub use self::agent::Agent;
+pub use self::settings::{Settings, table};
+
+use std::sync::Arc;
+
+use stairhinge::Error;
+use stairhinge::document::Role;
+use stairhinge::serving::Fence;
+use stairhinge_shell::control::Wire;
+use stairhinge_shell::http::{Client, serve};
+use stairhinge_shell::node::{Identity, Node};
+use stairhinge_shell::{Shutdown, Slot, http};
+
+/// Runs an agent until it is told to stop and all its requests have ended.
+///
+/// # Errors
+///
+/// If its listeners cannot be taken over.
+pub async fn run(
+    settings: Settings,
+    slot: Slot,
+    wire: Wire,
+    shutdown: Shutdown,
+) -> Result<(), Error> {
+    let (listener, control) = slot.split()?;
+    let incarnation = incarnate(&settings).await;
+    let identity = Identity::of(&settings.values, Role::Agent);
+    let node = Node::new(identity, incarnation, wire);
+    let agent = Agent::new(Arc::clone(&node), &settings);
+    let (stopper, end) = Shutdown::new();
+    let served = Arc::clone(&agent);
+    node.wire().serve(control, served, end.clone())?;
+    node.run(&end);
+    tokio::spawn(drive::run(Arc::clone(&agent), end.clone()));
+    let leaving = Arc::clone(&agent);
+    let told = shutdown.clone();
+    tokio::spawn(async move {
+        told.wait().await;
+        leaving.leave();
+    });
+    let limits = http::Limits::of(&settings.values);
+    serve(listener, limits, agent.stopping(shutdown), agent).await;
+    stopper.stop();
+    Ok(())
+}
+
+/// The incarnation goes above the fence that the engine holds; an engine that
+/// is silent now is ordered under the wall clock.
+async fn incarnate(settings: &Settings) -> u64 {
+    let wall = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_millis() as u64;
+    let mut held = Fence::default();
+    if !settings.plain {
+        let state = engine::state(&Client::new(), settings.backend).await;
+        held = state.map_or(held, |s| s.fence);
+    }
+    Fence::incarnate(wall, held)
+}
--- /dev/null
+++ b/crates/agent/src/orders.rs
@@ -0,0 +1,97 @@
+//! Fenced orders to the engine.
+
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use stairhinge::serving::{Fence, Lease, Target};
+use stairhinge::{Code, Error};
+
+use crate::agent::{Agent, Bound};
+use crate::engine::{self, Load, State};
+
+/// Makes fenced orders, each under a higher fence than the one before.
+pub(crate) struct Orders {
+    fence: Fence,
+}
+
+impl Orders {
+    pub(crate) fn new(agent: &Agent) -> Orders {
+        Orders { fence: Fence::new(agent.node.incarnation(), 0) }
+    }
+
+    /// Takes note of an engine's state. A higher fence there means that a
+    /// later agent orders this engine; this one must not outbid it.
+    pub(crate) fn seen(&self, state: &State) {
+        if state.fence.incarnation() > self.fence.incarnation() {
+            log::warn!("the engine is ordered by a later agent");
+        }
+    }
+
+    /// Returns the order to load a target, to be sent after a wait.
+    pub(crate) fn load(
+        &mut self,
+        agent: &Arc<Agent>,
+        target: Target,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Bound, Error>> + Send + 'static {
+        self.fence = self.fence.next();
+        let fence = self.fence;
+        let agent = Arc::clone(agent);
+        async move {
+            tokio::time::sleep(wait).await;
+            let span = agent.settings.values.millis("lease_ms");
+            let lease = Lease::new(agent.node.now(), span);
+            let load = Load {
+                model: Arc::clone(target.model()),
+                version: Arc::clone(target.version()),
+                manifests: target.manifests().to_vec(),
+                chunks: chunks(&agent, &target),
+                source: agent.http(),
+            };
+            check(&agent, lease)?;
+            let client = agent.node.client();
+            let addr = agent.settings.backend;
+            engine::load(client, addr, fence, &load).await?;
+            Ok(Bound { target, fence })
+        }
+    }
+
+    /// Returns the order to drop what the engine holds.
+    pub(crate) fn unload(
+        &mut self,
+        agent: &Arc<Agent>,
+    ) -> impl Future<Output = Result<(), Error>> + Send + 'static {
+        self.fence = self.fence.next();
+        let fence = self.fence;
+        let agent = Arc::clone(agent);
+        let span = agent.settings.values.millis("lease_ms");
+        let lease = Lease::new(agent.node.now(), span);
+        async move {
+            check(&agent, lease)?;
+            let client = agent.node.client();
+            engine::unload(client, agent.settings.backend, fence).await
+        }
+    }
+}
+
+/// Not every engine checks fences, so a decision that has grown old, in a
+/// process that was frozen, is not sent.
+fn check(agent: &Agent, lease: Lease) -> Result<(), Error> {
+    if lease.holds(agent.node.now()) {
+        return Ok(());
+    }
+    Err(Error::new(
+        Code::EngineRefused,
+        "the decision is older than its lease",
+    ))
+}
+
+fn chunks(agent: &Agent, target: &Target) -> Vec<stairhinge::Digest> {
+    let mut digests = Vec::new();
+    // Without manifests the engine must hold the target already.
+    for manifest in agent.manifests(target.manifests()).unwrap_or_default() {
+        digests.extend(manifest.chunks().iter().map(|c| c.digest()));
+    }
+    digests
+}
--- /dev/null
+++ b/crates/agent/src/settings.rs
@@ -0,0 +1,159 @@
+//! The agent's settings.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use stairhinge::declaration::Faults;
+use stairhinge::weights::Patience;
+use stairhinge_shell::settings::{Field, Shape, Values, common};
+
+/// Returns the table of all fields of an agent's settings.
+pub fn table() -> Vec<Field> {
+    let mut table = common().to_vec();
+    table.extend([
+        Field::new(
+            "backend",
+            Shape::Address,
+            "Where the engine or plain service answers.",
+        ),
+        Field::new(
+            "plain",
+            Shape::Flag(false),
+            "Whether the backend server is a plain service, not an engine.",
+        ),
+        Field::new(
+            "origin",
+            Shape::MaybeAddress,
+            "Where the origin of weights answers; needed for an engine.",
+        ),
+        Field::number(
+            "store_mb",
+            (65_536, 1, 16_777_216),
+            "MB",
+            "The most memory for copies of weights.",
+        ),
+        Field::number(
+            "link_kb_s",
+            (0, 0, 1_000_000_000),
+            "KB/s",
+            "The rate of the instance's link for copies; 0 is not shaped.",
+        ),
+        Field::new(
+            "link_shared",
+            Shape::Flag(false),
+            "Whether that rate holds for both directions together.",
+        ),
+        Field::number(
+            "stall_ms",
+            (2_000, 50, 600_000),
+            "ms",
+            "Without a byte, after which a transfer is moved elsewhere.",
+        ),
+        Field::number(
+            "hold_ms",
+            (1_000, 10, 60_000),
+            "ms",
+            "How long a question for chunks waits at a peer.",
+        ),
+        Field::number(
+            "waiting_ms",
+            (10_000, 50, 3_600_000),
+            "ms",
+            "After which a peer that gets nothing new is left for the next.",
+        ),
+        Field::number(
+            "suspect_ms",
+            (5_000, 50, 600_000),
+            "ms",
+            "How long a peer is left out after its first failure.",
+        ),
+        Field::number(
+            "engine_ms",
+            (30_000, 50, 600_000),
+            "ms",
+            "Without a byte, after which an engine's answer is given up.",
+        ),
+        Field::number(
+            "poll_ms",
+            (500, 20, 60_000),
+            "ms",
+            "Between looks at the engine.",
+        ),
+        Field::number(
+            "lease_ms",
+            (1_000, 10, 60_000),
+            "ms",
+            "How old a decision may be when its order is sent.",
+        ),
+        Field::number(
+            "turn_ms",
+            (15_000, 0, 3_600_000),
+            "ms",
+            "How long the second half of a hall waits for the first to switch.",
+        ),
+        Field::number(
+            "guard_keys",
+            (200_000, 1, 10_000_000),
+            "keys",
+            "The most keys, and attempts, that are remembered.",
+        ),
+        Field::number(
+            "keep_ms",
+            (600_000, 100, 86_400_000),
+            "ms",
+            "How long an attempt is remembered after its end.",
+        ),
+    ]);
+    table
+}
+
+/// The checked settings of an agent.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// All values.
+    pub values: Values,
+    /// Where the engine or plain service answers.
+    pub backend: SocketAddr,
+    /// Whether the backend server is a plain service.
+    pub plain: bool,
+    /// Where the origin of weights answers.
+    pub origin: Option<SocketAddr>,
+    /// The instance's name.
+    pub name: Arc<str>,
+}
+
+impl Settings {
+    /// Returns the settings of checked values.
+    pub fn new(values: Values) -> Settings {
+        Settings {
+            backend: values.address("backend"),
+            plain: values.flag("plain"),
+            origin: values.maybe("origin"),
+            name: values.text("name"),
+            values,
+        }
+    }
+
+    /// Reads and checks the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// All faults at once.
+    pub fn parse(text: &str) -> Result<Settings, Faults> {
+        Values::parse(text, &table()).map(Settings::new)
+    }
+
+    /// Returns how long sources of chunks are put up with.
+    pub fn patience(&self) -> Patience {
+        Patience::new()
+            .with_hold(self.values.millis("hold_ms"))
+            .with_waiting(self.values.millis("waiting_ms"))
+            .with_suspect(self.values.millis("suspect_ms"))
+    }
+
+    /// Returns the span without a byte that ends a transfer.
+    pub fn stall(&self) -> Duration {
+        self.values.millis("stall_ms")
+    }
+}
--- /dev/null
+++ b/crates/entry/src/control.rs
@@ -0,0 +1,57 @@
+//! What an entry answers to control calls.
+
+use std::sync::Arc;
+
+use futures::FutureExt as _;
+use futures::future::BoxFuture;
+use stairhinge::declaration::Fleet;
+use stairhinge::document::{Document, Kind};
+use stairhinge::request::{Attempt, Key};
+use stairhinge::{Code, Error, Ran};
+use stairhinge_shell::control::{ClaimAsk, Control, Grant, Report};
+
+use crate::Entry;
+
+impl Control for Entry {
+    fn exchange(&self, from: Report) -> Report {
+        self.node.hear(from);
+        self.node.report()
+    }
+
+    fn pull(&self, kind: Kind, above: u64) -> Option<Document> {
+        self.node.document(kind, above)
+    }
+
+    /// An entry runs nothing, so no attempt is sent to it; it knows nothing
+    /// of any, and says so.
+    fn revoke(&self, _: &Attempt, _: u64) -> Ran {
+        Ran::MayHaveRun
+    }
+
+    fn claim(&self, _: ClaimAsk) -> BoxFuture<'static, Grant> {
+        let revision = self.node.view().revision();
+        let why = "an entry guards no keys";
+        let grant = Grant::refused(Code::NotGuard, why, revision);
+        futures::future::ready(grant).boxed()
+    }
+
+    fn settle(&self, _: &Key, _: &str, _: Ran) {}
+
+    fn reports(&self) -> Vec<Report> {
+        self.node.reports()
+    }
+
+    fn explain(&self, _: &str) -> Vec<String> {
+        vec!["an entry holds no weights".to_string()]
+    }
+
+    fn drain(&self, based_on: u64) -> Result<(), Error> {
+        self.node.order(based_on)?;
+        self.node.leave();
+        Ok(())
+    }
+
+    fn fleet(&self) -> Option<Arc<Fleet>> {
+        self.node.view().fleet.clone()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/entry.rs
@@ -0,0 +1,81 @@
+//! The shared state of an entry.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use stairhinge::request::{Admission, Attempt, Budget, Limits, Ticket};
+use stairhinge_shell::node::Node;
+use tokio::sync::oneshot;
+
+use crate::Settings;
+use crate::choose::Seats;
+
+/// Admission, with those who wait for their ticket to be called.
+pub(crate) struct Door {
+    pub(crate) admission: Admission,
+    pub(crate) waiting: HashMap<Ticket, oneshot::Sender<()>>,
+}
+
+/// The shared state of an entry.
+pub struct Entry {
+    pub(crate) node: Arc<Node>,
+    pub(crate) settings: Settings,
+    pub(crate) door: Mutex<Door>,
+    pub(crate) seats: Mutex<Seats>,
+    pub(crate) budget: Mutex<Budget>,
+    seq: AtomicU64,
+}
+
+impl Entry {
+    /// Returns the state of an entry that has no requests.
+    pub fn new(node: Arc<Node>, settings: &Settings) -> Arc<Entry> {
+        let values = &settings.values;
+        let limits = Limits::new(
+            values.number("running") as usize,
+            values.number("queued") as usize,
+        );
+        let admission = Admission::new(limits, values.millis("usual_ms"));
+        let budget = Budget::new(
+            values.number("retry_percent") as f64 / 100.0,
+            values.number("retry_saved") as f64,
+        );
+        Arc::new(Entry {
+            node,
+            settings: settings.clone(),
+            door: Mutex::new(Door { admission, waiting: HashMap::new() }),
+            seats: Mutex::default(),
+            budget: Mutex::new(budget),
+            seq: AtomicU64::new(0),
+        })
+    }
+
+    /// Returns a name for one attempt, never used before.
+    pub(crate) fn attempt(&self) -> Attempt {
+        let seq = self.seq.fetch_add(1, Ordering::Relaxed);
+        let name = &self.node.identity().name;
+        Attempt::new(name, self.node.incarnation(), seq)
+    }
+
+    pub(crate) fn door(&self) -> MutexGuard<'_, Door> {
+        lock(&self.door)
+    }
+
+    pub(crate) fn seats(&self) -> MutexGuard<'_, Seats> {
+        lock(&self.seats)
+    }
+
+    pub(crate) fn budget(&self) -> MutexGuard<'_, Budget> {
+        lock(&self.budget)
+    }
+
+    pub(crate) fn millis(&self, name: &str) -> Duration {
+        self.settings.values.millis(name)
+    }
+}
+
+/// A panic while holding one of these locks leaves whole values.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|e| e.into_inner())
+}
--- /dev/null
+++ b/crates/entry/src/front.rs
@@ -0,0 +1,325 @@
+//! From a caller's request to its final answer.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use futures::FutureExt as _;
+use futures::future::BoxFuture;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use stairhinge::request::{Attempt, Course, Failure, Next, settle};
+use stairhinge::{Code, Error, Ran, Time};
+use stairhinge_shell::http::{
+    Body, Failed, Handler, Limits, answer, full, read,
+};
+
+use crate::Entry;
+use crate::answer::{Kept, Streamed, whole};
+use crate::ask::Ask;
+use crate::choose::Chosen;
+use crate::send::Sitting;
+
+/// The pause before looking again when no agent can take a request.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// When to come back if nobody can take a request.
+const BACK: Duration = Duration::from_secs(1);
+
+/// How long a question for an agent's incarnation may take.
+const MEET: Duration = Duration::from_millis(500);
+
+impl Handler for Entry {
+    fn handle(
+        self: Arc<Entry>,
+        request: Request<Incoming>,
+    ) -> BoxFuture<'static, Response<Body>> {
+        async move {
+            match request.uri().path() {
+                "/healthz" => answer(StatusCode::OK, "{}".into()),
+                "/readyz" => self.ready(),
+                "/metrics" => Response::new(full(self.node.metrics_text())),
+                _ => self.front(request).await,
+            }
+        }
+        .boxed()
+    }
+}
+
+impl Entry {
+    fn ready(&self) -> Response<Body> {
+        let known = self.node.view().fleet.is_some();
+        let ready = known && !self.node.leaving();
+        let status = if ready {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        answer(status, format!("{{\"ready\":{ready}}}"))
+    }
+
+    async fn front(
+        self: Arc<Entry>,
+        request: Request<Incoming>,
+    ) -> Response<Body> {
+        let start = Instant::now();
+        match self.take(request, start).await {
+            Ok(response) => response,
+            Err(failed) => {
+                let code = failed.error().code().number();
+                let secs = start.elapsed().as_secs_f64();
+                self.node.metrics().answered(code, secs);
+                failed.response()
+            }
+        }
+    }
+
+    /// Checks and admits a request, then runs it.
+    async fn take(
+        self: &Arc<Entry>,
+        request: Request<Incoming>,
+        start: Instant,
+    ) -> Result<Response<Body>, Failed> {
+        let (parts, body) = request.into_parts();
+        let view = self.node.view();
+        let Some(fleet) = view.fleet.as_ref() else {
+            let why = "this entry has no configuration yet";
+            let err = Error::new(Code::NoBackend, why);
+            return Err(Failed::new(err).with_back(BACK));
+        };
+        let limits = Limits::of(&self.settings.values);
+        let body = read(body, limits.body, limits.body_time).await?;
+        let now = self.node.now();
+        let longest = self.millis("deadline_ms");
+        let ask = Ask::check(&parts, body, fleet, now, longest)?;
+        self.budget().earn();
+        let admitted = self.admit(&ask.workspace, ask.deadline).await?;
+        let held = match ask.guarded() {
+            Some(key) => Some(self.claim(key).await?),
+            None => None,
+        };
+        let entry = Arc::clone(self);
+        let kept = Kept { entry, admitted, held, start };
+        let run = Run {
+            entry: Arc::clone(self),
+            course: Course::new(ask.repeatable),
+            ask,
+            tried: HashSet::new(),
+            harmed: 0,
+            waited: None,
+        };
+        run.run(kept).await
+    }
+}
+
+/// One request on its way through attempts.
+struct Run {
+    entry: Arc<Entry>,
+    ask: Ask,
+    course: Course,
+    tried: HashSet<Arc<str>>,
+    /// Attempts that may have run.
+    harmed: u64,
+    /// Since when nobody could take it.
+    waited: Option<Time>,
+}
+
+impl Run {
+    async fn run(mut self, kept: Kept) -> Result<Response<Body>, Failed> {
+        loop {
+            let next = match self.attempt().await {
+                Ok(Good::Whole(response)) => {
+                    kept.end(0, Ran::Ran);
+                    return Ok(response);
+                }
+                Ok(Good::Streamed(streamed, sitting)) => {
+                    return Ok(streamed.go(kept, sitting));
+                }
+                Err(next) => next,
+            };
+            let Next::Final(code, ran) = next else { continue };
+            let failed = self.failed(code, ran);
+            if let Some(held) = kept.held {
+                self.entry.settle(held, ran);
+            }
+            return Err(failed);
+        }
+    }
+
+    fn failed(&self, code: Code, ran: Ran) -> Failed {
+        let aim = &self.ask.aim;
+        let why = format!("{aim:?} after {} agents", self.tried.len());
+        let failed = Failed::new(Error::new(code, why)).with_ran(ran);
+        match code.status() {
+            503 | 504 => {
+                let noise = rand::random::<f64>();
+                failed.with_back(BACK.mul_f64(1.0 + noise))
+            }
+            _ => failed,
+        }
+    }
+
+    /// Makes one attempt; what comes next if it fails.
+    async fn attempt(&mut self) -> Result<Good, Next> {
+        let Some(chosen) = self.entry.choose(&self.ask, &self.tried) else {
+            return Err(self.nobody().await);
+        };
+        let Some(incarnation) = self.incarnation(&chosen).await else {
+            self.tried.insert(Arc::clone(&chosen.name));
+            let now = self.entry.node.now();
+            self.entry.seat(&chosen.name, |s| s.health.fail(now));
+            return Err(self.after(Failure::Unsent).await);
+        };
+        let attempt = self.entry.attempt();
+        let sent = self.entry.node.now();
+        let left = self.left();
+        if left.is_zero() {
+            let before = self.course.ran();
+            return Err(Next::Final(Code::DeadlinePassed, before));
+        }
+        self.note(&chosen, &attempt);
+        let sitting = Sitting::new(&self.entry, &chosen.name);
+        let entry = Arc::clone(&self.entry);
+        let answered =
+            entry.send(&self.ask, &chosen, &attempt, incarnation, left).await;
+        let answered = match answered {
+            Ok(response) => self.read(response).await,
+            Err(failure) => Err(failure),
+        };
+        let failure = match answered {
+            Ok(Read::Whole(whole)) => return Ok(Good::Whole(whole)),
+            Ok(Read::Streamed(streamed)) => {
+                return Ok(Good::Streamed(streamed, sitting));
+            }
+            Err(failure) => failure,
+        };
+        drop(sitting);
+        self.tried.insert(Arc::clone(&chosen.name));
+        match self.after(failure).await {
+            Next::Revoke => {
+                Err(self.revoke(&chosen, attempt, incarnation, sent).await)
+            }
+            next => Err(next),
+        }
+    }
+
+    async fn read(
+        &self,
+        response: Response<Incoming>,
+    ) -> Result<Read, Failure> {
+        let idle = self.entry.millis("idle_ms");
+        if self.ask.stream && response.status() == StatusCode::OK {
+            let streamed = Streamed::begin(response, idle).await?;
+            return Ok(Read::Streamed(Box::new(streamed)));
+        }
+        let most = self.entry.settings.values.number("answer_kb") * 1024;
+        let whole = whole(response, most as usize, self.left()).await?;
+        Ok(Read::Whole(whole))
+    }
+
+    fn note(&mut self, chosen: &Chosen, attempt: &Attempt) {
+        if !self.tried.is_empty() {
+            self.entry.node.metrics().retried();
+        }
+        let key = self.ask.key.as_ref().map_or("", |k| k.as_str());
+        let fields = [
+            ("attempt", attempt.as_str()),
+            ("agent", &*chosen.name),
+            ("key", key),
+        ];
+        self.entry.node.event("request.sent", &fields);
+    }
+
+    fn left(&self) -> Duration {
+        self.ask.deadline.since(self.entry.node.now())
+    }
+
+    /// An agent that nothing is known of is asked for its incarnation first.
+    async fn incarnation(&self, chosen: &Chosen) -> Option<u64> {
+        if let Some(known) = chosen.incarnation {
+            return Some(known);
+        }
+        let node = &self.entry.node;
+        let report = node.report();
+        let met = node.wire().exchange(chosen.control, MEET, report).await;
+        let report = met.ok()?;
+        let incarnation = report.incarnation;
+        node.hear(report);
+        Some(incarnation)
+    }
+
+    /// Nobody can take it now: wait a little, in bounds.
+    async fn nobody(&mut self) -> Next {
+        let now = self.entry.node.now();
+        let since = *self.waited.get_or_insert(now);
+        let most = self.entry.millis("wait_ms");
+        if now.since(since) >= most || self.left().is_zero() {
+            return self
+                .course
+                .failed(Failure::Refused(Code::NoBackend), false);
+        }
+        self.tried.clear();
+        tokio::time::sleep(PAUSE).await;
+        Next::Elsewhere
+    }
+
+    /// Decides what comes after a failure.
+    async fn after(&mut self, failure: Failure) -> Next {
+        let harm = matches!(failure, Failure::Silent | Failure::Failed(_));
+        let more = if harm { self.may_retry() } else { self.may_move() };
+        let next = self.course.failed(failure, more);
+        if next == Next::Elsewhere && !harm && self.tried.len() > 1 {
+            // Refused by several: they are switching, or behind.
+            tokio::time::sleep(PAUSE).await;
+        }
+        next
+    }
+
+    /// A request that did not run costs its agent little, so it may move
+    /// until its deadline, or until the time to wait has passed.
+    fn may_move(&mut self) -> bool {
+        let now = self.entry.node.now();
+        let since = *self.waited.get_or_insert(now);
+        let most = self.entry.millis("wait_ms");
+        !self.left().is_zero() && now.since(since) < most
+    }
+
+    /// One that may have run may be tried again within tries and budget.
+    fn may_retry(&mut self) -> bool {
+        self.harmed += 1;
+        let tries = self.entry.settings.values.number("tries");
+        self.harmed < tries
+            && !self.left().is_zero()
+            && self.entry.budget().spend()
+    }
+
+    async fn revoke(
+        &mut self,
+        chosen: &Chosen,
+        attempt: Attempt,
+        incarnation: u64,
+        sent: Time,
+    ) -> Next {
+        let node = &self.entry.node;
+        let within = self.entry.millis("revoke_ms");
+        let word = node
+            .wire()
+            .revoke(chosen.control, within, attempt, incarnation)
+            .await;
+        let since = node.now().since(sent);
+        let keep = self.entry.millis("keep_ms");
+        let ran = settle(word.ok(), since, keep);
+        let more = ran == Ran::DidNotRun && self.may_move();
+        self.course.revoked(ran, more)
+    }
+}
+
+enum Read {
+    Whole(Response<Body>),
+    Streamed(Box<Streamed>),
+}
+
+enum Good {
+    Whole(Response<Body>),
+    Streamed(Box<Streamed>, Sitting),
+}
--- /dev/null
+++ b/crates/shell/src/control/convert.rs
@@ -0,0 +1,115 @@
+//! Between the schema's generated types and the project's own.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use stairhinge::document::{Document, Kind, Seen};
+use stairhinge::{Code, Digest, Ran};
+use stairhinge_schema::fleet_capnp as schema;
+
+use super::Report;
+
+type Read<T> = Result<T, capnp::Error>;
+
+pub(super) fn text(reader: Read<capnp::text::Reader<'_>>) -> Read<Arc<str>> {
+    Ok(Arc::from(reader?.to_str()?))
+}
+
+pub(super) fn put_report(
+    report: &Report,
+    mut to: schema::report::Builder<'_>,
+) {
+    to.set_name(&*report.name);
+    to.set_hall(&*report.hall);
+    to.set_incarnation(report.incarnation);
+    to.set_clock(report.clock);
+    if let Some(addr) = report.control {
+        to.set_control(addr.to_string());
+    }
+    put_seen(report.config, to.reborrow().init_config());
+    put_seen(report.listing, to.reborrow().init_listing());
+    to.set_contact_ms(millis(report.contact));
+    to.set_state(&*report.state);
+    to.set_model(&*report.model);
+    to.set_version(&*report.version);
+    to.set_load(report.load);
+    to.set_share(report.share);
+    to.set_rate(report.rate);
+    to.set_stuck(report.stuck.map_or(0, Code::number));
+}
+
+pub(super) fn get_report(from: schema::report::Reader<'_>) -> Read<Report> {
+    Ok(Report {
+        name: text(from.get_name())?,
+        hall: text(from.get_hall())?,
+        incarnation: from.get_incarnation(),
+        clock: from.get_clock(),
+        control: text(from.get_control())?.parse().ok(),
+        config: get_seen(from.get_config()?)?,
+        listing: get_seen(from.get_listing()?)?,
+        contact: Duration::from_millis(from.get_contact_ms()),
+        state: text(from.get_state())?,
+        model: text(from.get_model())?,
+        version: text(from.get_version())?,
+        load: from.get_load(),
+        share: from.get_share(),
+        rate: from.get_rate(),
+        stuck: Code::from_number(from.get_stuck()),
+    })
+}
+
+fn put_seen(seen: Seen, mut to: schema::seen::Builder<'_>) {
+    to.set_revision(seen.revision());
+    if seen.revision() > 0 {
+        to.set_digest(seen.digest().as_bytes());
+    }
+}
+
+fn get_seen(from: schema::seen::Reader<'_>) -> Read<Seen> {
+    if from.get_revision() == 0 {
+        return Ok(Seen::nothing());
+    }
+    let digest = Digest::from_slice(from.get_digest()?)
+        .map_err(|e| capnp::Error::failed(e.to_string()))?;
+    Ok(Seen::new(from.get_revision(), digest))
+}
+
+pub(super) fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+pub(super) fn to_kind(kind: Kind) -> schema::Kind {
+    match kind {
+        Kind::Config => schema::Kind::Config,
+        Kind::Listing => schema::Kind::Listing,
+    }
+}
+
+pub(super) fn from_kind(kind: schema::Kind) -> Kind {
+    match kind {
+        schema::Kind::Config => Kind::Config,
+        schema::Kind::Listing => Kind::Listing,
+    }
+}
+
+pub(super) fn to_ran(ran: Ran) -> schema::Ran {
+    match ran {
+        Ran::DidNotRun => schema::Ran::DidNotRun,
+        Ran::MayHaveRun => schema::Ran::MayHaveRun,
+        Ran::Ran => schema::Ran::Ran,
+    }
+}
+
+pub(super) fn from_ran(ran: schema::Ran) -> Ran {
+    match ran {
+        schema::Ran::DidNotRun => Ran::DidNotRun,
+        schema::Ran::MayHaveRun => Ran::MayHaveRun,
+        schema::Ran::Ran => Ran::Ran,
+    }
+}
+
+pub(super) fn get_document(
+    from: schema::document::Reader<'_>,
+) -> Read<Document> {
+    Ok(Document::new(from.get_revision(), from.get_bytes()?))
+}
--- /dev/null
+++ b/crates/shell/src/control/wire.rs
@@ -0,0 +1,447 @@
+//! The handle to a process's control thread, and the calls that go out.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
+use futures::AsyncReadExt as _;
+use futures::future::LocalBoxFuture;
+use stairhinge::document::{Document, Kind};
+use stairhinge::request::{Attempt, Key};
+use stairhinge::{Code, Error, Ran};
+use stairhinge_schema::fleet_capnp::{operator, peer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::LocalSet;
+use tokio_util::compat::TokioAsyncReadCompatExt as _;
+
+use super::convert::{
+    from_ran, get_document, get_report, put_report, text, to_kind, to_ran,
+};
+use super::counted::Counted;
+use super::{ClaimAsk, Control, Grant, Report, serve};
+use crate::Shutdown;
+
+type Job = Box<dyn FnOnce(Rc<Links>) -> LocalBoxFuture<'static, ()> + Send>;
+
+/// The handle to a process's control thread; clones share it.
+#[derive(Clone, Debug)]
+pub struct Wire {
+    jobs: mpsc::UnboundedSender<Job>,
+    bytes: Arc<AtomicU64>,
+}
+
+impl Wire {
+    /// How long a connection may take to come up.
+    const CONNECT: Duration = Duration::from_secs(1);
+
+    /// Starts the control thread. It ends with the last handle.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::Internal`] if the thread cannot be started.
+    pub fn start() -> Result<Wire, Error> {
+        let (tx, rx) = mpsc::unbounded_channel();
+        let bytes = Arc::new(AtomicU64::new(0));
+        let counter = Arc::clone(&bytes);
+        let run = move || control_thread(rx, counter);
+        thread::Builder::new()
+            .name("control".into())
+            .spawn(run)
+            .map_err(|e| Error::new(Code::Internal, e))?;
+        Ok(Wire { jobs: tx, bytes })
+    }
+
+    /// Returns the bytes of all control calls so far, both directions.
+    pub fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
+    }
+
+    /// Answers control calls on a listener until the process stops.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::CannotBind`] if the listener cannot be taken over.
+    pub fn serve(
+        &self,
+        listener: std::net::TcpListener,
+        control: Arc<dyn Control>,
+        shutdown: Shutdown,
+    ) -> Result<(), Error> {
+        listener
+            .set_nonblocking(true)
+            .map_err(|e| Error::new(Code::CannotBind, e))?;
+        let bytes = Arc::clone(&self.bytes);
+        self.run(Box::new(move |_| {
+            Box::pin(async move {
+                match TcpListener::from_std(listener) {
+                    Ok(listener) => {
+                        serve::accept(listener, control, bytes, shutdown)
+                            .await;
+                    }
+                    Err(err) => log::error!("control listener: {err}"),
+                }
+            })
+        }));
+        Ok(())
+    }
+
+    fn run(&self, job: Job) {
+        if self.jobs.send(job).is_err() {
+            log::error!("the control thread is gone");
+        }
+    }
+
+    /// Makes one call on the thread, within a time.
+    async fn call<T, F, Fut>(
+        &self,
+        addr: SocketAddr,
+        within: Duration,
+        call: F,
+    ) -> Result<T, Error>
+    where
+        T: Send + 'static,
+        F: FnOnce(peer::Client) -> Fut + Send + 'static,
+        Fut: Future<Output = Result<T, capnp::Error>> + 'static,
+    {
+        let (tx, rx) = oneshot::channel();
+        self.run(Box::new(move |links| {
+            Box::pin(async move {
+                let done = links.call(addr, within, call).await;
+                // The asker may have gone.
+                let _ = tx.send(done);
+            })
+        }));
+        rx.await.unwrap_or_else(|_| {
+            Err(Error::new(Code::Internal, "the control thread is gone"))
+        })
+    }
+
+    /// Exchanges reports.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::PeerLost`], as all calls here.
+    pub async fn exchange(
+        &self,
+        addr: SocketAddr,
+        within: Duration,
+        report: Report,
+    ) -> Result<Report, Error> {
+        self.call(addr, within, move |peer| async move {
+            let mut request = peer.exchange_request();
+            put_report(&report, request.get().init_report());
+            let response = request.send().promise.await?;
+            get_report(response.get()?.get_report()?)
+        })
+        .await
+    }
+
+    /// Pulls a document above a revision, if the peer has one.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::PeerLost`].
+    pub async fn pull(
+        &self,
+        addr: SocketAddr,
+        within: Duration,
+        kind: Kind,
+        above: u64,
+    ) -> Result<Option<Document>, Error> {
+        self.call(addr, within, move |peer| async move {
+            let mut request = peer.pull_request();
+            request.get().set_kind(to_kind(kind));
+            request.get().set_above(above);
+            let response = request.send().promise.await?;
+            let response = response.get()?;
+            if !response.get_found() {
+                return Ok(None);
+            }
+            Ok(Some(get_document(response.get_document()?)?))
+        })
+        .await
+    }
+
+    /// Revokes an attempt meant for an incarnation of an agent.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::PeerLost`]; then the attempt may have run.
+    pub async fn revoke(
+        &self,
+        addr: SocketAddr,
+        within: Duration,
+        attempt: Attempt,
+        incarnation: u64,
+    ) -> Result<Ran, Error> {
+        self.call(addr, within, move |peer| async move {
+            let mut request = peer.revoke_request();
+            request.get().set_attempt(attempt.as_str());
+            request.get().set_incarnation(incarnation);
+            let response = request.send().promise.await?;
+            Ok(from_ran(response.get()?.get_ran()?))
+        })
+        .await
+    }
+
+    /// Asks a guard for a key.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::PeerLost`]; then the key may have been granted.
+    pub async fn claim(
+        &self,
+        addr: SocketAddr,
+        within: Duration,
+        ask: ClaimAsk,
+    ) -> Result<Grant, Error> {
+        self.call(addr, within, move |peer| async move {
+            let mut request = peer.claim_request();
+            let mut claim = request.get().init_claim();
+            claim.set_key(ask.key.as_str());
+            claim.set_holder(&*ask.holder);
+            claim.set_revision(ask.revision);
+            claim.set_former(ask.former);
+            let response = request.send().promise.await?;
+            let grant = response.get()?.get_grant()?;
+            let wait = Duration::from_millis(u64::from(grant.get_wait_ms()));
+            let result = match grant.get_code() {
+                0 => Ok(()),
+                num => {
+                    let code =
+                        Code::from_number(num).unwrap_or(Code::Internal);
+                    let why = text(grant.get_message())?;
+                    Err((Error::new(code, why), wait))
+                }
+            };
+            Ok(Grant { result, revision: grant.get_revision() })
+        })
+        .await
+    }
+
+    /// Tells a guard how the holder of a key ended.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::PeerLost`]; then the key stays taken for its window.
+    pub async fn settle(
+        &self,
+        addr: SocketAddr,
+        within: Duration,
+        key: Key,
+        holder: Arc<str>,
+        ran: Ran,
+    ) -> Result<(), Error> {
+        self.call(addr, within, move |peer| async move {
+            let mut request = peer.settle_request();
+            request.get().set_key(key.as_str());
+            request.get().set_holder(&*holder);
+            request.get().set_ran(to_ran(ran));
+            request.send().promise.await?;
+            Ok(())
+        })
+        .await
+    }
+
+    /// Returns the reports of all processes that a process knows.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::PeerLost`].
+    pub async fn status(
+        &self,
+        addr: SocketAddr,
+        within: Duration,
+    ) -> Result<Vec<Report>, Error> {
+        self.call(addr, within, |peer| async move {
+            let request = operator_of(&peer).status_request();
+            let response = request.send().promise.await?;
+            let mut reports = Vec::new();
+            for report in response.get()?.get_reports()? {
+                reports.push(get_report(report)?);
+            }
+            Ok(reports)
+        })
+        .await
+    }
+
+    /// Asks a process how a version has come there.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::PeerLost`].
+    pub async fn explain(
+        &self,
+        addr: SocketAddr,
+        within: Duration,
+        version: Arc<str>,
+    ) -> Result<Vec<String>, Error> {
+        self.call(addr, within, move |peer| async move {
+            let mut request = operator_of(&peer).explain_request();
+            request.get().set_version(&*version);
+            let response = request.send().promise.await?;
+            let mut lines = Vec::new();
+            for line in response.get()?.get_lines()? {
+                lines.push(line?.to_string()?);
+            }
+            Ok(lines)
+        })
+        .await
+    }
+
+    /// Orders a process to leave, based on a revision.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::PeerLost`], or the code with which the process refuses.
+    pub async fn drain(
+        &self,
+        addr: SocketAddr,
+        within: Duration,
+        based_on: u64,
+    ) -> Result<(), Error> {
+        let (code, why) = self
+            .call(addr, within, move |peer| async move {
+                let mut request = operator_of(&peer).drain_request();
+                request.get().set_based_on(based_on);
+                let response = request.send().promise.await?;
+                let response = response.get()?;
+                Ok((response.get_code(), text(response.get_message())?))
+            })
+            .await?;
+        match Code::from_number(code) {
+            None => Ok(()),
+            Some(code) => Err(Error::new(code, why)),
+        }
+    }
+
+    /// Returns the revision of the declaration that a process holds, with
+    /// the fleet's name and its models with the version each serves.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::PeerLost`].
+    pub async fn fleet(
+        &self,
+        addr: SocketAddr,
+        within: Duration,
+    ) -> Result<(u64, Vec<(Arc<str>, Arc<str>)>), Error> {
+        self.call(addr, within, |peer| async move {
+            let request = operator_of(&peer).fleet_request();
+            let response = request.send().promise.await?;
+            let fleet = response.get()?.get_fleet()?;
+            let mut models = Vec::new();
+            for model in fleet.get_models()? {
+                let name = text(model.get_name())?;
+                models.push((name, text(model.get_serve())?));
+            }
+            Ok((fleet.get_revision(), models))
+        })
+        .await
+    }
+}
+
+fn operator_of(peer: &peer::Client) -> operator::Client {
+    peer.operator_request().send().pipeline.get_operator()
+}
+
+fn control_thread(
+    mut jobs: mpsc::UnboundedReceiver<Job>,
+    bytes: Arc<AtomicU64>,
+) {
+    let built =
+        tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = match built {
+        Ok(runtime) => runtime,
+        Err(err) => return log::error!("control runtime: {err}"),
+    };
+    let links = Rc::new(Links { peers: RefCell::default(), bytes });
+    let local = LocalSet::new();
+    local.block_on(&runtime, async move {
+        while let Some(job) = jobs.recv().await {
+            tokio::task::spawn_local(job(Rc::clone(&links)));
+        }
+    });
+}
+
+/// The connections of the control thread.
+struct Links {
+    peers: RefCell<HashMap<SocketAddr, (u64, peer::Client)>>,
+    bytes: Arc<AtomicU64>,
+}
+
+impl Links {
+    async fn call<T, F, Fut>(
+        &self,
+        addr: SocketAddr,
+        within: Duration,
+        call: F,
+    ) -> Result<T, Error>
+    where
+        F: FnOnce(peer::Client) -> Fut,
+        Fut: Future<Output = Result<T, capnp::Error>>,
+    {
+        let lost = |why: &dyn std::fmt::Display| {
+            Error::new(Code::PeerLost, format_args!("{addr}: {why}"))
+        };
+        let (id, client) = self.link(addr).await.map_err(|e| lost(&e))?;
+        match tokio::time::timeout(within, call(client)).await {
+            Ok(Ok(value)) => Ok(value),
+            Ok(Err(err)) => {
+                self.drop_link(addr, id);
+                Err(lost(&err))
+            }
+            Err(_) => {
+                self.drop_link(addr, id);
+                Err(lost(&format!("nothing after {} ms", within.as_millis())))
+            }
+        }
+    }
+
+    async fn link(
+        &self,
+        addr: SocketAddr,
+    ) -> std::io::Result<(u64, peer::Client)> {
+        if let Some(found) = self.peers.borrow().get(&addr) {
+            return Ok(found.clone());
+        }
+        let connecting = TcpStream::connect(addr);
+        let stream = tokio::time::timeout(Wire::CONNECT, connecting).await??;
+        let counted = Counted::new(stream, Arc::clone(&self.bytes));
+        let (reader, writer) = counted.compat().split();
+        let network = twoparty::VatNetwork::new(
+            reader,
+            writer,
+            rpc_twoparty_capnp::Side::Client,
+            Default::default(),
+        );
+        let mut system = RpcSystem::new(Box::new(network), None);
+        let client: peer::Client =
+            system.bootstrap(rpc_twoparty_capnp::Side::Server);
+        tokio::task::spawn_local(async move {
+            if let Err(err) = system.await {
+                log::debug!("control link to {addr}: {err}");
+            }
+        });
+        let mut peers = self.peers.borrow_mut();
+        let id = peers.get(&addr).map_or(0, |(id, _)| id + 1);
+        peers.insert(addr, (id, client.clone()));
+        Ok((id, client))
+    }
+
+    /// Forgets a link after a failure, unless a newer one took its place.
+    fn drop_link(&self, addr: SocketAddr, id: u64) {
+        let mut peers = self.peers.borrow_mut();
+        if peers.get(&addr).is_some_and(|(known, _)| *known == id) {
+            peers.remove(&addr);
+        }
+    }
+}
--- /dev/null
+++ b/crates/shell/src/http.rs
@@ -0,0 +1,12 @@
+//! HTTP on both sides, by hyper, within limits from the settings.
+
+mod body;
+mod client;
+mod fail;
+pub mod headers;
+mod server;
+
+pub use self::body::{Body, BodyError, empty, full, read, shaped, stream};
+pub use self::client::{CallError, Client};
+pub use self::fail::{Failed, answer};
+pub use self::server::{Handler, Limits, serve};
--- /dev/null
+++ b/crates/shell/src/http/headers.rs
@@ -0,0 +1,41 @@
+//! Names of headers, towards callers and between processes.
+
+/// A caller's name for one request.
+pub const KEY: &str = "idempotency-key";
+/// Whether the request may be repeated: `true` or `false`.
+pub const REPEATABLE: &str = "stairhinge-repeatable";
+/// The workspace whose request it is.
+pub const WORKSPACE: &str = "stairhinge-workspace";
+/// Milliseconds from the request's arrival to its deadline.
+pub const DEADLINE: &str = "stairhinge-deadline-ms";
+/// The numbered code of a failure.
+pub const CODE: &str = "stairhinge-code";
+/// Whether the request ran: see [`stairhinge::Ran`].
+pub const RAN: &str = "stairhinge-ran";
+/// The version that an answer comes from.
+pub const VERSION: &str = "stairhinge-version";
+/// The attempt, from entry to agent.
+pub const ATTEMPT: &str = "stairhinge-attempt";
+/// The agent's incarnation that an attempt is meant for.
+pub const INCARNATION: &str = "stairhinge-incarnation";
+/// The revision of the sender's configuration.
+pub const REVISION: &str = "stairhinge-revision";
+/// The model that a request is for, from entry to agent.
+pub const MODEL: &str = "stairhinge-model";
+/// The requests in progress at an agent, on its answers.
+pub const LOAD: &str = "stairhinge-load";
+/// The digest of a chunk that is answered.
+pub const DIGEST: &str = "stairhinge-digest";
+/// What the answering agent holds of the chunks asked for, as a bit field in
+/// hexadecimal.
+pub const HELD: &str = "stairhinge-held";
+/// The data hall of an agent that asks for chunks.
+pub const HALL: &str = "stairhinge-hall";
+/// The fence of an order to an engine, and of an engine's answer.
+pub const FENCE: &str = "engine-fence";
+/// The version that an engine is to answer from, and did answer from.
+pub const ENGINE_VERSION: &str = "engine-version";
+/// The name of a request towards an engine or plain service.
+pub const ENGINE_REQUEST: &str = "engine-request";
+/// The priority of a request towards an engine, 0 first.
+pub const ENGINE_PRIORITY: &str = "engine-priority";
--- /dev/null
+++ b/crates/shell/src/lib.rs
@@ -0,0 +1,25 @@
+//! The I/O around stairhinge's decisions, shared by all programs.
+//!
+//! * [`settings`] reads and checks settings files.
+//! * [`http`] serves and calls HTTP within limits.
+//! * [`control`] carries calls between processes over Cap'n Proto RPC.
+//! * [`node`] keeps what one process knows: documents, peers, its own state.
+//!
+//! Nothing here decides: what to do is asked of the `stairhinge` crate.
+
+pub mod control;
+pub mod http;
+pub mod node;
+pub mod settings;
+
+mod logs;
+mod metrics;
+mod rate;
+mod shutdown;
+mod slot;
+
+pub use self::logs::{start as start_logs, to_report};
+pub use self::metrics::Metrics;
+pub use self::rate::Shaper;
+pub use self::shutdown::{Shutdown, Stopper, on_signals};
+pub use self::slot::Slot;
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,22 @@
+//! Small stand-ins for what the platform brings: its configuration service
+//! and instance list, the origin of weights, model engines and plain
+//! services. They speak the published protocols that the system meets, keep a
+//! record of what they did, and can be told to fail. For tests, demo and
+//! bench only.
+
+mod batch;
+mod engine;
+mod faults;
+mod origin;
+mod pack;
+mod platform;
+mod run;
+mod service;
+
+pub use self::engine::{Engine, EngineSettings, Record};
+pub use self::faults::Faults;
+pub use self::origin::Origin;
+pub use self::pack::{Pack, weights};
+pub use self::platform::{Mode, Platform};
+pub use self::run::{Running, limits, start};
+pub use self::service::Service;
--- /dev/null
+++ b/src/declaration/check.rs
@@ -0,0 +1,406 @@
+//! From the declaration as written to the checked one.
+
+use std::collections::HashSet;
+use std::ops::RangeInclusive;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::fleet::{
+    Backend, Fleet, Model, Prefer, Service, Site, Version, Workspace,
+};
+use super::raw::{
+    Number, RawBackend, RawFleet, RawModel, RawPlacement, RawVersion, Text,
+    yaml,
+};
+use super::{Fault, Faults, MOST_BYTES};
+use crate::{Code, Digest};
+
+/// The longest name of anything declared, in bytes.
+const LONGEST_NAME: usize = 64;
+
+const REVISION: RangeInclusive<i64> = 1..=i64::MAX;
+const BUDGET: RangeInclusive<i64> = 1..=16;
+const WINDOW_S: RangeInclusive<i64> = 1..=86_400;
+const KEY_WINDOW_S: RangeInclusive<i64> = 0..=86_400;
+const PRIORITY: RangeInclusive<i64> = 0..=9;
+const SHARE: RangeInclusive<i64> = 1..=1_000;
+const REPLICAS: RangeInclusive<i64> = 0..=10_000;
+
+/// The window in which a version is to be live where none is declared.
+const USUAL_WINDOW_S: i64 = 300;
+
+/// How long a key names one request where it is not declared: longer than an
+/// enumerator or clerk is known to press the button again.
+const USUAL_KEY_WINDOW_S: i64 = 600;
+
+impl Fleet {
+    /// Reads and checks a declaration.
+    ///
+    /// # Errors
+    ///
+    /// All faults at once, each with its line; a fault of the YAML itself
+    /// hides those behind it.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use stairhinge::declaration::Fleet;
+    ///
+    /// let faults = Fleet::parse("revision: 0\nname: x\n").unwrap_err();
+    /// let line = faults.iter().next().unwrap().to_string();
+    /// assert!(line.starts_with("line 1: 2004 revision: 0; allowed: 1 to"));
+    /// ```
+    pub fn parse(text: &str) -> Result<Fleet, Faults> {
+        if text.len() > MOST_BYTES {
+            return Err(Faults::from(Fault::new(
+                Code::TooLarge,
+                0,
+                "file",
+                format_args!("{} bytes", text.len()),
+                format!("at most {MOST_BYTES} bytes"),
+            )));
+        }
+        let raw: RawFleet = yaml(text)?;
+        Checker::default().fleet(raw)
+    }
+}
+
+/// Collects faults while the typed form is built.
+#[derive(Default)]
+struct Checker {
+    faults: Faults,
+}
+
+impl Checker {
+    fn fleet(mut self, raw: RawFleet) -> Result<Fleet, Faults> {
+        let revision = self.number("revision", &raw.revision, REVISION);
+        let name = self.name("name", &raw.name);
+        let prefer = self.prefer(raw.prefer.as_ref());
+        let budget = self.optional(
+            "origin_budget",
+            raw.origin_budget.as_ref(),
+            BUDGET,
+            i64::from(prefer.budget()),
+        );
+        let window = self.optional(
+            "window_s",
+            raw.window_s.as_ref(),
+            WINDOW_S,
+            USUAL_WINDOW_S,
+        );
+        let key_window = self.optional(
+            "key_window_s",
+            raw.key_window_s.as_ref(),
+            KEY_WINDOW_S,
+            USUAL_KEY_WINDOW_S,
+        );
+        let sites = self.sites(&raw);
+        let models = self.models(&raw.models, &sites);
+        let services = self.services(&raw);
+        let workspaces = self.workspaces(&raw);
+        let backends = self.backends(&raw.backends, &sites, &services);
+        if !self.faults.is_empty() {
+            return Err(self.faults);
+        }
+        Ok(Fleet {
+            revision: revision as u64,
+            name,
+            prefer,
+            budget: budget as u32,
+            window: Duration::from_secs(window as u64),
+            key_window: Duration::from_secs(key_window as u64),
+            models,
+            services,
+            sites,
+            workspaces,
+            backends,
+        })
+    }
+
+    fn sites(&mut self, raw: &RawFleet) -> Vec<Site> {
+        let mut seen = HashSet::new();
+        let mut sites = Vec::new();
+        for (i, site) in raw.sites.iter().enumerate() {
+            let name = self.unique(
+                &format!("sites[{i}].name"),
+                &site.name,
+                &mut seen,
+            );
+            let region = match &site.region {
+                Some(r) => self.name(&format!("sites[{i}].region"), r),
+                None => Arc::clone(&name),
+            };
+            sites.push(Site { name, region });
+        }
+        sites
+    }
+
+    fn models(&mut self, raw: &[RawModel], sites: &[Site]) -> Vec<Model> {
+        let mut seen = HashSet::new();
+        let mut models = Vec::new();
+        for (i, model) in raw.iter().enumerate() {
+            let at = format!("models[{i}]");
+            let name =
+                self.unique(&format!("{at}.name"), &model.name, &mut seen);
+            let priority = self.optional(
+                &format!("{at}.priority"),
+                model.priority.as_ref(),
+                PRIORITY,
+                5,
+            );
+            let versions =
+                self.versions(&format!("{at}.versions"), &model.versions);
+            let adapters =
+                self.versions(&format!("{at}.adapters"), &model.adapters);
+            let serve = self.served(&at, &model.serve, &versions);
+            let placements = self.placements(&at, &model.placements, sites);
+            models.push(Model {
+                name,
+                priority: priority as u8,
+                repeatable: model.repeatable.unwrap_or(true),
+                versions,
+                adapters,
+                serve,
+                placements,
+            });
+        }
+        models
+    }
+
+    fn versions(&mut self, at: &str, raw: &[RawVersion]) -> Vec<Version> {
+        let mut seen = HashSet::new();
+        let mut versions = Vec::new();
+        for (i, version) in raw.iter().enumerate() {
+            let name = self.unique(
+                &format!("{at}[{i}].name"),
+                &version.name,
+                &mut seen,
+            );
+            let text = &version.manifest;
+            let manifest = text.value.parse().unwrap_or_else(|_| {
+                self.faults.push(Fault::new(
+                    Code::BadDigest,
+                    text.referenced.line(),
+                    format!("{at}[{i}].manifest"),
+                    format_args!("\"{}\"", text.value),
+                    "a blake3 digest, 64 hex digits",
+                ));
+                Digest::of(b"")
+            });
+            versions.push(Version { name, manifest });
+        }
+        versions
+    }
+
+    fn served(&mut self, at: &str, raw: &Text, all: &[Version]) -> usize {
+        let found = all.iter().position(|v| *v.name == *raw.value);
+        found.unwrap_or_else(|| {
+            let names = all.iter().map(|v| &v.name);
+            self.unknown(&format!("{at}.serve"), raw, names);
+            0
+        })
+    }
+
+    fn placements(
+        &mut self,
+        at: &str,
+        raw: &[RawPlacement],
+        sites: &[Site],
+    ) -> Vec<(Arc<str>, u32)> {
+        let mut seen = HashSet::new();
+        let mut placements = Vec::new();
+        for (i, placement) in raw.iter().enumerate() {
+            let field = format!("{at}.placements[{i}]");
+            let site = self.unique(
+                &format!("{field}.site"),
+                &placement.site,
+                &mut seen,
+            );
+            self.site(&format!("{field}.site"), &placement.site, sites);
+            let replicas = self.number(
+                &format!("{field}.replicas"),
+                &placement.replicas,
+                REPLICAS,
+            );
+            placements.push((site, replicas as u32));
+        }
+        placements
+    }
+
+    fn services(&mut self, raw: &RawFleet) -> Vec<Service> {
+        let mut seen = HashSet::new();
+        let mut services = Vec::new();
+        for (i, service) in raw.services.iter().enumerate() {
+            let name = self.unique(
+                &format!("services[{i}].name"),
+                &service.name,
+                &mut seen,
+            );
+            let repeatable = service.repeatable.unwrap_or(true);
+            services.push(Service { name, repeatable });
+        }
+        services
+    }
+
+    fn workspaces(&mut self, raw: &RawFleet) -> Vec<Workspace> {
+        let mut seen = HashSet::new();
+        let mut workspaces = Vec::new();
+        for (i, workspace) in raw.workspaces.iter().enumerate() {
+            let at = format!("workspaces[{i}]");
+            let name =
+                self.unique(&format!("{at}.name"), &workspace.name, &mut seen);
+            let share = self.optional(
+                &format!("{at}.share"),
+                workspace.share.as_ref(),
+                SHARE,
+                1,
+            );
+            let priority = self.optional(
+                &format!("{at}.priority"),
+                workspace.priority.as_ref(),
+                PRIORITY,
+                5,
+            );
+            workspaces.push(Workspace::new(
+                name,
+                share as u32,
+                priority as u8,
+            ));
+        }
+        workspaces
+    }
+
+    fn backends(
+        &mut self,
+        raw: &[RawBackend],
+        sites: &[Site],
+        services: &[Service],
+    ) -> Vec<Backend> {
+        let mut seen = HashSet::new();
+        let mut backends = Vec::new();
+        for (i, backend) in raw.iter().enumerate() {
+            let at = format!("backends[{i}]");
+            let name =
+                self.unique(&format!("{at}.name"), &backend.name, &mut seen);
+            self.site(&format!("{at}.site"), &backend.site, sites);
+            let service = backend.service.as_ref().map(|text| {
+                let known = services.iter().map(|s| &s.name);
+                if !known.clone().any(|n| **n == *text.value) {
+                    self.unknown(&format!("{at}.service"), text, known);
+                }
+                Arc::from(text.value.as_str())
+            });
+            backends.push(Backend {
+                name,
+                site: Arc::from(backend.site.value.as_str()),
+                service,
+                fences: backend.checks_fences.unwrap_or(true),
+            });
+        }
+        backends
+    }
+
+    fn site(&mut self, field: &str, text: &Text, sites: &[Site]) {
+        if sites.iter().any(|s| *s.name == *text.value) {
+            return;
+        }
+        self.unknown(field, text, sites.iter().map(|s| &s.name));
+    }
+
+    fn prefer(&mut self, raw: Option<&Text>) -> Prefer {
+        let Some(text) = raw else { return Prefer::Time };
+        match text.value.as_str() {
+            "time" => Prefer::Time,
+            "origin" => Prefer::Origin,
+            other => {
+                self.faults.push(Fault::new(
+                    Code::OutOfRange,
+                    text.referenced.line(),
+                    "prefer",
+                    format_args!("\"{other}\""),
+                    "time or origin",
+                ));
+                Prefer::Time
+            }
+        }
+    }
+
+    fn name(&mut self, field: &str, text: &Text) -> Arc<str> {
+        let value = text.value.as_str();
+        let plain = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+        let fits = (1..=LONGEST_NAME).contains(&value.len());
+        if !fits || !value.chars().all(plain) {
+            self.faults.push(Fault::new(
+                Code::OutOfRange,
+                text.referenced.line(),
+                field,
+                format_args!("\"{value}\""),
+                format!("1 to {LONGEST_NAME} of a-z A-Z 0-9 - _ ."),
+            ));
+        }
+        Arc::from(value)
+    }
+
+    fn unique(
+        &mut self,
+        field: &str,
+        text: &Text,
+        seen: &mut HashSet<Arc<str>>,
+    ) -> Arc<str> {
+        let name = self.name(field, text);
+        if !seen.insert(Arc::clone(&name)) {
+            self.faults.push(Fault::new(
+                Code::Duplicate,
+                text.referenced.line(),
+                field,
+                format_args!("\"{name}\""),
+                "a name that does not stand above",
+            ));
+        }
+        name
+    }
+
+    fn number(
+        &mut self,
+        field: &str,
+        raw: &Number,
+        range: RangeInclusive<i64>,
+    ) -> i64 {
+        if !range.contains(&raw.value) {
+            self.faults.push(Fault::new(
+                Code::OutOfRange,
+                raw.referenced.line(),
+                field,
+                raw.value,
+                format!("{} to {}", range.start(), range.end()),
+            ));
+        }
+        raw.value
+    }
+
+    fn optional(
+        &mut self,
+        field: &str,
+        raw: Option<&Number>,
+        range: RangeInclusive<i64>,
+        usual: i64,
+    ) -> i64 {
+        raw.map_or(usual, |n| self.number(field, n, range))
+    }
+
+    fn unknown<'a>(
+        &mut self,
+        field: &str,
+        text: &Text,
+        known: impl Iterator<Item = &'a Arc<str>>,
+    ) {
+        let known: Vec<&str> = known.map(|n| &**n).collect();
+        self.faults.push(Fault::new(
+            Code::UnknownReference,
+            text.referenced.line(),
+            field,
+            format_args!("\"{}\"", text.value),
+            format!("one of {}", known.join(", ")),
+        ));
+    }
+}
--- /dev/null
+++ b/src/declaration/fault.rs
@@ -0,0 +1,108 @@
+//! Faults found in a file that a person wrote.
+
+use std::fmt;
+
+use crate::{Code, Error};
+
+/// One fault in a file: where it is, what stands there, what may.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Fault {
+    code: Code,
+    line: u64,
+    field: String,
+    value: String,
+    allowed: String,
+}
+
+impl Fault {
+    /// Returns a fault at a line (counted from 1; 0 if not known).
+    pub fn new(
+        code: Code,
+        line: u64,
+        field: impl Into<String>,
+        value: impl fmt::Display,
+        allowed: impl Into<String>,
+    ) -> Fault {
+        Fault {
+            code,
+            line,
+            field: field.into(),
+            value: value.to_string(),
+            allowed: allowed.into(),
+        }
+    }
+
+    /// Returns the numbered code.
+    pub fn code(&self) -> Code {
+        self.code
+    }
+
+    /// Returns the line, counted from 1, or 0 if it is not known.
+    pub fn line(&self) -> u64 {
+        self.line
+    }
+
+    /// Returns the path of the field, such as `models[0].name`.
+    pub fn field(&self) -> &str {
+        &self.field
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Fault { code, line, field, value, allowed } = self;
+        write!(f, "line {line}: {code} {field}: {value}; allowed: {allowed}")
+    }
+}
+
+/// All faults of one file, in the order found.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Faults {
+    list: Vec<Fault>,
+}
+
+impl Faults {
+    /// Returns an empty list.
+    pub const fn new() -> Faults {
+        Faults { list: Vec::new() }
+    }
+
+    /// Adds a fault.
+    pub fn push(&mut self, fault: Fault) {
+        self.list.push(fault);
+    }
+
+    /// Returns whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.list.is_empty()
+    }
+
+    /// Returns the faults.
+    pub fn iter(&self) -> std::slice::Iter<'_, Fault> {
+        self.list.iter()
+    }
+
+    /// Returns an error that stands for them all under the first one's code.
+    pub fn into_error(self) -> Error {
+        let code = self.list.first().map_or(Code::Internal, Fault::code);
+        Error::new(code, self)
+    }
+}
+
+impl From<Fault> for Faults {
+    fn from(fault: Fault) -> Faults {
+        Faults { list: vec![fault] }
+    }
+}
+
+impl fmt::Display for Faults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (i, fault) in self.list.iter().enumerate() {
+            if i > 0 {
+                f.write_str("\n")?;
+            }
+            write!(f, "{fault}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/declaration/fleet.rs
@@ -0,0 +1,343 @@
+//! A checked declaration.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::Digest;
+
+/// What weighs more when weights are distributed.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Prefer {
+    /// The time until a version is live on all replicas.
+    Time,
+    /// The bytes drawn from the origin.
+    Origin,
+}
+
+impl Prefer {
+    /// Returns the word used in declarations.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Prefer::Time => "time",
+            Prefer::Origin => "origin",
+        }
+    }
+
+    /// Returns the number of halls that may each draw a whole copy from the
+    /// origin where the declaration does not say: all four copies that its
+    /// link carries in the window, or one.
+    pub const fn budget(self) -> u32 {
+        match self {
+            Prefer::Time => 4,
+            Prefer::Origin => 1,
+        }
+    }
+}
+
+/// A version or an adapter of a model: a name and the weights behind it.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Version {
+    pub(super) name: Arc<str>,
+    pub(super) manifest: Digest,
+}
+
+impl Version {
+    /// Returns a version with a name and the digest of its manifest.
+    pub fn new(name: impl Into<Arc<str>>, manifest: Digest) -> Version {
+        Version { name: name.into(), manifest }
+    }
+
+    /// Returns the name, unique within its model.
+    pub fn name(&self) -> &Arc<str> {
+        &self.name
+    }
+
+    /// Returns the digest of the manifest.
+    pub fn manifest(&self) -> Digest {
+        self.manifest
+    }
+}
+
+/// An adapter, described as a version is.
+pub type Adapter = Version;
+
+/// A model with its versions and where it is to be served.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Model {
+    pub(super) name: Arc<str>,
+    pub(super) priority: u8,
+    pub(super) repeatable: bool,
+    pub(super) versions: Vec<Version>,
+    pub(super) adapters: Vec<Adapter>,
+    pub(super) serve: usize,
+    pub(super) placements: Vec<(Arc<str>, u32)>,
+}
+
+impl Model {
+    /// Returns the name, unique in the fleet.
+    pub fn name(&self) -> &Arc<str> {
+        &self.name
+    }
+
+    /// Returns the priority, 0 to 9; the lower gets instances and links first.
+    pub fn priority(&self) -> u8 {
+        self.priority
+    }
+
+    /// Returns whether its requests may be repeated unless they say no.
+    pub fn repeatable(&self) -> bool {
+        self.repeatable
+    }
+
+    /// Returns all declared versions.
+    pub fn versions(&self) -> &[Version] {
+        &self.versions
+    }
+
+    /// Returns the adapters that are loaded with each version.
+    pub fn adapters(&self) -> &[Adapter] {
+        &self.adapters
+    }
+
+    /// Returns the version to be in force.
+    pub fn served(&self) -> &Version {
+        &self.versions[self.serve]
+    }
+
+    /// Returns how many replicas each data hall is to have.
+    pub fn placements(&self) -> &[(Arc<str>, u32)] {
+        &self.placements
+    }
+
+    /// Returns how many replicas one data hall is to have.
+    pub fn replicas(&self, hall: &str) -> u32 {
+        for (site, n) in &self.placements {
+            if **site == *hall {
+                return *n;
+            }
+        }
+        0
+    }
+
+    /// Returns how many replicas there are to be over all data halls.
+    pub fn total(&self) -> u32 {
+        self.placements.iter().map(|(_, n)| n).sum()
+    }
+}
+
+/// A plain service beside the model engines.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Service {
+    pub(super) name: Arc<str>,
+    pub(super) repeatable: bool,
+}
+
+impl Service {
+    /// Returns the name, unique in the fleet.
+    pub fn name(&self) -> &Arc<str> {
+        &self.name
+    }
+
+    /// Returns whether its calls may be repeated unless they say no.
+    pub fn repeatable(&self) -> bool {
+        self.repeatable
+    }
+}
+
+/// A data hall.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Site {
+    pub(super) name: Arc<str>,
+    pub(super) region: Arc<str>,
+}
+
+impl Site {
+    /// Returns the data hall's name.
+    pub fn name(&self) -> &Arc<str> {
+        &self.name
+    }
+
+    /// Returns the region that it lies in.
+    pub fn region(&self) -> &Arc<str> {
+        &self.region
+    }
+}
+
+/// A workspace: whose requests they are.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Workspace {
+    pub(super) name: Arc<str>,
+    pub(super) share: u32,
+    pub(super) priority: u8,
+}
+
+impl Workspace {
+    /// Returns a workspace with a share (1 to 1,000) and priority (0 to 9).
+    pub fn new(
+        name: impl Into<Arc<str>>,
+        share: u32,
+        priority: u8,
+    ) -> Workspace {
+        Workspace { name: name.into(), share, priority }
+    }
+
+    /// Returns the name.
+    pub fn name(&self) -> &Arc<str> {
+        &self.name
+    }
+
+    /// Returns the weight of its share under load, 1 to 1,000.
+    pub fn share(&self) -> u32 {
+        self.share
+    }
+
+    /// Returns the priority, 0 to 9; the lower goes first.
+    pub fn priority(&self) -> u8 {
+        self.priority
+    }
+}
+
+/// A backend server that may be entrusted with work.
+///
+/// Declared, and not taken from the instance list, because the guard of a key
+/// is chosen among these and must not move when the list lags.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Backend {
+    pub(super) name: Arc<str>,
+    pub(super) site: Arc<str>,
+    pub(super) service: Option<Arc<str>>,
+    pub(super) fences: bool,
+}
+
+impl Backend {
+    /// Returns the name, equal to the instance's name.
+    pub fn name(&self) -> &Arc<str> {
+        &self.name
+    }
+
+    /// Returns the data hall.
+    pub fn site(&self) -> &Arc<str> {
+        &self.site
+    }
+
+    /// Returns the plain service behind it, or `None` for a model engine.
+    pub fn service(&self) -> Option<&Arc<str>> {
+        self.service.as_ref()
+    }
+
+    /// Returns whether it checks the fence of each order.
+    pub fn fences(&self) -> bool {
+        self.fences
+    }
+}
+
+/// A checked declaration of the whole fleet.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Fleet {
+    pub(super) revision: u64,
+    pub(super) name: Arc<str>,
+    pub(super) prefer: Prefer,
+    pub(super) budget: u32,
+    pub(super) window: Duration,
+    pub(super) key_window: Duration,
+    pub(super) models: Vec<Model>,
+    pub(super) services: Vec<Service>,
+    pub(super) sites: Vec<Site>,
+    pub(super) workspaces: Vec<Workspace>,
+    pub(super) backends: Vec<Backend>,
+}
+
+impl Fleet {
+    /// Returns the revision, which rises with each change.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns the fleet's name.
+    pub fn name(&self) -> &Arc<str> {
+        &self.name
+    }
+
+    /// Returns what weighs more, time or bytes from the origin.
+    pub fn prefer(&self) -> Prefer {
+        self.prefer
+    }
+
+    /// Returns how many copies may be drawn from the origin, 1 to 16.
+    pub fn budget(&self) -> u32 {
+        self.budget
+    }
+
+    /// Returns the window in which a new version is to be live.
+    pub fn window(&self) -> Duration {
+        self.window
+    }
+
+    /// Returns how long a key names one request.
+    pub fn key_window(&self) -> Duration {
+        self.key_window
+    }
+
+    /// Returns the models.
+    pub fn models(&self) -> &[Model] {
+        &self.models
+    }
+
+    /// Returns the plain services.
+    pub fn services(&self) -> &[Service] {
+        &self.services
+    }
+
+    /// Returns the data halls.
+    pub fn sites(&self) -> &[Site] {
+        &self.sites
+    }
+
+    /// Returns the workspaces.
+    pub fn workspaces(&self) -> &[Workspace] {
+        &self.workspaces
+    }
+
+    /// Returns the backend servers.
+    pub fn backends(&self) -> &[Backend] {
+        &self.backends
+    }
+
+    /// Returns the model with a name.
+    pub fn model(&self, name: &str) -> Option<&Model> {
+        self.models.iter().find(|m| *m.name == *name)
+    }
+
+    /// Returns the plain service with a name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.iter().find(|s| *s.name == *name)
+    }
+
+    /// Returns the workspace with a name.
+    pub fn workspace(&self, name: &str) -> Option<&Workspace> {
+        self.workspaces.iter().find(|w| *w.name == *name)
+    }
+
+    /// Returns the backend server with a name.
+    pub fn backend(&self, name: &str) -> Option<&Backend> {
+        self.backends.iter().find(|b| *b.name == *name)
+    }
+
+    /// Returns one line for a person: what the fleet holds.
+    pub fn summary(&self) -> String {
+        let replicas: u32 = self.models.iter().map(Model::total).sum();
+        format!(
+            "{} revision {}: {} models, {} replicas, {} services, {} sites, \
+             {} workspaces, {} backend servers, prefer {}",
+            self.name,
+            self.revision,
+            self.models.len(),
+            replicas,
+            self.services.len(),
+            self.sites.len(),
+            self.workspaces.len(),
+            self.backends.len(),
+            self.prefer.as_str(),
+        )
+    }
+}
--- /dev/null
+++ b/src/digest.rs
@@ -0,0 +1,84 @@
+//! Digests by which chunks, manifests and documents are named.
+//!
+//! blake3 is used throughout: a chunk is verified as fast as memory is read,
+//! and the name of a thing is enough to check it, whoever sent it.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+use crate::{Code, Error};
+
+/// A blake3 digest.
+#[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Digest([u8; 32]);
+
+impl Digest {
+    /// Returns the digest of some bytes.
+    pub fn of(bytes: &[u8]) -> Digest {
+        Digest(*blake3::hash(bytes).as_bytes())
+    }
+
+    /// Returns the digest with the given 32 bytes.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::BadDigest`] if there are not exactly 32.
+    pub fn from_slice(bytes: &[u8]) -> Result<Digest, Error> {
+        let raw = bytes.try_into().map_err(|_| {
+            Error::new(
+                Code::BadDigest,
+                format_args!("{} bytes, allowed: 32", bytes.len()),
+            )
+        })?;
+        Ok(Digest(raw))
+    }
+
+    /// Returns the 32 bytes.
+    pub const fn as_bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for b in self.0 {
+            write!(f, "{b:02x}")?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl FromStr for Digest {
+    type Err = Error;
+
+    fn from_str(s: &str) -> Result<Digest, Error> {
+        let hash = blake3::Hash::from_hex(s).map_err(|_| {
+            Error::new(
+                Code::BadDigest,
+                format_args!("\"{s}\", allowed: 64 hex digits"),
+            )
+        })?;
+        Ok(Digest(*hash.as_bytes()))
+    }
+}
+
+impl Serialize for Digest {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        s.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for Digest {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Digest, D::Error> {
+        let s = String::deserialize(d)?;
+        s.parse().map_err(serde::de::Error::custom)
+    }
+}
--- /dev/null
+++ b/src/document/acceptance.rs
@@ -0,0 +1,84 @@
+//! Monotone acceptance: never an older document, never two of one revision.
+
+use super::{Document, Seen};
+use crate::{Code, Error};
+
+/// What became of an offered document.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Taken {
+    /// It is newer and in force from now on.
+    New,
+    /// It is the one in force already.
+    Same,
+}
+
+/// Holds the newest document accepted so far.
+///
+/// The check of the bytes themselves is the caller's: a document that does
+/// not parse must not be offered, or the process would hold on to it.
+#[derive(Clone, Debug, Default)]
+pub struct Acceptance {
+    held: Option<Document>,
+}
+
+impl Acceptance {
+    /// Returns one that holds nothing.
+    pub const fn new() -> Acceptance {
+        Acceptance { held: None }
+    }
+
+    /// Returns the document in force.
+    pub fn held(&self) -> Option<&Document> {
+        self.held.as_ref()
+    }
+
+    /// Returns how far this process has got.
+    pub fn seen(&self) -> Seen {
+        self.held.as_ref().map_or_else(Seen::nothing, Document::seen)
+    }
+
+    /// Says whether a document with this mark would be taken.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::OlderRevision`] or [`Code::OtherDigest`].
+    pub fn judge(&self, offered: Seen) -> Result<Taken, Error> {
+        let Some(held) = self.held.as_ref().map(Document::seen) else {
+            return Ok(Taken::New);
+        };
+        let (old, new) = (held.revision(), offered.revision());
+        if new < old {
+            return Err(Error::new(
+                Code::OlderRevision,
+                format_args!("revision {new}, in force: {old}"),
+            ));
+        }
+        if new > old {
+            return Ok(Taken::New);
+        }
+        if held.digest() == offered.digest() {
+            return Ok(Taken::Same);
+        }
+        Err(Error::new(
+            Code::OtherDigest,
+            format_args!(
+                "revision {new} with digest {}, in force: {}",
+                offered.digest(),
+                held.digest()
+            ),
+        ))
+    }
+
+    /// Takes a document if it is newer than the one in force.
+    ///
+    /// # Errors
+    ///
+    /// As [`Acceptance::judge`].
+    pub fn offer(&mut self, document: Document) -> Result<Taken, Error> {
+        let taken = self.judge(document.seen())?;
+        if taken == Taken::New {
+            self.held = Some(document);
+        }
+        Ok(taken)
+    }
+}
--- /dev/null
+++ b/src/request/retry.rs
@@ -0,0 +1,125 @@
+//! What an entry does when an attempt fails.
+
+use std::time::Duration;
+
+use crate::{Code, Ran};
+
+/// How an attempt failed.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Failure {
+    /// Nothing was sent: there was no connection.
+    Unsent,
+    /// The agent answered that it did not run.
+    Refused(Code),
+    /// The agent answered that it failed, and that it may have run.
+    Failed(Code),
+    /// It was sent, and the agent was lost before it answered.
+    Silent,
+    /// The answer broke off after part of it had gone to the caller.
+    Broke,
+}
+
+/// What comes next for a request.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Next {
+    /// Try another agent.
+    Elsewhere,
+    /// Ask the agent to revoke the attempt, then decide by its word.
+    Revoke,
+    /// Answer the caller now.
+    Final(Code, Ran),
+}
+
+/// The course of one request over its attempts.
+///
+/// # Examples
+///
+/// ```
+/// use stairhinge::request::{Course, Failure, Next};
+/// use stairhinge::{Code, Ran};
+///
+/// let mut once = Course::new(false);
+/// assert_eq!(once.failed(Failure::Silent, true), Next::Revoke);
+/// assert_eq!(once.revoked(Ran::DidNotRun, true), Next::Elsewhere);
+///
+/// // What one attempt may have done is not undone by the next one's refusal.
+/// let mut many = Course::new(true);
+/// assert_eq!(many.failed(Failure::Silent, true), Next::Elsewhere);
+/// let last = many.failed(Failure::Refused(Code::NotServing), false);
+/// assert_eq!(last, Next::Final(Code::LostBackend, Ran::MayHaveRun));
+/// ```
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct Course {
+    repeatable: bool,
+    before: Ran,
+}
+
+impl Course {
+    /// Returns the course of a request that has not been tried.
+    pub const fn new(repeatable: bool) -> Course {
+        Course { repeatable, before: Ran::DidNotRun }
+    }
+
+    /// Returns what is known of all attempts so far.
+    pub const fn ran(&self) -> Ran {
+        self.before
+    }
+
+    /// Says what comes next after an attempt failed. `more` says whether
+    /// deadline, tries and retry budget allow another.
+    ///
+    /// A request moves only if it is repeatable and nothing of an answer has
+    /// gone out, or if the agent said that it did not run.
+    pub fn failed(&mut self, failure: Failure, more: bool) -> Next {
+        match failure {
+            Failure::Unsent => self.unharmed(Code::NoBackend, more),
+            Failure::Refused(code) => self.unharmed(code, more),
+            Failure::Failed(code) => self.harmed(code, more),
+            Failure::Silent if self.repeatable => {
+                self.harmed(Code::LostBackend, more)
+            }
+            Failure::Silent => Next::Revoke,
+            Failure::Broke => self.harmed(Code::AnswerBroke, false),
+        }
+    }
+
+    /// Says what comes next once it is settled whether a revoked attempt ran.
+    pub fn revoked(&mut self, ran: Ran, more: bool) -> Next {
+        match ran {
+            Ran::DidNotRun => self.unharmed(Code::NoBackend, more),
+            Ran::MayHaveRun | Ran::Ran => self.harmed(Code::LostBackend, more),
+        }
+    }
+
+    fn unharmed(&mut self, code: Code, more: bool) -> Next {
+        if more {
+            return Next::Elsewhere;
+        }
+        match self.before {
+            Ran::DidNotRun => Next::Final(code, Ran::DidNotRun),
+            before => Next::Final(Code::LostBackend, before),
+        }
+    }
+
+    fn harmed(&mut self, code: Code, more: bool) -> Next {
+        self.before = Ran::MayHaveRun;
+        if self.repeatable && more {
+            return Next::Elsewhere;
+        }
+        Next::Final(code, Ran::MayHaveRun)
+    }
+}
+
+/// Says whether a revoked attempt ran, given the agent's word (none if it was
+/// silent), the time from sending the attempt to hearing that word, and how
+/// long agents remember attempts.
+///
+/// An entry may have been frozen in between. Beyond half the time that agents
+/// remember, their "did not run" may be a memory lost, so it counts no more.
+pub fn settle(word: Option<Ran>, since: Duration, keep: Duration) -> Ran {
+    match word {
+        Some(Ran::DidNotRun) if since * 2 < keep => Ran::DidNotRun,
+        Some(Ran::Ran) => Ran::Ran,
+        Some(Ran::DidNotRun | Ran::MayHaveRun) | None => Ran::MayHaveRun,
+    }
+}
--- /dev/null
+++ b/src/serving.rs
@@ -0,0 +1,13 @@
+//! When an instance may serve a version.
+//!
+//! [`Lifecycle`] is the state machine of one agent; [`Fence`] makes sure that
+//! an engine takes orders from one agent at a time, in order.
+
+mod fence;
+mod lifecycle;
+
+pub use self::fence::{Fence, Lease};
+pub use self::lifecycle::{Action, Event, Lifecycle, Phase, Target};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/weights.rs
@@ -0,0 +1,27 @@
+//! How weights reach every replica.
+//!
+//! There is no coordinator and nobody announces what it holds. A version is a
+//! [`Manifest`] of chunks named by digest; a [`Walk`] ranks, for each chunk,
+//! who may be asked for it, the same on every process; a [`Puller`] asks each
+//! source for any of the chunks that it is first in charge of, and the source
+//! answers as soon as it holds one. A source that fails or stays silent is
+//! suspect for a while, and the chunks pass to the next in rank, so a dead
+//! seed costs time and not a herd of draws on the origin. `DESIGN.md` has
+//! what was weighed.
+
+mod bound;
+mod bucket;
+mod manifest;
+mod puller;
+mod store;
+mod walk;
+
+pub use self::bound::{Bound, Link};
+pub use self::bucket::Bucket;
+pub use self::manifest::{Chunk, Manifest};
+pub use self::puller::{Ask, Patience, Puller};
+pub use self::store::Store;
+pub use self::walk::{Source, Walk};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/weights/puller.rs
@@ -0,0 +1,313 @@
+//! What to ask of whom next, for one set of chunks.
+//!
+//! Each source gets one question at a time: "any of these chunks, as soon as
+//! you hold one". The question waits at the source, so a chunk moves on the
+//! moment it arrives there, and no announcement is needed; the only control
+//! bytes are the questions themselves. A source is suspect after a failure,
+//! or when it keeps answering "not yet" beyond patience; its chunks pass to
+//! the next in rank until the suspicion lapses.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::time::Duration;
+
+use super::{Chunk, Source, Walk};
+use crate::{Digest, Time};
+
+/// How long a puller puts up with a source.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Patience {
+    hold: Duration,
+    waiting: Duration,
+    suspect: Duration,
+}
+
+impl Patience {
+    /// Returns the usual spans: a question waits at a source for a second, a
+    /// source that holds nothing new is left after five, and is suspect for
+    /// ten at first.
+    pub const fn new() -> Patience {
+        Patience {
+            hold: Duration::from_secs(1),
+            waiting: Duration::from_secs(5),
+            suspect: Duration::from_secs(10),
+        }
+    }
+
+    /// Returns it with how long a question may wait at a source.
+    #[must_use]
+    pub const fn with_hold(mut self, span: Duration) -> Patience {
+        self.hold = span;
+        self
+    }
+
+    /// Returns it with how long a source may have nothing new.
+    #[must_use]
+    pub const fn with_waiting(mut self, span: Duration) -> Patience {
+        self.waiting = span;
+        self
+    }
+
+    /// Returns it with how long the first suspicion lasts; it doubles with
+    /// each further failure, up to [`Patience::DOUBLINGS`] times.
+    #[must_use]
+    pub const fn with_suspect(mut self, span: Duration) -> Patience {
+        self.suspect = span;
+        self
+    }
+
+    /// How often a suspicion doubles at most.
+    pub const DOUBLINGS: u32 = 4;
+}
+
+impl Default for Patience {
+    fn default() -> Patience {
+        Patience::new()
+    }
+}
+
+/// One question to one source.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Ask {
+    source: Source,
+    want: Vec<Digest>,
+    hold: Duration,
+    hello: bool,
+}
+
+impl Ask {
+    /// Returns whom to ask.
+    pub fn source(&self) -> &Source {
+        &self.source
+    }
+
+    /// Returns the digests of which any one will do, the dearest first.
+    pub fn want(&self) -> &[Digest] {
+        &self.want
+    }
+
+    /// Returns whether this is the first question to a peer, which is to say
+    /// what it holds of all chunks.
+    pub fn hello(&self) -> bool {
+        self.hello
+    }
+
+    /// Returns how long the source may wait before it says "not yet".
+    pub fn hold(&self) -> Duration {
+        self.hold
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Standing {
+    until: Time,
+    strikes: u32,
+    waiting: Option<Time>,
+    met: bool,
+    hello: bool,
+    holds: HashSet<usize>,
+}
+
+/// The state of drawing one set of chunks.
+#[derive(Clone, Debug)]
+pub struct Puller {
+    walk: Walk,
+    chunks: Vec<Chunk>,
+    index: HashMap<Digest, usize>,
+    held: Vec<bool>,
+    asked: BTreeMap<Source, Vec<usize>>,
+    standing: HashMap<Source, Standing>,
+    patience: Patience,
+    turn: usize,
+}
+
+impl Puller {
+    /// The most chunks named in one question; bounds its bytes to about half
+    /// a kilobyte.
+    pub const MOST_WANT: usize = 8;
+
+    /// Returns a puller of `chunks`; those for which `held` says yes are here
+    /// already. `turn` spreads where pullers of one hall begin.
+    pub fn new(
+        walk: Walk,
+        chunks: &[Chunk],
+        patience: Patience,
+        turn: usize,
+        held: impl Fn(&Digest) -> bool,
+    ) -> Puller {
+        let mut index = HashMap::new();
+        let mut unique = Vec::new();
+        for chunk in chunks {
+            if index.contains_key(&chunk.digest()) {
+                continue;
+            }
+            index.insert(chunk.digest(), unique.len());
+            unique.push(*chunk);
+        }
+        let held = unique.iter().map(|c| held(&c.digest())).collect();
+        Puller {
+            walk,
+            chunks: unique,
+            index,
+            held,
+            asked: BTreeMap::new(),
+            standing: HashMap::new(),
+            patience,
+            turn,
+        }
+    }
+
+    /// Returns the questions to send now.
+    pub fn poll(&mut self, now: Time) -> Vec<Ask> {
+        let mut plan: BTreeMap<Source, Vec<usize>> = BTreeMap::new();
+        let out: HashSet<usize> =
+            self.asked.values().flatten().copied().collect();
+        let count = self.chunks.len();
+        for step in 0..count {
+            let i = (self.turn + step) % count;
+            if self.held[i] || out.contains(&i) {
+                continue;
+            }
+            let source = self.source(i, now);
+            if self.asked.contains_key(&source) {
+                continue;
+            }
+            let want = plan.entry(source).or_default();
+            if want.len() < Puller::MOST_WANT {
+                want.push(i);
+            }
+        }
+        // What peers of the hall hold is to be known before anything is
+        // drawn from outside: this agent may have restarted.
+        let greet = self.greets() || plan.keys().any(|s| self.unmet(s));
+        let mut asks = Vec::new();
+        for (source, want) in plan {
+            let near = matches!(source, Source::Near(_));
+            if self.suspect(&source, now) || (greet && !near) {
+                continue;
+            }
+            asks.push(self.ask(source, want));
+        }
+        asks
+    }
+
+    /// Whether a first question to a peer of the hall is out.
+    fn greets(&self) -> bool {
+        self.asked.keys().any(|s| {
+            let standing = self.standing.get(s);
+            matches!(s, Source::Near(_)) && standing.is_some_and(|x| x.hello)
+        })
+    }
+
+    fn unmet(&self, source: &Source) -> bool {
+        let met = self.standing.get(source).is_some_and(|s| s.met);
+        matches!(source, Source::Near(_)) && !met
+    }
+
+    fn ask(&mut self, source: Source, want: Vec<usize>) -> Ask {
+        let standing = self.standing.entry(source.clone()).or_default();
+        // The first question comes back at once and says what is held there.
+        let hello = !standing.met;
+        let hold = if hello { Duration::ZERO } else { self.patience.hold };
+        standing.met = true;
+        standing.hello = hello;
+        let digests = want.iter().map(|i| self.chunks[*i].digest()).collect();
+        self.asked.insert(source.clone(), want);
+        Ask { source, want: digests, hold, hello }
+    }
+
+    fn source(&self, i: usize, now: Time) -> Source {
+        self.walk.first(
+            i,
+            |s| self.suspect(s, now),
+            |s| self.standing.get(s).is_some_and(|x| x.holds.contains(&i)),
+        )
+    }
+
+    fn suspect(&self, source: &Source, now: Time) -> bool {
+        self.standing.get(source).is_some_and(|s| s.until > now)
+    }
+
+    /// Takes note that a source sent a chunk, which was verified and kept.
+    pub fn got(&mut self, source: &Source, digest: &Digest) {
+        self.asked.remove(source);
+        if let Some(i) = self.index.get(digest) {
+            self.held[*i] = true;
+        }
+        let standing = self.standing.entry(source.clone()).or_default();
+        standing.strikes = 0;
+        standing.waiting = None;
+    }
+
+    /// Takes note that a chunk came from elsewhere.
+    pub fn found(&mut self, digest: &Digest) {
+        if let Some(i) = self.index.get(digest) {
+            self.held[*i] = true;
+        }
+    }
+
+    /// Takes note that a source said "not yet".
+    pub fn waited(&mut self, source: &Source, now: Time) {
+        self.asked.remove(source);
+        let standing = self.standing.entry(source.clone()).or_default();
+        let since = *standing.waiting.get_or_insert(now);
+        if now.since(since) < self.patience.waiting {
+            return;
+        }
+        standing.waiting = None;
+        standing.until = now.after(self.patience.suspect);
+    }
+
+    /// Takes note that a source failed, stalled or sent corrupt bytes.
+    pub fn failed(&mut self, source: &Source, now: Time) {
+        self.asked.remove(source);
+        let standing = self.standing.entry(source.clone()).or_default();
+        let doublings = standing.strikes.min(Patience::DOUBLINGS);
+        standing.strikes += 1;
+        standing.waiting = None;
+        standing.holds.clear();
+        standing.until = now.after(self.patience.suspect * (1 << doublings));
+    }
+
+    /// Takes note of what a source says that it holds, a bit for each chunk.
+    pub fn learn(
+        &mut self,
+        source: &Source,
+        held: impl Iterator<Item = bool>,
+    ) {
+        let standing = self.standing.entry(source.clone()).or_default();
+        for (i, held) in held.take(self.chunks.len()).enumerate() {
+            if held {
+                standing.holds.insert(i);
+            }
+        }
+    }
+
+    /// Returns the chunks without repetition, as counted by [`Self::learn`].
+    pub fn chunks(&self) -> &[Chunk] {
+        &self.chunks
+    }
+
+    /// Returns whether all chunks are here.
+    pub fn done(&self) -> bool {
+        self.held.iter().all(|h| *h)
+    }
+
+    /// Returns the share of chunks that are here, per mille.
+    pub fn share(&self) -> u32 {
+        let held = self.held.iter().filter(|h| **h).count();
+        (held * 1000 / self.held.len().max(1)) as u32
+    }
+
+    /// Returns the sources that are asked now and those that are suspect.
+    pub fn standing(&self, now: Time) -> (Vec<Source>, Vec<Source>) {
+        let asked = self.asked.keys().cloned().collect();
+        let mut suspects: Vec<Source> = Vec::new();
+        for (source, standing) in &self.standing {
+            if standing.until > now {
+                suspects.push(source.clone());
+            }
+        }
+        suspects.sort();
+        (asked, suspects)
+    }
+}
--- /dev/null
+++ b/src/weights/walk.rs
@@ -0,0 +1,195 @@
+//! Who may be asked for a chunk, in rank order.
+//!
+//! The halls and the agents of each hall are put in an order that depends on
+//! the version, and the order is turned by one for each chunk. Turning
+//! instead of hashing each chunk makes the shares of all agents equal to
+//! within one chunk (`DESIGN.md`, "Weights", has both figures).
+
+use std::sync::Arc;
+
+use crate::rank;
+
+/// Where a chunk may be drawn from.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum Source {
+    /// An agent of the same data hall.
+    Near(Arc<str>),
+    /// An agent of another data hall.
+    Far(Arc<str>),
+    /// The origin of weights.
+    Origin,
+}
+
+impl Source {
+    /// Returns the name used in logs.
+    pub fn name(&self) -> &str {
+        match self {
+            Source::Near(name) | Source::Far(name) => name,
+            Source::Origin => "origin",
+        }
+    }
+}
+
+/// The ranks of halls and agents for one version, seen by one agent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Walk {
+    me: Arc<str>,
+    halls: Vec<Vec<Arc<str>>>,
+    mine: usize,
+    budget: usize,
+}
+
+impl Walk {
+    /// Agents of another hall that are asked before the next hall is.
+    const FAR_TRIES: usize = 2;
+
+    /// Returns the walk of agent `me` in `hall`, where `budget` halls may
+    /// each draw a whole copy from the origin.
+    ///
+    /// `members` lists the agents that want the version by data hall. The
+    /// agent is added to its own hall if the list does not have it yet.
+    pub fn new(
+        subject: &[u8],
+        members: &[(Arc<str>, Vec<Arc<str>>)],
+        hall: &Arc<str>,
+        me: &Arc<str>,
+        budget: u32,
+    ) -> Walk {
+        let mut names: Vec<Arc<str>> = Vec::new();
+        for (name, _) in members {
+            names.push(Arc::clone(name));
+        }
+        if !names.contains(hall) {
+            names.push(Arc::clone(hall));
+        }
+        let mut halls = Vec::new();
+        let mut mine = 0;
+        for (i, name) in rank::order(subject, &names).iter().enumerate() {
+            let found = members.iter().find(|(n, _)| n == name);
+            let mut agents = found.map_or_else(Vec::new, |(_, a)| a.clone());
+            if name == hall {
+                mine = i;
+                if !agents.contains(me) {
+                    agents.push(Arc::clone(me));
+                }
+            }
+            halls.push(rank::order(subject, &agents));
+        }
+        let budget = budget.max(1) as usize;
+        Walk { me: Arc::clone(me), halls, mine, budget }
+    }
+
+    /// Returns the first source in rank for chunk `index` that is not
+    /// suspect.
+    ///
+    /// Peers of the hall come first, in turn from the chunk's seed. Where
+    /// this agent's own turn comes, it draws from a peer of its hall that is
+    /// known to hold the chunk (it may have joined late), else from outside
+    /// the hall. Where all else is suspect, the origin is the last resort.
+    pub fn first(
+        &self,
+        index: usize,
+        suspect: impl Fn(&Source) -> bool,
+        holds: impl Fn(&Source) -> bool,
+    ) -> Source {
+        for name in self.turned(self.mine, index) {
+            if *name == self.me {
+                let near = self.holder(index, &suspect, &holds);
+                return near.unwrap_or_else(|| self.outside(index, &suspect));
+            }
+            let source = Source::Near(Arc::clone(name));
+            if !suspect(&source) {
+                return source;
+            }
+        }
+        Source::Origin
+    }
+
+    fn holder(
+        &self,
+        index: usize,
+        suspect: &impl Fn(&Source) -> bool,
+        holds: &impl Fn(&Source) -> bool,
+    ) -> Option<Source> {
+        for name in self.turned(self.mine, index) {
+            let source = Source::Near(Arc::clone(name));
+            if *name != self.me && holds(&source) && !suspect(&source) {
+                return Some(source);
+            }
+        }
+        None
+    }
+
+    /// From the seeds of halls that rank before this one, or the origin.
+    fn outside(
+        &self,
+        index: usize,
+        suspect: &impl Fn(&Source) -> bool,
+    ) -> Source {
+        let place = self.position(index, self.mine);
+        let draws = place < self.budget;
+        let before = if draws { 0 } else { place };
+        for step in 0..before {
+            // Start among the halls that draw, so that these share the
+            // sending to those that do not.
+            let step = (place % self.budget + step) % before;
+            let hall = (index + step) % self.halls.len();
+            for name in self.turned(hall, index).take(Walk::FAR_TRIES) {
+                let source = Source::Far(Arc::clone(name));
+                if !suspect(&source) {
+                    return source;
+                }
+            }
+        }
+        if !suspect(&Source::Origin) {
+            return Source::Origin;
+        }
+        self.rest(index, suspect)
+    }
+
+    /// With the origin suspect too, anybody who might hold the chunk.
+    fn rest(
+        &self,
+        index: usize,
+        suspect: &impl Fn(&Source) -> bool,
+    ) -> Source {
+        for name in self.turned(self.mine, index) {
+            let source = Source::Near(Arc::clone(name));
+            if *name != self.me && !suspect(&source) {
+                return source;
+            }
+        }
+        for hall in 0..self.halls.len() {
+            if hall == self.mine {
+                continue;
+            }
+            for name in self.turned(hall, index) {
+                let source = Source::Far(Arc::clone(name));
+                if !suspect(&source) {
+                    return source;
+                }
+            }
+        }
+        Source::Origin
+    }
+
+    /// How many halls rank before `hall` for a chunk.
+    fn position(&self, index: usize, hall: usize) -> usize {
+        let count = self.halls.len();
+        (hall + count - index % count) % count
+    }
+
+    /// The agents of a hall, starting with the chunk's seed there.
+    ///
+    /// The turn goes on only every `halls` chunks, or hall and agent would
+    /// turn together and some agents would draw all that comes from outside.
+    fn turned(
+        &self,
+        hall: usize,
+        index: usize,
+    ) -> impl Iterator<Item = &Arc<str>> {
+        let agents = &self.halls[hall];
+        let start = (index / self.halls.len()) % agents.len().max(1);
+        agents.iter().cycle().skip(start).take(agents.len())
+    }
+}
