--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,1 +1,46 @@
-fn main() {}
+//! `stairhinge`: the operator's command.
+
+mod cmd;
+
+use argh::FromArgs;
+use cmd::{check, demo, diff, docs, drain, explain, status, timeline};
+
+/// Operates a stairhinge fleet: checks declarations and settings, shows where
+/// versions stand, explains, drains, and merges logs into one time line.
+#[derive(FromArgs)]
+struct Args {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Check(check::Args),
+    Diff(diff::Args),
+    Status(status::Args),
+    Explain(explain::Args),
+    Drain(drain::Args),
+    Timeline(timeline::Args),
+    Demo(demo::Args),
+    Docs(docs::Args),
+}
+
+#[tokio::main]
+async fn main() -> eyre::Result<()> {
+    let args: Args = argh::from_env();
+    let good = match args.command {
+        Command::Check(args) => check::run(&args),
+        Command::Diff(args) => diff::run(&args)?,
+        Command::Status(args) => status::run(&args).await?,
+        Command::Explain(args) => explain::run(&args).await?,
+        Command::Drain(args) => drain::run(&args).await?,
+        Command::Timeline(args) => timeline::run(&args)?,
+        Command::Demo(args) => demo::run(&args).await?,
+        Command::Docs(args) => docs::run(&args),
+    };
+    if !good {
+        std::process::exit(1);
+    }
+    Ok(())
+}
