--- a/crates/local/src/fleet.rs
+++ b/crates/local/src/fleet.rs
@@ -221,6 +221,21 @@
         self.platform.publish(Kind::Config, self.revision, bytes);
     }
 
+    /// Publishes a declaration in which a backend server is left out.
+    pub fn undeclare(&mut self, name: &str) {
+        self.revision += 1;
+        let mut text = String::new();
+        for line in self.declaration().lines() {
+            if line.contains(&format!("{{name: {name},")) {
+                continue;
+            }
+            text.push_str(line);
+            text.push('\n');
+        }
+        let bytes = Bytes::from(text);
+        self.platform.publish(Kind::Config, self.revision, bytes);
+    }
+
     /// Returns the revision that was published last.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -298,7 +313,7 @@
     pub fn restart(&mut self, name: &str) -> Result<(), Error> {
         let member = self.member(name);
         let settings = member.settings.clone();
-        let slot = slot(member.role, &settings)?;
+        let slot = free_slot(member.role, &settings)?;
         member.cell = Some(launch(name, member.role, &settings, slot)?);
         Ok(())
     }
@@ -369,6 +384,24 @@
     }
 }
 
+/// How often a slot is tried, and the pause between.
+const SLOT_TRIES: u32 = 100;
+const SLOT_PAUSE: Duration = Duration::from_millis(50);
+
+/// The control thread of a killed role lets go of its address a moment after
+/// the role itself has ended.
+fn free_slot(role: Role, settings: &str) -> Result<Slot, Error> {
+    for _ in 0..SLOT_TRIES {
+        match slot(role, settings) {
+            Err(err) if err.code() == Code::CannotBind => {
+                std::thread::sleep(SLOT_PAUSE);
+            }
+            done => return done,
+        }
+    }
+    slot(role, settings)
+}
+
 fn slot(role: Role, settings: &str) -> Result<Slot, Error> {
     match role {
         Role::Agent => {
--- a/crates/shell/src/node/feed.rs
+++ b/crates/shell/src/node/feed.rs
@@ -8,9 +8,6 @@
 
 use super::Node;
 
-/// How long a watch waits at the platform.
-const WATCH: Duration = Duration::from_secs(20);
-
 /// How long any other call to the platform may take.
 const READ: Duration = Duration::from_secs(2);
 
@@ -29,7 +26,9 @@
         let now = if first { Duty::Read } else { what(&node) };
         first = false;
         let wait = match now {
-            Duty::Watch => WATCH,
+            // A watch that says nothing is no news of the platform, so it
+            // ends within the step after which the next rank would ask.
+            Duty::Watch => step,
             Duty::Read => Duration::ZERO,
             Duty::Rest => {
                 tokio::time::sleep(step / 4).await;
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -37,6 +37,7 @@
     mode: Mode,
     fresh: Published,
     stale: Published,
+    past: HashMap<(Kind, u64), Bytes>,
     bucket: Bucket,
 }
 
@@ -61,6 +62,7 @@
             mode: Mode::Well,
             fresh: HashMap::new(),
             stale: HashMap::new(),
+            past: HashMap::new(),
             bucket: Bucket::new(Platform::RATE, Platform::RATE),
         };
         Arc::new(Platform {
@@ -74,7 +76,10 @@
 
     /// Publishes a document.
     pub fn publish(&self, kind: Kind, revision: u64, bytes: Bytes) {
-        self.state().fresh.insert(kind, (revision, bytes));
+        let mut state = self.state();
+        state.past.insert((kind, revision), bytes.clone());
+        state.fresh.insert(kind, (revision, bytes));
+        drop(state);
         self.changed.send_modify(|n| *n += 1);
     }
 
@@ -95,6 +100,20 @@
         self.changed.send_modify(|n| *n += 1);
     }
 
+    /// Becomes stale with one document as it was under a revision published
+    /// earlier: its bytes are those of that revision.
+    pub fn stale_at(&self, kind: Kind, revision: u64) {
+        let mut state = self.state();
+        state.stale = state.fresh.clone();
+        let old = state.past.get(&(kind, revision)).cloned();
+        if let Some(bytes) = old {
+            state.stale.insert(kind, (revision, bytes));
+        }
+        state.mode = Mode::Stale;
+        drop(state);
+        self.changed.send_modify(|n| *n += 1);
+    }
+
     /// Returns the calls so far, a waiting watch counted as one.
     pub fn calls(&self) -> u64 {
         self.calls.load(Ordering::Relaxed)
