The agent that runs a request claims its key; processes under failure

Cause: analysis of a failing process test. An entry that claimed a key and was then frozen could wake after the key's window with its old grant and send; by then another holder may have been granted the key. The test that raised it (a frozen entry, 'letter 1002 ran 2 times') was itself confounded: its key window of 1 s was shorter than the freeze, so a second run was allowed. Ruled out: duplicates within the guard (proptest and the double-send test pass). Change: the executing agent claims, after the request has arrived, and a lease of at most half a window bounds the time from there to the engine; the entry no longer claims. An engine declared not to check fences gets its first order of an incarnation only after a lease has passed.

--- a/crates/agent/src/gate.rs
+++ b/crates/agent/src/gate.rs
@@ -10,7 +10,7 @@
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode};
-use stairhinge::request::Attempt;
+use stairhinge::request::{Attempt, Key};
 use stairhinge::{Code, Error, Ran};
 use stairhinge_shell::control::Report;
 use stairhinge_shell::http::{
@@ -124,8 +124,13 @@
         let purpose = self.purpose(&parts)?;
         let now = self.node.now();
         self.attempts().admit(&attempt, incarnation, now)?;
-        let started = Started::new(Arc::clone(self), attempt, entered, start);
-        let pass = self.outgoing(&parts, &purpose, &started, body)?;
+        let mut started =
+            Started::new(Arc::clone(self), attempt, entered, start);
+        let pass = self.outgoing(&parts, &purpose, &started, body);
+        let pass = pass.map_err(|f| started.failed(f))?;
+        if let Some(key) = guarded(&parts) {
+            started.hold(&key).await?;
+        }
         pass.run(started).await
     }
 
@@ -201,6 +206,18 @@
     }
 }
 
+/// The key that must be granted before the request may run.
+fn guarded(parts: &Parts) -> Option<Key> {
+    let value = |name| {
+        let value = parts.headers.get(name)?;
+        value.to_str().ok()
+    };
+    if value(headers::REPEATABLE) != Some("false") {
+        return None;
+    }
+    value(headers::KEY).map(Key::received)
+}
+
 fn text(parts: &Parts, name: &str) -> Result<String, Failed> {
     let value = parts.headers.get(name).and_then(|v| v.to_str().ok());
     let missing = || Error::new(Code::BadHeader, format!("{name} is missing"));
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -5,6 +5,7 @@
 //! engine has loaded, and guards its share of the keys.
 
 mod agent;
+mod claim;
 mod control;
 mod drive;
 mod engine;
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -35,12 +35,19 @@
         target: Target,
         wait: Duration,
     ) -> impl Future<Output = Result<Bound, Error>> + Send + 'static {
+        let first = self.fence.is_first();
         self.fence = self.fence.next();
         let fence = self.fence;
         let agent = Arc::clone(agent);
         async move {
-            tokio::time::sleep(wait).await;
             let span = agent.settings.values.millis("lease_ms");
+            let wait = match agent.checks_fences() {
+                // What the agent before this one decided may still be on its
+                // way for as long as a lease.
+                false if first => wait.max(span),
+                _ => wait,
+            };
+            tokio::time::sleep(wait).await;
             let lease = Lease::new(agent.node.now(), span);
             let load = Load {
                 model: Arc::clone(target.model()),
@@ -75,6 +82,16 @@
     }
 }
 
+impl Agent {
+    /// Whether the backend server is declared to check who orders it.
+    fn checks_fences(&self) -> bool {
+        let view = self.node.view();
+        let me = &self.node.identity().name;
+        let backend = view.fleet.as_ref().and_then(|f| f.backend(me));
+        backend.is_some_and(|b| b.fences())
+    }
+}
+
 /// Not every engine checks fences, so a decision that has grown old, in a
 /// process that was frozen, is not sent.
 fn check(agent: &Agent, lease: Lease) -> Result<(), Error> {
--- a/crates/agent/src/proxy.rs
+++ b/crates/agent/src/proxy.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response};
-use stairhinge::request::Attempt;
+use stairhinge::request::{Attempt, Key};
 use stairhinge::{Code, Error, Ran};
 use stairhinge_shell::http::{
     Body, BodyError, CallError, Failed, headers, stream,
@@ -16,6 +16,7 @@
 use tokio::sync::mpsc;
 
 use crate::agent::{Agent, Bound};
+use crate::claim::Held;
 use crate::tally::Entered;
 
 /// The end of a whole streamed answer.
@@ -28,6 +29,7 @@
     ran: Ran,
     code: u16,
     start: Instant,
+    held: Option<Held>,
     _entered: Entered,
 }
 
@@ -40,14 +42,39 @@
     ) -> Started {
         let ran = Ran::MayHaveRun;
         let code = Code::LostBackend.number();
-        Started { agent, attempt, ran, code, start, _entered: entered }
+        let held = None;
+        Started { agent, attempt, ran, code, start, held, _entered: entered }
+    }
+
+    /// Has a key granted to this attempt.
+    pub(crate) async fn hold(&mut self, key: &Key) -> Result<(), Failed> {
+        match self.agent.have(key, &self.attempt).await {
+            Ok(held) => {
+                self.held = Some(held);
+                Ok(())
+            }
+            Err(failed) => {
+                // Whoever holds the key: this attempt did not run.
+                let said = failed.ran();
+                let failed = self.failed(failed.with_ran(Ran::DidNotRun));
+                Err(failed.with_ran(said))
+            }
+        }
+    }
+
+    /// The last look before a request goes to the backend server.
+    fn check(&self) -> Result<(), Failed> {
+        match &self.held {
+            Some(held) => held.check(&self.agent),
+            None => Ok(()),
+        }
     }
 
     pub(crate) fn attempt(&self) -> &Attempt {
         &self.attempt
     }
 
-    fn failed(&mut self, failed: Failed) -> Failed {
+    pub(crate) fn failed(&mut self, failed: Failed) -> Failed {
         self.ran = failed.ran();
         self.code = failed.error().code().number();
         failed
@@ -58,6 +85,9 @@
     fn drop(&mut self) {
         let now = self.agent.node.now();
         self.agent.attempts().end(&self.attempt, self.ran, now);
+        if let Some(held) = self.held.take() {
+            self.agent.give(held, self.ran);
+        }
         let secs = self.start.elapsed().as_secs_f64();
         self.agent.node.metrics().answered(self.code, secs);
         let fields =
@@ -80,6 +110,7 @@
         let agent = Arc::clone(&started.agent);
         let idle = agent.settings.values.millis("engine_ms");
         let addr = agent.settings.backend;
+        started.check().map_err(|f| started.failed(f))?;
         let sent = agent.node.client().send(addr, self.request, idle).await;
         let response = match sent {
             Ok(response) => response,
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -92,6 +92,12 @@
             "ms",
             "How long the second half of a hall waits for the first to switch.",
         ),
+        Field::number(
+            "claim_ms",
+            (1_000, 10, 60_000),
+            "ms",
+            "How long a key's guard may take to answer.",
+        ),
         Field::number(
             "guard_keys",
             (200_000, 1, 10_000_000),
--- /dev/null
+++ b/crates/cli/tests/processes.rs
@@ -0,0 +1,250 @@
+//! The whole path over separate processes, with kills, freezes and stops.
+
+mod support;
+
+use std::time::Duration;
+
+use stairhinge::Ran;
+use stairhinge_local::{Answer, Caller, Plan};
+
+use support::{Fleet, LONG, until};
+
+fn plan() -> Plan {
+    Plan {
+        halls: 2,
+        replicas: 4,
+        size: 256 << 10,
+        chunk: 16 << 10,
+        ..Plan::default()
+    }
+}
+
+async fn chat(fleet: &Fleet, hall: usize, caller: &Caller) -> Answer {
+    caller.chat(&fleet.client, fleet.entry(hall), "matcher").await
+}
+
+async fn serves(fleet: &Fleet, version: &str, replicas: &[usize]) {
+    until(version, async || {
+        for r in replicas {
+            if fleet.version(*r).await != version {
+                return false;
+            }
+        }
+        true
+    })
+    .await;
+    for hall in 0..fleet.plan.halls {
+        until("the entry answers", async || {
+            chat(fleet, hall, &Caller::new("warm")).await.good()
+        })
+        .await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_goes_through_separate_programs_and_a_switch() {
+    let mut fleet = Fleet::start(plan()).await;
+    serves(&fleet, "v1", &[0, 1, 2, 3]).await;
+    let whole = chat(&fleet, 0, &Caller::new("a").whole()).await;
+    assert!(whole.good() && whole.content.starts_with("v1/"), "{whole:?}");
+    let call = Caller::new("notice");
+    let entry = fleet.entry(1);
+    until("the service answers", async || {
+        call.service(&fleet.client, entry, "archive").await.good()
+    })
+    .await;
+    fleet.publish("v2", 2).await;
+    let mut versions = std::collections::HashSet::new();
+    until("all on v2", async || {
+        for hall in 0..2 {
+            let answer = chat(&fleet, hall, &Caller::new("b")).await;
+            assert!(answer.good(), "{answer:?}");
+            let (version, _) = answer.version().expect("one version");
+            versions.insert(version);
+        }
+        let mut held = 0;
+        for r in 0..4 {
+            held += usize::from(fleet.version(r).await == "v2");
+        }
+        held == 4
+    })
+    .await;
+    let last = chat(&fleet, 0, &Caller::new("c")).await;
+    assert!(last.content.starts_with("v2/"), "{last:?}");
+    for proc in fleet.entries.iter_mut().chain(&mut fleet.agents) {
+        proc.signal("-TERM");
+    }
+    for proc in fleet.entries.iter_mut().chain(&mut fleet.agents) {
+        assert!(proc.wait().await.success());
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_agent_wakes_and_serves_nothing_old() {
+    let mut fleet = Fleet::start(plan()).await;
+    serves(&fleet, "v1", &[0, 1, 2, 3]).await;
+    fleet.agents[0].signal("-STOP");
+    fleet.publish("v2", 2).await;
+    serves(&fleet, "v2", &[1, 2, 3]).await;
+    fleet.agents[0].signal("-CONT");
+    for i in 0..60 {
+        let caller = Caller::new(format!("woken {i}"));
+        let answer = chat(&fleet, i % 2, &caller).await;
+        assert!(answer.good(), "{answer:?}");
+        let (version, _) = answer.version().expect("one version");
+        assert_eq!(version, "v2");
+    }
+    serves(&fleet, "v2", &[0, 1, 2, 3]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_agent_is_a_plain_may_have_run_at_once() {
+    let mut fleet =
+        Fleet::start(Plan { halls: 1, replicas: 1, ..plan() }).await;
+    serves(&fleet, "v1", &[0]).await;
+    let long = Caller::new("long").once(None).with_tokens(2_000).whole();
+    let entry = fleet.entry(0);
+    let client = fleet.client.clone();
+    let call =
+        tokio::spawn(
+            async move { long.chat(&client, entry, "matcher").await },
+        );
+    until("it runs", async || fleet.runs("long").await == 1).await;
+    fleet.agents[0].signal("-KILL");
+    let answer = call.await.unwrap();
+    assert_eq!(answer.ran, Some(Ran::MayHaveRun), "{answer:?}");
+    assert_eq!(answer.status, 502, "{answer:?}");
+    fleet.agents[0].wait().await;
+    // The new process finds the engine loaded and takes it over.
+    fleet.agents[0] = fleet.agent(0);
+    serves(&fleet, "v1", &[0]).await;
+    assert_eq!(fleet.runs("long").await, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_agent_is_not_waited_for_longer_than_the_deadline() {
+    let fleet = Fleet::start(plan()).await;
+    serves(&fleet, "v1", &[0, 1, 2, 3]).await;
+    for agent in &fleet.agents {
+        agent.signal("-STOP");
+    }
+    let caller = Caller::new("frozen").once(None);
+    let caller = Caller { deadline: Some(Duration::from_secs(1)), ..caller };
+    let answer = chat(&fleet, 0, &caller).await;
+    assert_eq!(answer.ran, Some(Ran::MayHaveRun), "{answer:?}");
+    for agent in &fleet.agents {
+        agent.signal("-CONT");
+    }
+    serves(&fleet, "v1", &[0, 1, 2, 3]).await;
+    // It lay in the frozen agent's socket and may run now, but once.
+    assert!(fleet.runs("frozen").await <= 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_entry_wakes_and_doubles_nothing() {
+    // The window outlasts the freeze: beyond it a key may run again.
+    let fleet = Fleet::start(Plan { key_window_s: 15, ..plan() }).await;
+    serves(&fleet, "v1", &[0, 1, 2, 3]).await;
+    let keyed = |i: usize| {
+        let prompt = format!("letter {i}");
+        Caller::new(&prompt).once(Some(&format!("letter-{i}"))).whole()
+    };
+    let mut sent = 0;
+    until("the guards have come to", async || {
+        sent += 1;
+        chat(&fleet, 0, &keyed(sent)).await.good()
+    })
+    .await;
+    let mut tasks = Vec::new();
+    for i in 1_000..1_040 {
+        let (client, entry) = (fleet.client.clone(), fleet.entry(0));
+        let caller = keyed(i);
+        tasks.push(tokio::spawn(async move {
+            caller.chat(&client, entry, "matcher").await
+        }));
+    }
+    // Frozen wherever the requests are: before the claim, after it, in
+    // flight.
+    fleet.entries[0].signal("-STOP");
+    for i in 1_000..1_040 {
+        chat(&fleet, 1, &keyed(i)).await;
+    }
+    fleet.entries[0].signal("-CONT");
+    for task in tasks {
+        task.await.unwrap();
+    }
+    for i in 1_000..1_040 {
+        let runs = fleet.runs(&format!("letter {i}")).await;
+        assert!(runs <= 1, "letter {i} ran {runs} times");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_by_signal_cuts_no_request() {
+    let mut fleet = Fleet::start(plan()).await;
+    serves(&fleet, "v1", &[0, 1, 2, 3]).await;
+    let mut tasks = Vec::new();
+    for i in 0..24 {
+        let (client, entry) = (fleet.client.clone(), fleet.entry(i % 2));
+        let caller = Caller::new(format!("s {i}")).with_tokens(100);
+        tasks.push(tokio::spawn(async move {
+            caller.chat(&client, entry, "matcher").await
+        }));
+    }
+    until("all run", async || {
+        let mut runs = 0;
+        for r in 0..4 {
+            let records = fleet.records(r).await;
+            runs +=
+                records.iter().filter(|x| x.prompt.starts_with("s ")).count();
+        }
+        runs >= 24
+    })
+    .await;
+    fleet.agents[0].signal("-TERM");
+    fleet.agents[3].signal("-TERM");
+    fleet.entries[1].signal("-TERM");
+    for task in tasks {
+        let answer = task.await.unwrap();
+        assert!(answer.good(), "{answer:?}");
+    }
+    assert!(fleet.agents[0].wait().await.success());
+    assert!(fleet.agents[3].wait().await.success());
+    assert!(fleet.entries[1].wait().await.success());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn status_timeline_and_drain_work_on_processes() {
+    let fleet = Fleet::start(plan()).await;
+    serves(&fleet, "v1", &[0, 1, 2, 3]).await;
+    let program = env!("CARGO_BIN_EXE_stairhinge");
+    let at = fleet.addr(8200).to_string();
+    let run = |args: &[&str]| {
+        let out = std::process::Command::new(program).args(args).output();
+        String::from_utf8_lossy(&out.unwrap().stdout).into_owned()
+    };
+    until("status shows both halls", async || {
+        let said = run(&["status", "--at", &at, "--instances"]);
+        said.contains("matcher v1 hall-0: 2 serving")
+            && said.contains("matcher v1 hall-1: 2 serving")
+    })
+    .await;
+    let said = run(&["explain", "v1", "agent-0-0", "--at", &at]);
+    assert!(said.contains("100.0 % here"), "{said}");
+    let said = run(&["drain", "agent-0-0", "--at", &at, "--based-on", "0"]);
+    assert!(said.contains("2008"), "{said}");
+    let said = run(&["drain", "agent-0-0", "--at", &at]);
+    assert!(said.contains("leaves"), "{said}");
+    let logs: Vec<_> =
+        fleet.agents.iter().map(|p| p.log.display().to_string()).collect();
+    let svg = std::env::temp_dir().join(format!("{at}.svg"));
+    let svg = svg.display().to_string();
+    let mut args = vec!["timeline", "--svg", &svg];
+    args.extend(logs.iter().map(String::as_str));
+    let said = run(&args);
+    assert!(said.contains("agent-0-0 serving.leaving"), "{said}");
+    let picture = std::fs::read_to_string(&svg).unwrap();
+    std::fs::remove_file(&svg).unwrap();
+    assert!(picture.starts_with("<svg") && picture.contains("agent-1-1"));
+    let _ = LONG;
+}
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use stairhinge::request::Failure;
-use stairhinge::{Code, Error, Ran};
+use stairhinge::{Code, Error};
 use stairhinge_shell::http::{
     Body, BodyError, Failed, empty, full, headers, read, stream,
 };
@@ -16,7 +16,6 @@
 
 use crate::Entry;
 use crate::admit::Admitted;
-use crate::claim::Held;
 use crate::send::Sitting;
 use std::sync::Arc;
 
@@ -24,18 +23,14 @@
 pub(crate) struct Kept {
     pub(crate) entry: Arc<Entry>,
     pub(crate) admitted: Admitted,
-    pub(crate) held: Option<Held>,
     pub(crate) start: Instant,
 }
 
 impl Kept {
     /// Takes note of the end of a request: its code (0 is success).
-    pub(crate) fn end(mut self, code: u16, ran: Ran) {
+    pub(crate) fn end(self, code: u16) {
         let secs = self.start.elapsed().as_secs_f64();
         self.entry.node.metrics().answered(code, secs);
-        if let Some(held) = self.held.take() {
-            self.entry.settle(held, ran);
-        }
         drop(self.admitted);
     }
 }
@@ -104,9 +99,9 @@
             let ended = relay(&tx, first, &mut body, idle).await;
             drop(sitting);
             match ended {
-                Ok(()) => kept.end(0, Ran::Ran),
+                Ok(()) => kept.end(0),
                 Err(err) => {
-                    kept.end(Code::AnswerBroke.number(), Ran::MayHaveRun);
+                    kept.end(Code::AnswerBroke.number());
                     tell(&tx, err).await;
                 }
             }
--- a/crates/entry/src/ask.rs
+++ b/crates/entry/src/ask.rs
@@ -88,11 +88,6 @@
             deadline: now.after(deadline),
         })
     }
-
-    /// Whether the request's key must be granted before it runs.
-    pub(crate) fn guarded(&self) -> Option<&Key> {
-        if self.repeatable { None } else { self.key.as_ref() }
-    }
 }
 
 fn service(rest: &str, fleet: &Fleet) -> Result<(Aim, bool, bool), Error> {
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -18,7 +18,7 @@
 use crate::answer::{Kept, Streamed, whole};
 use crate::ask::Ask;
 use crate::choose::Chosen;
-use crate::send::Sitting;
+use crate::send::{Bad, Sitting};
 
 /// The pause before looking again when no agent can take a request.
 const PAUSE: Duration = Duration::from_millis(20);
@@ -94,12 +94,8 @@
         let ask = Ask::check(&parts, body, fleet, now, longest)?;
         self.budget().earn();
         let admitted = self.admit(&ask.workspace, ask.deadline).await?;
-        let held = match ask.guarded() {
-            Some(key) => Some(self.claim(key).await?),
-            None => None,
-        };
         let entry = Arc::clone(self);
-        let kept = Kept { entry, admitted, held, start };
+        let kept = Kept { entry, admitted, start };
         let run = Run {
             entry: Arc::clone(self),
             course: Course::new(ask.repeatable),
@@ -107,6 +103,7 @@
             tried: HashSet::new(),
             harmed: 0,
             waited: None,
+            back: None,
         };
         run.run(kept).await
     }
@@ -122,6 +119,8 @@
     harmed: u64,
     /// Since when nobody could take it.
     waited: Option<Time>,
+    /// When to come back, as the last agent said.
+    back: Option<Duration>,
 }
 
 impl Run {
@@ -129,7 +128,7 @@
         loop {
             let next = match self.attempt().await {
                 Ok(Good::Whole(response)) => {
-                    kept.end(0, Ran::Ran);
+                    kept.end(0);
                     return Ok(response);
                 }
                 Ok(Good::Streamed(streamed, sitting)) => {
@@ -138,11 +137,7 @@
                 Err(next) => next,
             };
             let Next::Final(code, ran) = next else { continue };
-            let failed = self.failed(code, ran);
-            if let Some(held) = kept.held {
-                self.entry.settle(held, ran);
-            }
-            return Err(failed);
+            return Err(self.failed(code, ran));
         }
     }
 
@@ -150,6 +145,9 @@
         let aim = &self.ask.aim;
         let why = format!("{aim:?} after {} agents", self.tried.len());
         let failed = Failed::new(Error::new(code, why)).with_ran(ran);
+        if let Some(back) = self.back {
+            return failed.with_back(back);
+        }
         match code.status() {
             503 | 504 => {
                 let noise = rand::random::<f64>();
@@ -184,7 +182,10 @@
             entry.send(&self.ask, &chosen, &attempt, incarnation, left).await;
         let answered = match answered {
             Ok(response) => self.read(response).await,
-            Err(failure) => Err(failure),
+            Err(Bad { failure, back }) => {
+                self.back = back;
+                Err(failure)
+            }
         };
         let failure = match answered {
             Ok(Read::Whole(whole)) => return Ok(Good::Whole(whole)),
@@ -266,7 +267,12 @@
     /// Decides what comes after a failure.
     async fn after(&mut self, failure: Failure) -> Next {
         let harm = matches!(failure, Failure::Silent | Failure::Failed(_));
-        let more = if harm { self.may_retry() } else { self.may_move() };
+        let more = match failure {
+            // Another agent would ask the same guard.
+            Failure::Refused(code) if guards(code) => false,
+            _ if harm => self.may_retry(),
+            _ => self.may_move(),
+        };
         let next = self.course.failed(failure, more);
         if next == Next::Elsewhere && !harm && self.tried.len() > 1 {
             // Refused by several: they are switching, or behind.
@@ -314,6 +320,13 @@
     }
 }
 
+fn guards(code: Code) -> bool {
+    matches!(
+        code,
+        Code::GuardUnreachable | Code::GuardForgetful | Code::GuardFull
+    )
+}
+
 enum Read {
     Whole(Response<Body>),
     Streamed(Box<Streamed>),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,7 +10,6 @@
 mod answer;
 mod ask;
 mod choose;
-mod claim;
 mod control;
 mod entry;
 mod front;
--- a/crates/entry/src/send.rs
+++ b/crates/entry/src/send.rs
@@ -13,6 +13,18 @@
 use crate::ask::{Aim, Ask};
 use crate::choose::Chosen;
 
+/// A failed attempt, and when to come back if the agent said so.
+pub(crate) struct Bad {
+    pub(crate) failure: Failure,
+    pub(crate) back: Option<Duration>,
+}
+
+impl From<Failure> for Bad {
+    fn from(failure: Failure) -> Bad {
+        Bad { failure, back: None }
+    }
+}
+
 /// Counts a request at an agent until it is dropped.
 pub(crate) struct Sitting {
     entry: Arc<Entry>,
@@ -41,7 +53,7 @@
         attempt: &Attempt,
         incarnation: u64,
         within: Duration,
-    ) -> Result<Response<Incoming>, Failure> {
+    ) -> Result<Response<Incoming>, Bad> {
         let request = self.request(ask, attempt, incarnation);
         let request = request.map_err(|err| {
             log::error!("request: {err}");
@@ -54,10 +66,10 @@
                 log::debug!("{}: {err}", chosen.name);
                 let now = self.node.now();
                 self.seat(&chosen.name, |s| s.health.fail(now));
-                return Err(match err {
+                return Err(Bad::from(match err {
                     CallError::Unsent(_) => Failure::Unsent,
                     CallError::Silent(_) => Failure::Silent,
-                });
+                }));
             }
         };
         self.learn(chosen, response.headers());
@@ -66,7 +78,12 @@
                 self.seat(&chosen.name, |s| s.health.succeed());
                 Ok(response)
             }
-            Some(code) => Err(self.refused(chosen, code, response.headers())),
+            Some(code) => {
+                let map = response.headers();
+                let failure = self.refused(chosen, code, map);
+                let back = number(map, "retry-after").map(Duration::from_secs);
+                Err(Bad { failure, back })
+            }
         }
     }
 
@@ -94,6 +111,9 @@
         if let Some(key) = &ask.key {
             request = request.header(headers::KEY, key.as_str());
         }
+        if !ask.repeatable {
+            request = request.header(headers::REPEATABLE, "false");
+        }
         request.body(full(ask.body.clone()))
     }
 
@@ -129,6 +149,12 @@
                 }
             }
             Code::NotServing | Code::Overloaded => self.send_away(name),
+            // The guard's word, or the lack of it, is not this agent's fault.
+            Code::GuardUnreachable
+            | Code::GuardForgetful
+            | Code::GuardFull
+            | Code::DuplicateRunning
+            | Code::DuplicateRan => {}
             _ => {
                 let now = self.node.now();
                 self.seat(name, |s| s.health.fail(now));
@@ -136,6 +162,13 @@
         }
         let ran = map.get(headers::RAN).and_then(|v| v.to_str().ok());
         match ran.and_then(Ran::parse) {
+            _ if matches!(
+                code,
+                Code::DuplicateRunning | Code::DuplicateRan
+            ) =>
+            {
+                Failure::Duplicate(code)
+            }
             Some(Ran::DidNotRun) => Failure::Refused(code),
             _ => Failure::Failed(code),
         }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -67,12 +67,6 @@
             "ms",
             "How long a silent agent may take to say whether it ran.",
         ),
-        Field::number(
-            "claim_ms",
-            (1_000, 10, 60_000),
-            "ms",
-            "How long a key's guard may take to answer.",
-        ),
         Field::number(
             "keep_ms",
             (600_000, 100, 86_400_000),
--- a/src/request/retry.rs
+++ b/src/request/retry.rs
@@ -13,6 +13,9 @@
     Refused(Code),
     /// The agent answered that it failed, and that it may have run.
     Failed(Code),
+    /// Another attempt holds the request's key: this one did not run, but the
+    /// request runs or ran.
+    Duplicate(Code),
     /// It was sent, and the agent was lost before it answered.
     Silent,
     /// The answer broke off after part of it had gone to the caller.
@@ -75,6 +78,10 @@
             Failure::Unsent => self.unharmed(Code::NoBackend, more),
             Failure::Refused(code) => self.unharmed(code, more),
             Failure::Failed(code) => self.harmed(code, more),
+            Failure::Duplicate(code) => {
+                let ran = code.ran().unwrap_or(Ran::MayHaveRun);
+                Next::Final(code, ran.max(self.before))
+            }
             Failure::Silent if self.repeatable => {
                 self.harmed(Code::LostBackend, more)
             }
--- a/src/request/tests.rs
+++ b/src/request/tests.rs
@@ -159,6 +159,7 @@
     let may = |code| Next::Final(code, Ran::MayHaveRun);
     let full = Refused(Code::NotServing);
     let failed = Failed(Code::EngineLost);
+    let again = Failure::Duplicate(Code::DuplicateRan);
     let table = [
         // repeatable, failure, more, next
         (true, Unsent, true, Next::Elsewhere),
@@ -172,6 +173,7 @@
         (false, Silent, false, Next::Revoke),
         (true, failed, true, Next::Elsewhere),
         (false, failed, true, may(Code::EngineLost)),
+        (false, again, true, Next::Final(Code::DuplicateRan, Ran::Ran)),
         (true, Broke, true, may(Code::AnswerBroke)),
         (false, Broke, true, may(Code::AnswerBroke)),
     ];
--- a/src/serving/fence.rs
+++ b/src/serving/fence.rs
@@ -30,6 +30,11 @@
         self.incarnation
     }
 
+    /// Returns whether its agent has given no order yet.
+    pub const fn is_first(self) -> bool {
+        self.order == 0
+    }
+
     /// Returns the fence of the next order of the same agent.
     #[must_use]
     pub const fn next(self) -> Fence {
