The core protocol model-checked over its own decision code

Change: crate model with three small specifications (at most once; configuration; version gate), explored breadth first with pathfinding; each calls Attempts, Keys, Course, settle, Lease, Acceptance, Fence, Lifecycle and Bound as the programs do. All 16 mutants fail, each with its shortest trace. Not in: changes of the guard ring (tests and Rings' own cases only). Conclusion: kept; the small bounds run as a test.

--- /dev/null
+++ b/crates/model/tests/model.rs
@@ -0,0 +1,82 @@
+//! The core protocol holds, and each rule's mutant fails as it must.
+
+use stairhinge_model::{Outcome, config, explore, gate, once};
+
+const ONCE: once::Bounds = once::Bounds { ticks: 3, attempts: 1, restarts: 1 };
+
+const CONFIG: config::Bounds =
+    config::Bounds { revisions: 3, restarts: 2, requests: 2 };
+
+const GATE: gate::Bounds = gate::Bounds { requests: 1, orders: 3 };
+
+fn holds(what: &str, outcome: &Outcome, least: usize) {
+    println!("{what}: {} states", outcome.states);
+    assert_eq!(outcome.finding, None, "{what}");
+    assert!(outcome.states >= least, "{what}: {} states", outcome.states);
+}
+
+fn fails(rule: &str, outcome: &Outcome, property: &str) {
+    let found = outcome.finding.as_ref();
+    let found = found.unwrap_or_else(|| panic!("{rule} does not bite"));
+    assert_eq!(found.property, property, "{rule}: {:#?}", found.trace);
+    assert!(!found.trace.is_empty());
+}
+
+#[test]
+fn at_most_once_holds_and_each_rule_is_needed() {
+    let run = |without| explore(&once::Once { without, bounds: ONCE });
+    holds("at most once", &run(once::Without::Nothing), 200_000);
+    let twice = "a key ran twice within its window";
+    let lied = "said not to have run, and ran";
+    let table = [
+        (once::Without::Tombstone, lied),
+        (once::Without::Incarnation, lied),
+        (once::Without::Deafness, twice),
+        (once::Without::Lease, twice),
+        (once::Without::Keeping, twice),
+        (once::Without::Claim, twice),
+        (once::Without::Settling, twice),
+        (once::Without::Settle, lied),
+    ];
+    assert_eq!(table.len(), once::Without::RULES.len());
+    for (rule, property) in table {
+        fails(&format!("{rule:?}"), &run(rule), property);
+    }
+}
+
+#[test]
+fn configuration_holds_and_each_rule_is_needed() {
+    let run = |without| explore(&config::Config { without, bounds: CONFIG });
+    holds("configuration", &run(config::Without::Nothing), 50_000);
+    let again = "work ran under an older revision again";
+    let table = [
+        (config::Without::Monotony, "a process went back to an older one"),
+        (config::Without::Floor, again),
+        (config::Without::Telling, again),
+        (config::Without::Equality, "an old configuration took effect"),
+    ];
+    assert_eq!(table.len(), config::Without::RULES.len());
+    for (rule, property) in table {
+        fails(&format!("{rule:?}"), &run(rule), property);
+    }
+}
+
+#[test]
+fn the_version_gate_holds_and_each_rule_is_needed() {
+    let run = |without, fences| {
+        explore(&gate::Gate { without, fences, bounds: GATE })
+    };
+    for fences in [true, false] {
+        let what = format!("gate, engine checks fences: {fences}");
+        holds(&what, &run(gate::Without::Nothing, fences), 10_000);
+    }
+    let properties = [
+        "an answer from another version",
+        "an engine went back to an older agent",
+        "admitted by an agent that does not serve",
+        "an order was given with work in progress",
+    ];
+    for ((rule, fences), property) in gate::CASES.into_iter().zip(properties) {
+        fails(&format!("{rule:?}"), &run(rule, fences), property);
+    }
+}
--- a/src/serving/lifecycle.rs
+++ b/src/serving/lifecycle.rs
@@ -5,6 +5,7 @@
 //! [`Phase::Serving`] admits. The machine does no I/O: it takes events and
 //! leaves actions for the agent's shell to carry out.
 
+use std::fmt;
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 
@@ -336,6 +337,13 @@
     }
 }
 
+impl fmt::Debug for Lifecycle {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let machine = self.machine.inner();
+        write!(f, "{} {machine:?}", self.phase().as_str())
+    }
+}
+
 impl PartialEq for Lifecycle {
     fn eq(&self, other: &Lifecycle) -> bool {
         self.machine.state() == other.machine.state()
