--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -1,6 +1,5 @@
 //! The shared state of an agent.
 
-use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -26,11 +25,6 @@
     pub(crate) version: Arc<str>,
     pub(crate) lines: Vec<String>,
     pub(crate) drawn: Drawn,
-    /// The chunks of the set that is drawn, here or still to come.
-    pub(crate) wanted: HashSet<Digest>,
-    /// Whether that set is the manifests, so that the chunks behind them are
-    /// not known yet.
-    pub(crate) heads: bool,
 }
 
 /// The links of an instance, up and down; one and the same if shared.
--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -76,6 +76,9 @@
 
     fn settle(&self, key: &Key, holder: &str, ran: Ran) {
         self.keys().settle(key, holder, ran);
+        let fields =
+            [("key", key.as_str()), ("holder", holder), ("ran", ran.as_str())];
+        self.node.event("request.settle", &fields);
         let name = &self.node.identity().name;
         let now = self.node.now();
         let formers = self.rings().formers(key, name, self.window(), now);
--- a/crates/agent/src/drive.rs
+++ b/crates/agent/src/drive.rs
@@ -108,6 +108,8 @@
         self.agent.rings().adopt(Ring::of(fleet), now);
         let (start, window) = (self.agent.start, fleet.key_window());
         self.agent.keys().widen(start, window);
+        let ms = window.as_millis().to_string();
+        self.agent.node.event("guard.window", &[("window_ms", &ms)]);
         self.inform();
     }
 
--- a/crates/agent/src/fetch.rs
+++ b/crates/agent/src/fetch.rs
@@ -81,7 +81,6 @@
     manifests: &[Digest],
 ) -> Result<(), Error> {
     let mut puller = puller(agent, target, chunks);
-    agent.want(puller.chunks(), manifests.is_empty());
     let mut asked = FuturesUnordered::new();
     let mut bytes_in = 0u64;
     let start = Instant::now();
@@ -354,12 +353,6 @@
         *progress.drawn.counts.entry(source.to_string()).or_default() += 1;
     }
 
-    fn want(&self, chunks: &[Chunk], heads: bool) {
-        let mut progress = self.progress();
-        progress.heads = heads;
-        progress.wanted = chunks.iter().map(|c| c.digest()).collect();
-    }
-
     fn paced(&self, share: u32, rate: u32) {
         let mut progress = self.progress();
         progress.drawn.share = share;
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -46,6 +46,7 @@
     let incarnation = Fence::incarnate(wall(), held);
     let identity = Identity::of(&settings.values, Role::Agent);
     let node = Node::new(identity, incarnation, held.revision(), wire);
+    node.event("process.started", &[]);
     let agent = Agent::new(Arc::clone(&node), &settings);
     let (stopper, end) = Shutdown::new();
     let served = Arc::clone(&agent);
--- a/crates/agent/src/weights.rs
+++ b/crates/agent/src/weights.rs
@@ -38,8 +38,9 @@
         let found = found.ok().or_else(|| self.find(&question));
         let mut response = match found {
             Some((digest, bytes)) => self.send(digest, bytes).await,
-            None if self.awaits(&question) => status(StatusCode::NO_CONTENT),
-            None => status(StatusCode::NOT_FOUND),
+            // It may never come here: this agent may not have heard of the
+            // version yet, or may have no need of it. The asker has patience.
+            None => status(StatusCode::NO_CONTENT),
         };
         if let Some(held) = self.held(&question.manifests)
             && let Ok(value) = HeaderValue::from_str(&held)
@@ -72,14 +73,6 @@
         None
     }
 
-    /// Whether any of the chunks is still to come here.
-    fn awaits(&self, question: &Question) -> bool {
-        let progress = self.progress();
-        // Before the manifests are here it is not known which chunks will be.
-        question.want.iter().any(|d| progress.wanted.contains(d))
-            || progress.heads
-    }
-
     async fn send(
         self: &Arc<Agent>,
         digest: Digest,
--- a/crates/cli/tests/processes.rs
+++ b/crates/cli/tests/processes.rs
@@ -179,6 +179,43 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_guard_grants_nothing_until_it_is_safe() {
+    let mut fleet = Fleet::start(Plan { key_window_s: 10, ..plan() }).await;
+    serves(&fleet, "v1", &[0, 1, 2, 3]).await;
+    let keyed = |i: usize| {
+        let prompt = format!("letter {i}");
+        Caller::new(&prompt).once(Some(&format!("letter-{i}"))).whole()
+    };
+    let mut sent = 0;
+    until("the guards have come to", async || {
+        sent += 1;
+        chat(&fleet, 0, &keyed(sent)).await.good()
+    })
+    .await;
+    let mut ran = Vec::new();
+    for i in 1_000..1_030 {
+        if chat(&fleet, 0, &keyed(i)).await.good() {
+            ran.push(i);
+        }
+    }
+    for r in [0, 3] {
+        fleet.agents[r].signal("-KILL");
+        fleet.agents[r].wait().await;
+        fleet.agents[r] = fleet.agent(r);
+    }
+    let mut forgetful = 0;
+    for i in &ran {
+        let again = chat(&fleet, 1, &keyed(*i)).await;
+        assert!(!again.good(), "letter {i}: {again:?}");
+        forgetful += usize::from(again.code == 3006);
+    }
+    println!("{forgetful} of {} refused by a restarted guard", ran.len());
+    for i in ran {
+        assert_eq!(fleet.runs(&format!("letter {i}")).await, 1);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stop_by_signal_cuts_no_request() {
     let mut fleet = Fleet::start(plan()).await;
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -301,7 +301,9 @@
 
 impl Drop for Fleet {
     fn drop(&mut self) {
-        if std::thread::panicking() {
+        // Kept to be read, or to be cut down to a trace of `tests/replay.rs`.
+        let keep = std::env::var_os("STAIRHINGE_KEEP_LOGS").is_some();
+        if keep || std::thread::panicking() {
             eprintln!("logs are left in {}", self.dir.display());
         } else {
             let _ = std::fs::remove_dir_all(&self.dir);
--- a/crates/local/src/fleet.rs
+++ b/crates/local/src/fleet.rs
@@ -14,6 +14,7 @@
 };
 
 use crate::cell::Cell;
+use crate::launch::{free_slot, launch};
 use crate::plan::{Plan, Version};
 
 /// One instance of a local fleet.
@@ -390,63 +391,6 @@
     }
 }
 
-/// How often a slot is tried, and the pause between.
-const SLOT_TRIES: u32 = 100;
-const SLOT_PAUSE: Duration = Duration::from_millis(50);
-
-/// The control thread of a killed role lets go of its address a moment after
-/// the role itself has ended.
-fn free_slot(role: Role, settings: &str) -> Result<Slot, Error> {
-    for _ in 0..SLOT_TRIES {
-        match slot(role, settings) {
-            Err(err) if err.code() == Code::CannotBind => {
-                std::thread::sleep(SLOT_PAUSE);
-            }
-            done => return done,
-        }
-    }
-    slot(role, settings)
-}
-
-fn slot(role: Role, settings: &str) -> Result<Slot, Error> {
-    match role {
-        Role::Agent => {
-            let parsed = stairhinge_agent::Settings::parse(settings);
-            Slot::of(&parsed.map_err(|f| f.into_error())?.values)
-        }
-        Role::Entry => {
-            let parsed = stairhinge_entry::Settings::parse(settings);
-            Slot::of(&parsed.map_err(|f| f.into_error())?.values)
-        }
-    }
-}
-
-fn launch(
-    name: &str,
-    role: Role,
-    settings: &str,
-    slot: Slot,
-) -> Result<Cell, Error> {
-    match role {
-        Role::Agent => {
-            let parsed = stairhinge_agent::Settings::parse(settings);
-            let settings = parsed.map_err(|f| f.into_error())?;
-            Cell::start(name, |shutdown| async move {
-                let wire = Wire::start()?;
-                stairhinge_agent::run(settings, slot, wire, shutdown).await
-            })
-        }
-        Role::Entry => {
-            let parsed = stairhinge_entry::Settings::parse(settings);
-            let settings = parsed.map_err(|f| f.into_error())?;
-            Cell::start(name, |shutdown| async move {
-                let wire = Wire::start()?;
-                stairhinge_entry::run(settings, slot, wire, shutdown).await
-            })
-        }
-    }
-}
-
 fn io(err: std::io::Error) -> Error {
     Error::new(Code::CannotBind, err)
 }
--- a/crates/local/tests/once.rs
+++ b/crates/local/tests/once.rs
@@ -201,3 +201,27 @@
     assert!(answer.back.is_some());
     assert_eq!(trial.runs("x"), 0);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_lost_in_mid_run_is_a_may_have_run() {
+    let trial = Trial::start(Plan {
+        halls: 1,
+        replicas: 2,
+        agent: "engine_ms: 300\n".into(),
+        ..plan()
+    });
+    let trial = trial.await.unwrap();
+    for engine in trial.local.engines() {
+        engine.freeze(true);
+    }
+    let client = Client::new();
+    let addr = trial.local.entries()[0];
+    let caller = Caller::new("x").once(None);
+    let answer = caller.chat(&client, addr, "matcher").await;
+    assert_eq!(answer.ran, Some(Ran::MayHaveRun), "{answer:?}");
+    for engine in trial.local.engines() {
+        engine.freeze(false);
+    }
+    assert!(trial.local.await_live("v1", 2, LONG).await);
+    assert!(trial.runs("x") <= 1);
+}
--- a/crates/shell/src/control.rs
+++ b/crates/shell/src/control.rs
@@ -8,6 +8,7 @@
 mod convert;
 mod counted;
 mod fleet;
+mod links;
 mod report;
 mod serve;
 mod service;
--- /dev/null
+++ b/crates/shell/src/control/links.rs
@@ -0,0 +1,123 @@
+//! The control thread and its connections.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
+use futures::AsyncReadExt as _;
+use futures::future::LocalBoxFuture;
+use stairhinge::{Code, Error};
+use stairhinge_schema::fleet_capnp::peer;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
+use tokio_util::compat::TokioAsyncReadCompatExt as _;
+
+use super::counted::Counted;
+
+/// Something to be done on the control thread.
+pub(super) type Job =
+    Box<dyn FnOnce(Rc<Links>) -> LocalBoxFuture<'static, ()> + Send>;
+
+/// How long a connection may take to come up.
+const CONNECT: Duration = Duration::from_secs(1);
+
+/// Runs jobs until the last handle has gone.
+pub(super) fn control_thread(
+    mut jobs: mpsc::UnboundedReceiver<Job>,
+    bytes: Arc<AtomicU64>,
+) {
+    let built =
+        tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = match built {
+        Ok(runtime) => runtime,
+        Err(err) => return log::error!("control runtime: {err}"),
+    };
+    let links = Rc::new(Links { peers: RefCell::default(), bytes });
+    let local = LocalSet::new();
+    local.block_on(&runtime, async move {
+        while let Some(job) = jobs.recv().await {
+            tokio::task::spawn_local(job(Rc::clone(&links)));
+        }
+    });
+}
+
+/// The connections of the control thread.
+pub(super) struct Links {
+    peers: RefCell<HashMap<SocketAddr, (u64, peer::Client)>>,
+    bytes: Arc<AtomicU64>,
+}
+
+impl Links {
+    pub(super) async fn call<T, F, Fut>(
+        &self,
+        addr: SocketAddr,
+        within: Duration,
+        call: F,
+    ) -> Result<T, Error>
+    where
+        F: FnOnce(peer::Client) -> Fut,
+        Fut: Future<Output = Result<T, capnp::Error>>,
+    {
+        let lost = |why: &dyn std::fmt::Display| {
+            Error::new(Code::PeerLost, format_args!("{addr}: {why}"))
+        };
+        let (id, client) = self.link(addr).await.map_err(|e| lost(&e))?;
+        match tokio::time::timeout(within, call(client)).await {
+            Ok(Ok(value)) => Ok(value),
+            Ok(Err(err)) => {
+                self.drop_link(addr, id);
+                Err(lost(&err))
+            }
+            Err(_) => {
+                self.drop_link(addr, id);
+                Err(lost(&format!("nothing after {} ms", within.as_millis())))
+            }
+        }
+    }
+
+    async fn link(
+        &self,
+        addr: SocketAddr,
+    ) -> std::io::Result<(u64, peer::Client)> {
+        if let Some(found) = self.peers.borrow().get(&addr) {
+            return Ok(found.clone());
+        }
+        let connecting = TcpStream::connect(addr);
+        let stream = tokio::time::timeout(CONNECT, connecting).await??;
+        let counted = Counted::new(stream, Arc::clone(&self.bytes));
+        let (reader, writer) = counted.compat().split();
+        let network = twoparty::VatNetwork::new(
+            reader,
+            writer,
+            rpc_twoparty_capnp::Side::Client,
+            Default::default(),
+        );
+        let mut system = RpcSystem::new(Box::new(network), None);
+        let client: peer::Client =
+            system.bootstrap(rpc_twoparty_capnp::Side::Server);
+        tokio::task::spawn_local(async move {
+            if let Err(err) = system.await {
+                log::debug!("control link to {addr}: {err}");
+            }
+        });
+        let mut peers = self.peers.borrow_mut();
+        let id = peers.get(&addr).map_or(0, |(id, _)| id + 1);
+        peers.insert(addr, (id, client.clone()));
+        Ok((id, client))
+    }
+
+    /// Forgets a link after a failure, unless a newer one took its place.
+    fn drop_link(&self, addr: SocketAddr, id: u64) {
+        let mut peers = self.peers.borrow_mut();
+        if peers.get(&addr).is_some_and(|(known, _)| *known == id) {
+            peers.remove(&addr);
+        }
+    }
+}
--- a/crates/shell/src/control/wire.rs
+++ b/crates/shell/src/control/wire.rs
@@ -1,37 +1,27 @@
 //! The handle to a process's control thread, and the calls that go out.
 
-use std::cell::RefCell;
-use std::collections::HashMap;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use std::time::Duration;
 
-use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
-use futures::AsyncReadExt as _;
-use futures::future::LocalBoxFuture;
 use stairhinge::document::{Kind, Seen};
 use stairhinge::request::{Attempt, Key};
 use stairhinge::{Code, Error, Ran};
 use stairhinge_schema::fleet_capnp::{operator, peer};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
-use tokio::task::LocalSet;
-use tokio_util::compat::TokioAsyncReadCompatExt as _;
 
 use super::convert::{
     from_ran, get_news, get_pulled, get_report, put_news, put_report,
     put_seen, text, to_kind, to_ran,
 };
-use super::counted::Counted;
+use super::links::{Job, control_thread};
 use super::{ClaimAsk, Control, Grant, News, Pulled, Report, serve};
 use crate::Shutdown;
 
-type Job = Box<dyn FnOnce(Rc<Links>) -> LocalBoxFuture<'static, ()> + Send>;
-
 /// The handle to a process's control thread; clones share it.
 #[derive(Clone, Debug)]
 pub struct Wire {
@@ -40,9 +30,6 @@
 }
 
 impl Wire {
-    /// How long a connection may take to come up.
-    const CONNECT: Duration = Duration::from_secs(1);
-
     /// Starts the control thread. It ends with the last handle.
     ///
     /// # Errors
@@ -373,96 +360,3 @@
 fn operator_of(peer: &peer::Client) -> operator::Client {
     peer.operator_request().send().pipeline.get_operator()
 }
-
-fn control_thread(
-    mut jobs: mpsc::UnboundedReceiver<Job>,
-    bytes: Arc<AtomicU64>,
-) {
-    let built =
-        tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = match built {
-        Ok(runtime) => runtime,
-        Err(err) => return log::error!("control runtime: {err}"),
-    };
-    let links = Rc::new(Links { peers: RefCell::default(), bytes });
-    let local = LocalSet::new();
-    local.block_on(&runtime, async move {
-        while let Some(job) = jobs.recv().await {
-            tokio::task::spawn_local(job(Rc::clone(&links)));
-        }
-    });
-}
-
-/// The connections of the control thread.
-struct Links {
-    peers: RefCell<HashMap<SocketAddr, (u64, peer::Client)>>,
-    bytes: Arc<AtomicU64>,
-}
-
-impl Links {
-    async fn call<T, F, Fut>(
-        &self,
-        addr: SocketAddr,
-        within: Duration,
-        call: F,
-    ) -> Result<T, Error>
-    where
-        F: FnOnce(peer::Client) -> Fut,
-        Fut: Future<Output = Result<T, capnp::Error>>,
-    {
-        let lost = |why: &dyn std::fmt::Display| {
-            Error::new(Code::PeerLost, format_args!("{addr}: {why}"))
-        };
-        let (id, client) = self.link(addr).await.map_err(|e| lost(&e))?;
-        match tokio::time::timeout(within, call(client)).await {
-            Ok(Ok(value)) => Ok(value),
-            Ok(Err(err)) => {
-                self.drop_link(addr, id);
-                Err(lost(&err))
-            }
-            Err(_) => {
-                self.drop_link(addr, id);
-                Err(lost(&format!("nothing after {} ms", within.as_millis())))
-            }
-        }
-    }
-
-    async fn link(
-        &self,
-        addr: SocketAddr,
-    ) -> std::io::Result<(u64, peer::Client)> {
-        if let Some(found) = self.peers.borrow().get(&addr) {
-            return Ok(found.clone());
-        }
-        let connecting = TcpStream::connect(addr);
-        let stream = tokio::time::timeout(Wire::CONNECT, connecting).await??;
-        let counted = Counted::new(stream, Arc::clone(&self.bytes));
-        let (reader, writer) = counted.compat().split();
-        let network = twoparty::VatNetwork::new(
-            reader,
-            writer,
-            rpc_twoparty_capnp::Side::Client,
-            Default::default(),
-        );
-        let mut system = RpcSystem::new(Box::new(network), None);
-        let client: peer::Client =
-            system.bootstrap(rpc_twoparty_capnp::Side::Server);
-        tokio::task::spawn_local(async move {
-            if let Err(err) = system.await {
-                log::debug!("control link to {addr}: {err}");
-            }
-        });
-        let mut peers = self.peers.borrow_mut();
-        let id = peers.get(&addr).map_or(0, |(id, _)| id + 1);
-        peers.insert(addr, (id, client.clone()));
-        Ok((id, client))
-    }
-
-    /// Forgets a link after a failure, unless a newer one took its place.
-    fn drop_link(&self, addr: SocketAddr, id: u64) {
-        let mut peers = self.peers.borrow_mut();
-        if peers.get(&addr).is_some_and(|(known, _)| *known == id) {
-            peers.remove(&addr);
-        }
-    }
-}
--- a/crates/shell/src/node.rs
+++ b/crates/shell/src/node.rs
@@ -4,6 +4,7 @@
 //! [`View`] without a lock; the feed and the exchanges with peers replace the
 //! view as a whole when something newer has been taken.
 
+mod documents;
 mod feed;
 mod gossip;
 mod identity;
