A switch does not wait for peers that leave; preference acts again

Cause 1: the mutant 'a drain does not wait' passed its test, because no agent switched while the test's requests ran: the second half of each hall waited for a first half that was leaving, for up to turn_ms (15 s). Change 1: one that leaves is not waited for; the test has all switch at once. Cause 2: with one copy for both, 'prefer' had no effect left. Change 2: with 'prefer: time' a peer without news is left in half the time. Not measured yet against before.

--- a/crates/agent/src/drive.rs
+++ b/crates/agent/src/drive.rs
@@ -316,8 +316,11 @@
         for name in first {
             let peers = node.peers();
             let done = peers.get(name).is_some_and(|heard| {
-                heard.report.serves(wanted.model())
-                    && heard.report.version == *wanted.version()
+                let report = &heard.report;
+                let serves = report.serves(wanted.model())
+                    && report.version == *wanted.version();
+                // One that leaves will never switch.
+                serves || report.leaves()
             });
             if !done {
                 waits.push(Arc::clone(name));
--- a/crates/agent/src/fetch.rs
+++ b/crates/agent/src/fetch.rs
@@ -114,9 +114,11 @@
     let me = node.identity();
     let mut halls = Vec::new();
     let mut budget = 1;
+    let mut patience = agent.settings.patience();
     if let Some(fleet) = &view.fleet {
         halls = members(fleet, &view.listing, target.model());
         budget = fleet.budget();
+        patience = patience.preferring(fleet.prefer());
     }
     let mut subject = Vec::new();
     for digest in target.manifests() {
@@ -130,7 +132,6 @@
         _ => walk,
     };
     let turn = rank::score(&subject, &me.name) as usize % chunks.len().max(1);
-    let patience = agent.settings.patience();
     Puller::new(walk, chunks, patience, turn, |d| agent.store().holds(d))
 }
 
@@ -146,7 +147,7 @@
         Ok(answered) => answered,
         Err(err) => {
             if err.code() == Code::CorruptChunk {
-                agent.node.metrics().corrupt.inc();
+                agent.node.metrics().spoiled(kind(source));
             }
             agent.note(&format!("left {name}: {err}"));
             let code = err.code().to_string();
@@ -170,18 +171,13 @@
     match agent.keep(digest, bytes) {
         Ok(()) => {
             puller.got(source, &digest);
-            let word = match source {
-                Source::Near(_) => "near",
-                Source::Far(_) => "far",
-                Source::Origin => "origin",
-            };
-            agent.node.metrics().received(word, size);
+            agent.node.metrics().received(kind(source), size);
             agent.drew(name);
             size
         }
         Err(err) => {
             if err.code() == Code::CorruptChunk {
-                agent.node.metrics().corrupt.inc();
+                agent.node.metrics().spoiled(kind(source));
             }
             agent.note(&format!("left {name}: {err}"));
             puller.failed(source, now);
@@ -190,6 +186,15 @@
     }
 }
 
+/// The word for a source in metrics.
+fn kind(source: &Source) -> &'static str {
+    match source {
+        Source::Near(_) => "near",
+        Source::Far(_) => "far",
+        Source::Origin => "origin",
+    }
+}
+
 async fn one(
     agent: Arc<Agent>,
     ask: Ask,
--- a/crates/bench/src/distribute.rs
+++ b/crates/bench/src/distribute.rs
@@ -123,7 +123,7 @@
             "max_sent_copies": sent.max,
             "control_bytes_s": spread(|r| r.control).max,
             "cpu_core_share": spread(|r| r.cpu).max,
-            "wrong_chunks_served": 0.0 + spread(|r| r.corrupt as f64).max,
+            "wrong_chunks_served": spread(|r| r.corrupt as f64).max,
         });
         println!("{json}");
     }
@@ -221,12 +221,9 @@
     for (a, b) in after.iter().zip(&before) {
         most_sent = most_sent.max((a.sent - b.sent).max(0.0) / size);
         far += (a.far - b.far).max(0.0) / size;
-        // Corrupt chunks that peers sent; the origin's are not counted here.
+        // What peers sent; the origin's are not served by the system.
         corrupt += (a.corrupt - b.corrupt).max(0.0) as u64;
     }
-    if args.fault == "corrupt" {
-        corrupt = 0;
-    }
     let count = args.replicas as f64;
     let after_wire = control(&local).await;
     let control = after_wire.iter().zip(&wire).map(|(a, b)| a - b);
@@ -301,12 +298,17 @@
                 &text,
                 "stairhinge_weights_received_bytes_total{source=\"far\"}",
             ),
-            corrupt: metric(&text, "stairhinge_chunks_corrupt_total"),
+            corrupt: spoiled(&text, "near") + spoiled(&text, "far"),
         });
     }
     totals
 }
 
+fn spoiled(text: &str, source: &str) -> f64 {
+    let name = "stairhinge_chunks_corrupt_total";
+    metric(text, &format!("{name}{{source=\"{source}\"}}"))
+}
+
 async fn control(local: &Local) -> Vec<f64> {
     let texts = metrics(local).await;
     let name = "stairhinge_control_bytes_total";
--- a/crates/local/tests/stop.rs
+++ b/crates/local/tests/stop.rs
@@ -13,7 +13,8 @@
     Plan {
         halls: 2,
         replicas: 4,
-        agent: linger.into(),
+        // All switch at once, so that a switch meets work in progress.
+        agent: format!("{linger}turn_ms: 0\n"),
         entry: linger.into(),
         ..Plan::default()
     }
--- a/crates/shell/src/metrics.rs
+++ b/crates/shell/src/metrics.rs
@@ -33,8 +33,7 @@
     pulled: Family<SourceLabel, Counter>,
     /// Chunk bytes sent to peers.
     pub sent: Counter,
-    /// Chunks that did not have the declared digest.
-    pub corrupt: Counter,
+    corrupt: Family<SourceLabel, Counter>,
     /// The revision of the declaration in force.
     pub revision: Gauge<i64>,
     /// Chunks held of the version wanted, per mille.
@@ -57,7 +56,7 @@
             retries: Counter::default(),
             pulled: Family::default(),
             sent: Counter::default(),
-            corrupt: Counter::default(),
+            corrupt: Family::default(),
             revision: Gauge::default(),
             share: Gauge::default(),
             platform: Counter::default(),
@@ -96,7 +95,7 @@
         );
         r.register(
             "chunks_corrupt",
-            "Chunks refused for their digest",
+            "Chunks refused for their digest, by source",
             self.corrupt.clone(),
         );
         r.register(
@@ -150,9 +149,9 @@
         self.pulled.get_or_create(&SourceLabel { source }).inc_by(bytes);
     }
 
-    /// Returns the verified chunk bytes from a source.
-    pub fn received_from(&self, source: &'static str) -> u64 {
-        self.pulled.get_or_create(&SourceLabel { source }).get()
+    /// Counts a chunk that did not have the declared digest.
+    pub fn spoiled(&self, source: &'static str) {
+        self.corrupt.get_or_create(&SourceLabel { source }).inc();
     }
 
     /// Returns the text that `/metrics` answers.
--- a/src/declaration/check.rs
+++ b/src/declaration/check.rs
@@ -26,6 +26,12 @@
 const SHARE: RangeInclusive<i64> = 1..=1_000;
 const REPLICAS: RangeInclusive<i64> = 0..=10_000;
 
+/// How many halls may each draw a whole copy from the origin where it is not
+/// declared. It is one for both preferences: measured at 12 replicas in 3
+/// halls, a second and third copy made the version live later, not sooner,
+/// since the origin's link then becomes the narrow place (`DESIGN.md`).
+const USUAL_BUDGET: i64 = 1;
+
 /// The window in which a version is to be live where none is declared.
 const USUAL_WINDOW_S: i64 = 300;
 
@@ -80,7 +86,7 @@
             "origin_budget",
             raw.origin_budget.as_ref(),
             BUDGET,
-            i64::from(prefer.budget()),
+            USUAL_BUDGET,
         );
         let window = self.optional(
             "window_s",
--- a/src/declaration/fleet.rs
+++ b/src/declaration/fleet.rs
@@ -22,18 +22,6 @@
             Prefer::Origin => "origin",
         }
     }
-
-    /// Returns the number of halls that may each draw a whole copy from the
-    /// origin where the declaration does not say.
-    ///
-    /// It is one for both: measured at 12 replicas in 3 halls, a second and
-    /// third copy made the version live later, not sooner, since the origin's
-    /// link then becomes the narrow place (`DESIGN.md`, "Weights").
-    pub const fn budget(self) -> u32 {
-        match self {
-            Prefer::Time | Prefer::Origin => 1,
-        }
-    }
 }
 
 /// A version or an adapter of a model: a name and the weights behind it.
--- a/src/weights/puller.rs
+++ b/src/weights/puller.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use super::{Chunk, Source, Walk};
+use crate::declaration::Prefer;
 use crate::{Digest, Time};
 
 /// How long a puller puts up with a source.
@@ -55,6 +56,18 @@
         self
     }
 
+    /// Returns it for what weighs more: where time does, a source without
+    /// news is left in half the time, at the risk of another draw on the
+    /// origin.
+    #[must_use]
+    pub const fn preferring(mut self, prefer: Prefer) -> Patience {
+        if matches!(prefer, Prefer::Time) {
+            let half = self.waiting.as_nanos() as u64 / 2;
+            self.waiting = Duration::from_nanos(half);
+        }
+        self
+    }
+
     /// A suspicion of the origin lasts this part of one of a peer.
     pub const ORIGIN_PART: u32 = 10;
 
