--- a/crates/model/src/once.rs
+++ b/crates/model/src/once.rs
@@ -308,7 +308,8 @@
     /// is silent.
     fn lose(&self, state: &State, next: &mut Vec<(String, State)>) {
         for (e, entry) in state.entries.iter().enumerate() {
-            let Some((i, attempt)) = entry.tries.iter().enumerate().last()
+            let Some((i, attempt)) =
+                entry.tries.iter().enumerate().next_back()
             else {
                 continue;
             };
--- a/src/request/tests.rs
+++ b/src/request/tests.rs
@@ -132,12 +132,13 @@
     assert!(rings.formers(&k, "c", WINDOW, at(0)).is_empty());
     rings.adopt(new, at(100));
     let ask = |r: &Rings, ms| r.formers(&k, "c", WINDOW, at(ms));
-    assert_eq!(ask(&rings, 100), [before.clone()]);
-    assert_eq!(ask(&rings, 90_000), [before.clone()], "not heard under it");
+    let asked = vec![before.clone()];
+    assert_eq!(ask(&rings, 100), asked);
+    assert_eq!(ask(&rings, 90_000), asked, "not heard under it");
     rings.hear(&before, 1, at(90_000));
-    assert_eq!(ask(&rings, 99_000), [before.clone()], "heard, but behind");
+    assert_eq!(ask(&rings, 99_000), asked, "heard, but behind");
     rings.hear(&before, 2, at(100_000));
-    assert_eq!(ask(&rings, 100_999), [before.clone()]);
+    assert_eq!(ask(&rings, 100_999), asked);
     assert!(ask(&rings, 101_000).is_empty());
 }
 
