A test that an agent admits only under its own revision and incarnation

Cause: with that check taken out, the test of a frozen agent still passed: the woken agent takes the newer configuration before a request comes. Change: a test asks an agent directly, under other revisions and incarnations.

--- a/crates/local/tests/once.rs
+++ b/crates/local/tests/once.rs
@@ -6,7 +6,7 @@
 use stairhinge::Ran;
 use stairhinge::document::Presence;
 use stairhinge_local::{Answer, Caller, Plan, Trial};
-use stairhinge_shell::http::Client;
+use stairhinge_shell::http::{Client, full, headers};
 
 const LONG: Duration = Duration::from_secs(60);
 
@@ -225,3 +225,39 @@
     assert!(trial.local.await_live("v1", 2, LONG).await);
     assert!(trial.runs("x") <= 1);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_admits_only_under_its_own_revision_and_incarnation() {
+    let trial = Trial::start(Plan { halls: 1, replicas: 1, ..plan() });
+    let mut trial = trial.await.unwrap();
+    let report = trial.local.report("agent-0-0").await.unwrap();
+    let (incarnation, revision) = (report.incarnation, 1);
+    let addr = trial.local.member("agent-0-0").http();
+    let client = Client::new();
+    let table = [
+        ("a.1.1", incarnation, revision + 1, "3014"),
+        ("a.1.2", incarnation, revision - 1, "3014"),
+        ("a.1.3", incarnation - 1, revision, "3014"),
+        ("a.1.4", incarnation, revision, ""),
+        ("a.1.4", incarnation, revision, "3009"),
+    ];
+    for (attempt, incarnation, revision, code) in table {
+        let body = "{\"messages\":[{\"content\":\"direct\"}]}";
+        let request = hyper::Request::post("/v1/chat/completions")
+            .header(headers::ATTEMPT, attempt)
+            .header(headers::INCARNATION, incarnation)
+            .header(headers::REVISION, revision)
+            .header(headers::MODEL, "matcher")
+            .body(full(body))
+            .unwrap();
+        let response = client.send(addr, request, LONG).await.unwrap();
+        let said = response.headers().get(headers::CODE);
+        let said = said.map_or("", |v| v.to_str().unwrap());
+        assert_eq!(said, code, "{attempt} {incarnation} {revision}");
+        if !code.is_empty() {
+            let ran = response.headers()[headers::RAN].to_str().unwrap();
+            assert_eq!(ran, "did not run");
+        }
+    }
+    assert_eq!(trial.runs("direct"), 1);
+}
