Reports carry the load; unused parts and copies taken out

Cause: read as a newcomer. Change: agents and entries report what is in progress, entries 'ready'; unused parts removed; one 'until'; the wall clock read in one place.

--- a/crates/agent/src/drive.rs
+++ b/crates/agent/src/drive.rs
@@ -356,6 +356,7 @@
 
     fn tell(&self) {
         let node = &self.agent.node;
+        node.carry(self.agent.tally.count());
         if self.agent.settings.plain {
             let view = node.view();
             let me = &node.identity().name;
--- a/crates/agent/src/fetch.rs
+++ b/crates/agent/src/fetch.rs
@@ -252,7 +252,6 @@
     let json = serde_json::to_vec(&question)
         .map_err(|e| Error::new(Code::Internal, e))?;
     let request: Request<Body> = Request::post("/weights/any")
-        .header(headers::HALL, &*agent.node.identity().hall)
         .body(full(json))
         .map_err(|e| Error::new(Code::Internal, e))?;
     let within = agent.settings.stall() + ask.hold();
--- a/crates/agent/src/gate.rs
+++ b/crates/agent/src/gate.rs
@@ -14,7 +14,6 @@
 use stairhinge::request::{Attempt, Key};
 use stairhinge::serving::Bound;
 use stairhinge::{Code, Error, Ran};
-use stairhinge_shell::control::Report;
 use stairhinge_shell::http::{
     Body, Failed, Handler, Limits, answer, full, headers, read,
 };
@@ -77,10 +76,6 @@
     fn refused(&self, failed: &Failed) -> Response<Body> {
         let mut response = failed.response();
         self.stamp(&mut response);
-        if failed.error().code() == Code::Leaving {
-            let value = HeaderValue::from_static(Report::LEAVING);
-            response.headers_mut().insert("stairhinge-state", value);
-        }
         response
     }
 
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -27,7 +27,7 @@
 use stairhinge::serving::Fence;
 use stairhinge_shell::control::Wire;
 use stairhinge_shell::http::{Client, serve};
-use stairhinge_shell::node::{Identity, Node};
+use stairhinge_shell::node::{Identity, Node, wall};
 use stairhinge_shell::{Shutdown, Slot, http};
 
 /// Runs an agent until it is told to stop and all its requests have ended.
@@ -73,10 +73,3 @@
     let state = engine::state(&Client::new(), settings.backend).await;
     state.map_or_else(|_| Fence::default(), |s| s.fence)
 }
-
-fn wall() -> u64 {
-    std::time::SystemTime::now()
-        .duration_since(std::time::UNIX_EPOCH)
-        .unwrap_or_default()
-        .as_millis() as u64
-}
--- a/crates/cli/tests/processes.rs
+++ b/crates/cli/tests/processes.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use stairhinge::Ran;
-use stairhinge_local::{Answer, Caller, Plan};
+use stairhinge_local::{Answer, Caller, Plan, until};
 
-use support::{Fleet, LONG, until};
+use support::Fleet;
 
 fn plan() -> Plan {
     Plan {
@@ -23,6 +23,22 @@
     caller.chat(&fleet.client, fleet.entry(hall), "matcher").await
 }
 
+/// A request that must not repeat, with a key.
+fn keyed(i: usize) -> Caller {
+    let prompt = format!("letter {i}");
+    Caller::new(&prompt).once(Some(&format!("letter-{i}"))).whole()
+}
+
+/// Sends keyed requests until a guard has come to.
+async fn guards_hear(fleet: &Fleet) {
+    let mut sent = 0;
+    until("the guards have come to", async || {
+        sent += 1;
+        chat(fleet, 0, &keyed(sent)).await.good()
+    })
+    .await;
+}
+
 async fn serves(fleet: &Fleet, version: &str, replicas: &[usize]) {
     until(version, async || {
         for r in replicas {
@@ -159,16 +175,7 @@
     // The window outlasts the freeze: beyond it a key may run again.
     let fleet = Fleet::start(Plan { key_window_s: 15, ..plan() }).await;
     serves(&fleet, "v1", &[0, 1, 2, 3]).await;
-    let keyed = |i: usize| {
-        let prompt = format!("letter {i}");
-        Caller::new(&prompt).once(Some(&format!("letter-{i}"))).whole()
-    };
-    let mut sent = 0;
-    until("the guards have come to", async || {
-        sent += 1;
-        chat(&fleet, 0, &keyed(sent)).await.good()
-    })
-    .await;
+    guards_hear(&fleet).await;
     let mut tasks = Vec::new();
     for i in 1_000..1_040 {
         let (client, entry) = (fleet.client.clone(), fleet.entry(0));
@@ -197,16 +204,7 @@
 async fn a_killed_guard_grants_nothing_until_it_is_safe() {
     let mut fleet = Fleet::start(Plan { key_window_s: 10, ..plan() }).await;
     serves(&fleet, "v1", &[0, 1, 2, 3]).await;
-    let keyed = |i: usize| {
-        let prompt = format!("letter {i}");
-        Caller::new(&prompt).once(Some(&format!("letter-{i}"))).whole()
-    };
-    let mut sent = 0;
-    until("the guards have come to", async || {
-        sent += 1;
-        chat(&fleet, 0, &keyed(sent)).await.good()
-    })
-    .await;
+    guards_hear(&fleet).await;
     let mut ran = Vec::new();
     for i in 1_000..1_030 {
         if chat(&fleet, 0, &keyed(i)).await.good() {
@@ -297,5 +295,4 @@
     let picture = std::fs::read_to_string(&svg).unwrap();
     std::fs::remove_file(&svg).unwrap();
     assert!(picture.starts_with("<svg") && picture.contains("agent-1-1"));
-    let _ = LONG;
 }
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -310,12 +310,3 @@
         }
     }
 }
-
-/// Waits until a condition holds, in bounds.
-pub async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
-    let end = tokio::time::Instant::now() + LONG;
-    while !holds().await {
-        assert!(tokio::time::Instant::now() < end, "never: {what}");
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-}
--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -122,6 +122,7 @@
 
     fn show_load(&self) {
         let (running, queued) = self.door().admission.load();
+        self.node.carry(running);
         self.node.metrics().load(running, queued);
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -23,9 +23,9 @@
 
 use stairhinge::Error;
 use stairhinge::document::Role;
-use stairhinge_shell::control::Wire;
+use stairhinge_shell::control::{Report, Wire};
 use stairhinge_shell::http::{Limits, serve};
-use stairhinge_shell::node::{Identity, Node};
+use stairhinge_shell::node::{Identity, Node, wall};
 use stairhinge_shell::{Shutdown, Slot};
 
 /// Runs an entry until it is told to stop and all its requests have ended.
@@ -40,16 +40,14 @@
     shutdown: Shutdown,
 ) -> Result<(), Error> {
     let (listener, control) = slot.split()?;
-    let wall = std::time::SystemTime::now()
-        .duration_since(std::time::UNIX_EPOCH)
-        .unwrap_or_default();
     let identity = Identity::of(&settings.values, Role::Entry);
-    let node = Node::new(identity, wall.as_millis() as u64, 0, wire);
+    let node = Node::new(identity, wall(), 0, wire);
     let entry = Entry::new(Arc::clone(&node), &settings);
     let (stopper, end) = Shutdown::new();
     let served = Arc::clone(&entry);
     node.wire().serve(control, served, end.clone())?;
     node.run(&end);
+    tokio::spawn(ready(Arc::clone(&node)));
     let leaving = Arc::clone(&node);
     let told = shutdown.clone();
     tokio::spawn(async move {
@@ -61,3 +59,14 @@
     stopper.stop();
     Ok(())
 }
+
+/// Reports that the entry takes requests, once it has a declaration.
+async fn ready(node: Arc<Node>) {
+    let mut changes = node.changes();
+    while node.view().fleet.is_none() {
+        if changes.changed().await.is_err() {
+            return;
+        }
+    }
+    node.stand(Report::READY, ("", ""), (0, 0), None);
+}
--- a/crates/local/src/lib.rs
+++ b/crates/local/src/lib.rs
@@ -15,4 +15,4 @@
 pub use self::cell::Cell;
 pub use self::fleet::{Local, Member};
 pub use self::plan::{Plan, Version};
-pub use self::ready::Trial;
+pub use self::ready::{Trial, until};
--- a/crates/local/src/ready.rs
+++ b/crates/local/src/ready.rs
@@ -97,3 +97,16 @@
         verdict(&self.calls, &self.records(), &self.packs)
     }
 }
+
+/// Waits until a condition holds.
+///
+/// # Panics
+///
+/// With `what`, if it does not within a minute.
+pub async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let end = tokio::time::Instant::now() + READY;
+    while !holds().await {
+        assert!(tokio::time::Instant::now() < end, "never: {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- a/crates/local/tests/once.rs
+++ b/crates/local/tests/once.rs
@@ -5,7 +5,7 @@
 
 use stairhinge::Ran;
 use stairhinge::document::Presence;
-use stairhinge_local::{Answer, Caller, Plan, Trial};
+use stairhinge_local::{Answer, Caller, Plan, Trial, until};
 use stairhinge_shell::http::{Client, full, headers};
 
 const LONG: Duration = Duration::from_secs(60);
@@ -14,14 +14,6 @@
     Plan { halls: 2, replicas: 4, key_window_s: 3, ..Plan::default() }
 }
 
-async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
-    let end = tokio::time::Instant::now() + LONG;
-    while !holds().await {
-        assert!(tokio::time::Instant::now() < end, "never: {what}");
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-}
-
 /// Sends a keyed request until its guard is no longer forgetful.
 async fn granted(addr: SocketAddr, caller: &Caller) -> Answer {
     let client = Client::new();
--- a/crates/local/tests/stop.rs
+++ b/crates/local/tests/stop.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use stairhinge::Ran;
-use stairhinge_local::{Caller, Plan, Trial};
+use stairhinge_local::{Caller, Plan, Trial, until};
 use stairhinge_shell::http::Client;
 
 const LONG: Duration = Duration::from_secs(60);
@@ -20,14 +20,6 @@
     }
 }
 
-async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
-    let end = tokio::time::Instant::now() + LONG;
-    while !holds().await {
-        assert!(tokio::time::Instant::now() < end, "never: {what}");
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stop_of_agent_and_entry_amid_a_switch_cuts_nothing() {
     let mut trial = Trial::start(plan()).await.unwrap();
--- a/crates/local/tests/versions.rs
+++ b/crates/local/tests/versions.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use stairhinge::Ran;
-use stairhinge_local::{Caller, Plan, Trial};
+use stairhinge_local::{Caller, Plan, Trial, until};
 use stairhinge_shell::http::Client;
 
 const LONG: Duration = Duration::from_secs(60);
@@ -13,15 +13,6 @@
     Plan { halls: 2, replicas: 4, ..Plan::default() }
 }
 
-/// Waits until a condition holds, in bounds.
-async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
-    let end = tokio::time::Instant::now() + LONG;
-    while !holds().await {
-        assert!(tokio::time::Instant::now() < end, "never: {what}");
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn corrupt_chunks_are_refused_and_drawn_again() {
     let mut trial = Trial::start(plan()).await.unwrap();
--- a/crates/shell/src/http/headers.rs
+++ b/crates/shell/src/http/headers.rs
@@ -29,8 +29,6 @@
 /// What the answering agent holds of the chunks asked for, as a bit field in
 /// hexadecimal.
 pub const HELD: &str = "stairhinge-held";
-/// The data hall of an agent that asks for chunks.
-pub const HALL: &str = "stairhinge-hall";
 /// The fence of an order to an engine, and of an engine's answer.
 pub const FENCE: &str = "engine-fence";
 /// The version that an engine is to answer from, and did answer from.
--- a/crates/shell/src/logs.rs
+++ b/crates/shell/src/logs.rs
@@ -4,11 +4,11 @@
 //! Events of the time line are JSON already (log target `event`) and pass as
 //! they are; all else is wrapped.
 
-use std::time::{SystemTime, UNIX_EPOCH};
-
 use log::LevelFilter;
 use serde_json::json;
 
+use crate::node::wall;
+
 /// The log target of events of the time line.
 pub(crate) const EVENT: &str = "event";
 
@@ -26,12 +26,8 @@
                 out.finish(format_args!("{message}"));
                 return;
             }
-            let wall = SystemTime::now()
-                .duration_since(UNIX_EPOCH)
-                .unwrap_or_default()
-                .as_millis() as u64;
             let line = json!({
-                "wall": wall,
+                "wall": wall(),
                 "level": record.level().as_str(),
                 "target": record.target(),
                 "message": message.to_string(),
--- a/crates/shell/src/node.rs
+++ b/crates/shell/src/node.rs
@@ -14,5 +14,5 @@
 
 pub use self::identity::Identity;
 pub use self::peers::{Heard, Peers};
-pub use self::state::{Busy, Node};
+pub use self::state::{Node, wall};
 pub use self::view::View;
--- a/crates/shell/src/node/peers.rs
+++ b/crates/shell/src/node/peers.rs
@@ -33,20 +33,6 @@
         self.map.insert(Arc::clone(&report.name), Heard { report, at });
     }
 
-    /// Takes note of the load that an answer carried.
-    pub fn load(&mut self, name: &str, load: u32) {
-        if let Some(heard) = self.map.get_mut(name) {
-            heard.report.load = load;
-        }
-    }
-
-    /// Takes note that a process said in an answer where it stands.
-    pub fn state(&mut self, name: &str, state: &str) {
-        if let Some(heard) = self.map.get_mut(name) {
-            heard.report.state = Arc::from(state);
-        }
-    }
-
     /// Returns what was last heard from a process.
     pub fn get(&self, name: &str) -> Option<&Heard> {
         self.map.get(name)
--- a/crates/shell/src/node/state.rs
+++ b/crates/shell/src/node/state.rs
@@ -239,11 +239,9 @@
         Arc::clone(&lock(&self.standing).state)
     }
 
-    /// Counts a request in progress; call the return value's `drop` at its
-    /// end.
-    pub fn busy(self: &Arc<Node>) -> Busy {
-        self.load.fetch_add(1, Ordering::Relaxed);
-        Busy(Arc::clone(self))
+    /// Takes note of how many requests are in progress.
+    pub fn carry(&self, requests: usize) {
+        self.load.store(requests as u64, Ordering::Relaxed);
     }
 
     /// Returns the requests in progress.
@@ -370,18 +368,8 @@
     }
 }
 
-/// A request in progress.
-#[derive(Debug)]
-pub struct Busy(Arc<Node>);
-
-impl Drop for Busy {
-    fn drop(&mut self) {
-        self.0.load.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-/// Wall time in milliseconds since the Unix epoch.
-fn wall() -> u64 {
+/// Returns the wall time in milliseconds since the Unix epoch.
+pub fn wall() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     since.unwrap_or_default().as_millis() as u64
 }
--- a/src/weights/puller.rs
+++ b/src/weights/puller.rs
@@ -254,13 +254,6 @@
         standing.waiting = None;
     }
 
-    /// Takes note that a chunk came from elsewhere.
-    pub fn found(&mut self, digest: &Digest) {
-        if let Some(i) = self.index.get(digest) {
-            self.held[*i] = true;
-        }
-    }
-
     /// Takes note that a source said "not yet".
     pub fn waited(&mut self, source: &Source, now: Time) {
         self.asked.remove(source);
