A streamed answer that does not begin is given up after first_ms

Cause: one of three runs of the whole suite failed: beside a frozen agent an entry answered nothing for 60 s. The agent's kernel takes the connection, so the attempt was waited for until the request's deadline. Ruled out: the switch itself (the other agents had it). Change: a streamed attempt must begin within first_ms (5 s by default); then it is silent, and moves or is revoked as before. Answers in one piece are waited for as before: they may begin only at their end.

--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -175,11 +175,17 @@
             let before = self.course.ran();
             return Err(Next::Final(Code::DeadlinePassed, before));
         }
+        // A frozen agent takes the connection and says nothing. A streamed
+        // answer begins at once, so silence shows; one that is not streamed
+        // may begin only when it is whole.
+        let first = self.entry.millis("first_ms");
+        let within = if self.ask.stream { left.min(first) } else { left };
         self.note(&chosen, &attempt);
         let sitting = Sitting::new(&self.entry, &chosen.name);
         let entry = Arc::clone(&self.entry);
-        let answered =
-            entry.send(&self.ask, &chosen, &attempt, incarnation, left).await;
+        let answered = entry
+            .send(&self.ask, &chosen, &attempt, incarnation, within)
+            .await;
         let answered = match answered {
             Ok(response) => self.read(response).await,
             Err(Bad { failure, back }) => {
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -55,6 +55,13 @@
             "retries",
             "The most retries that are saved up.",
         ),
+        Field::number(
+            "first_ms",
+            (5_000, 50, 600_000),
+            "ms",
+            "Within which a streamed answer must begin, before its agent is \
+             given up.",
+        ),
         Field::number(
             "idle_ms",
             (30_000, 50, 600_000),
