A claim asks the agent's own rings for the guard

Each keyed request made a ring anew from all declared backend servers (3,400 at the target), though the agent keeps the ring of the declaration in force and answers claims by it. Change: the claim asks that one. It is taken over before the engine is told of a revision, and nothing is admitted before that, so the guard is the same.

--- a/crates/agent/src/claim.rs
+++ b/crates/agent/src/claim.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use stairhinge::request::{Attempt, Key, Keys, Ring};
+use stairhinge::request::{Attempt, Key, Keys};
 use stairhinge::serving::Lease;
 use stairhinge::{Code, Error, Ran};
 use stairhinge_shell::control::{ClaimAsk, Control as _};
@@ -56,7 +56,7 @@
         for _ in 0..TRIES {
             let view = self.node.view();
             let Some(fleet) = view.fleet.as_ref() else { break };
-            let Some(guard) = Ring::of(fleet).guard(key) else { break };
+            let Some(guard) = self.rings().guard(key) else { break };
             let span = self.settings.values.millis("lease_ms");
             let span = span.min(Keys::lease(fleet.key_window()));
             let held = Held {
