The answer of another entry names it; three large files split

Cause: HallReaders kept the entry that answered last, and two questions at a time could make a follower fetch routes from the wrong one (caught by the revision check, one level too late). The answer now carries its entry, and fetch_routes takes it. No behaviour changes beside the entry asked.

--- a/crates/gateway/src/hall_reader.rs
+++ b/crates/gateway/src/hall_reader.rs
@@ -12,7 +12,7 @@
 use stairhinge::{Code, Error};
 use stairhinge_shell::decisions::Decision;
 use stairhinge_shell::directory::{
-    Facts, HallReader, SharedAnswer, SharedQuestion,
+    Facts, HallReader, ReaderAnswer, SharedAnswer, SharedQuestion,
 };
 use stairhinge_shell::http::{Client, full, read};
 
@@ -31,8 +31,6 @@
     facts: Arc<Facts>,
     client: Client,
     choice: Mutex<ReaderChoice>,
-    /// The entry that last answered.
-    last: Mutex<Option<SocketAddr>>,
 }
 
 impl HallReaders {
@@ -48,7 +46,6 @@
             dispatcher,
             client: Client::new(),
             choice: Mutex::new(ReaderChoice::new(own)),
-            last: Mutex::default(),
         }
     }
 
@@ -111,8 +108,6 @@
     }
 
     fn answered(&self, entry: SocketAddr) {
-        *self.last.lock().unwrap_or_else(PoisonError::into_inner) =
-            Some(entry);
         let now = self.facts.now();
         let Some(lost) = self.choice().answered(entry, now) else { return };
         self.facts.log().write(&Decision::DependencyRegained {
@@ -130,16 +125,16 @@
     fn ask(
         &self,
         question: SharedQuestion,
-    ) -> BoxFuture<'_, Option<SharedAnswer>> {
+    ) -> BoxFuture<'_, Option<ReaderAnswer>> {
         Box::pin(async move {
             for _ in 0..ReaderChoice::MOST_ASKED {
                 let entries = self.dispatcher.entries();
                 let now = self.facts.now();
                 let entry = self.choice().choose(&entries, now)?;
                 match self.ask_entry(entry, &question).await {
-                    Ok(answer) => {
+                    Ok(shared) => {
                         self.answered(entry);
-                        return Some(answer);
+                        return Some(ReaderAnswer { entry, shared });
                     }
                     Err(error) => self.failed(entry, &error),
                 }
@@ -150,15 +145,9 @@
 
     fn fetch_routes(
         &self,
+        entry: SocketAddr,
         within: Duration,
     ) -> BoxFuture<'_, Result<Bytes, Error>> {
-        Box::pin(async move {
-            let last =
-                *self.last.lock().unwrap_or_else(PoisonError::into_inner);
-            let entry = last.ok_or_else(|| {
-                Error::new(Code::PeerLost, "no entry has answered")
-            })?;
-            fetch_routes(&self.client, entry, within).await
-        })
+        Box::pin(fetch_routes(&self.client, entry, within))
     }
 }
--- a/crates/model/src/once.rs
+++ b/crates/model/src/once.rs
@@ -7,6 +7,9 @@
 //! any length between any two of these. Agents and guard may restart, and
 //! entries revoke what they lost. The tables are the project's own.
 
+mod state;
+mod without;
+
 use std::time::Duration;
 
 use stairhinge::request::{
@@ -15,44 +18,11 @@
 use stairhinge::serving::Lease;
 use stairhinge::{Ran, Time};
 
+use self::state::{Agent, At, Entry, Try};
 use crate::Spec;
 
-/// A rule that a mutant leaves out.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Without {
-    /// Nothing: the protocol as it is.
-    Nothing,
-    /// A revoked attempt leaves a tombstone.
-    Tombstone,
-    /// An attempt names the incarnation that it is meant for.
-    Incarnation,
-    /// A restarted guard is deaf until all it granted has lapsed.
-    Deafness,
-    /// A grant may be acted on for half a window only.
-    Lease,
-    /// A grant is kept longer than it may be acted on.
-    Keeping,
-    /// A request that must not repeat claims its key.
-    Claim,
-    /// Only what certainly did not run gives its key back.
-    Settling,
-    /// An old "did not run" is not believed.
-    Settle,
-}
-
-impl Without {
-    /// All rules.
-    pub const RULES: [Without; 8] = [
-        Without::Tombstone,
-        Without::Incarnation,
-        Without::Deafness,
-        Without::Lease,
-        Without::Keeping,
-        Without::Claim,
-        Without::Settling,
-        Without::Settle,
-    ];
-}
+pub use self::state::State;
+pub use self::without::Without;
 
 /// Bounds of the exploration.
 #[derive(Clone, Copy, Debug)]
@@ -88,56 +58,6 @@
 
 const MOST: usize = 100;
 
-/// Where one attempt is at its agent.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-enum At {
-    /// On its way.
-    Sent,
-    /// Admitted, and not yet granted.
-    Admitted,
-    /// Granted at this time.
-    Granted(u64),
-    /// Over, or lost with the process.
-    Over,
-}
-
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-struct Try {
-    agent: usize,
-    incarnation: u64,
-    sent: u64,
-    at: At,
-    ran: bool,
-    /// What the entry was told or concluded of it.
-    said: Option<Ran>,
-}
-
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-struct Agent {
-    incarnation: u64,
-    attempts: Attempts,
-}
-
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-struct Entry {
-    tries: Vec<Try>,
-    course: RequestRetry,
-    /// The final answer, once given.
-    answer: Option<Ran>,
-}
-
-/// A state of the whole system.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-pub struct State {
-    now: u64,
-    restarts: u8,
-    keys: Keys,
-    agents: Vec<Agent>,
-    entries: Vec<Entry>,
-    /// When the request ran.
-    runs: Vec<u64>,
-}
-
 fn at(tick: u64) -> Time {
     Time::from_millis(tick * TICK)
 }
--- a/crates/shell/src/directory.rs
+++ b/crates/shell/src/directory.rs
@@ -22,6 +22,7 @@
 };
 pub use self::share::Share;
 pub use self::shared_messages::{
-    HallReader, SharedAnswer, SharedQuestion, SharedReplicas, SharedRoutes,
+    HallReader, ReaderAnswer, SharedAnswer, SharedQuestion, SharedReplicas,
+    SharedRoutes,
 };
 pub use self::sharing::Sharing;
--- a/crates/shell/src/directory/follow.rs
+++ b/crates/shell/src/directory/follow.rs
@@ -7,8 +7,8 @@
 use stairhinge::{Code, Error, Time};
 
 use super::{
-    Change, Collection, Directory, Facts, Freshness, Record, Share,
-    SharedAnswer, SharedQuestion, SharedRoutes, Sharing, Watched,
+    Change, Collection, Directory, Facts, Freshness, ReaderAnswer, Record,
+    Share, SharedAnswer, SharedQuestion, SharedRoutes, Sharing, Watched,
 };
 use crate::Shutdown;
 use crate::decisions::Decision;
@@ -125,16 +125,10 @@
             most_age_ms: sharing.most_age().as_millis() as u64,
         };
         let answer = sharing.reader.ask(question).await;
-        let Some(mut answer) = answer else { return false };
-        let taken = match answer.routes.take() {
-            Some(routes) => {
-                let revision = answer.revision;
-                self.take_routes(routes, revision, &sharing).await
-            }
-            None => Ok(()),
-        };
-        let taken = taken
-            .and_then(|()| self.take_shared(answer, called, &sharing.share));
+        let Some(answer) = answer else { return false };
+        let taken = self.take_routes(&answer, &sharing).await.and_then(|()| {
+            self.take_shared(answer.shared, called, &sharing.share)
+        });
         match taken {
             Ok(()) => true,
             Err(error) => {
@@ -179,18 +173,19 @@
         Ok(())
     }
 
-    /// Takes in the routes that an answer leads to.
+    /// Takes in the routes that an answer leads to, if there are any.
     async fn take_routes(
         &self,
-        routes: SharedRoutes,
-        revision: u64,
+        answer: &ReaderAnswer,
         sharing: &Sharing,
     ) -> Result<(), Error> {
-        let document = match routes {
-            SharedRoutes::Fetch => {
-                sharing.reader.fetch_routes(sharing.fetch()).await?
+        let document = match &answer.shared.routes {
+            None => return Ok(()),
+            Some(SharedRoutes::Fetch) => {
+                let within = sharing.fetch();
+                sharing.reader.fetch_routes(answer.entry, within).await?
             }
-            SharedRoutes::Patch(patch) => {
+            Some(SharedRoutes::Patch(patch)) => {
                 let view = self.facts.view();
                 let old = std::str::from_utf8(&view.document);
                 let old = old.map_err(|e| {
@@ -201,10 +196,10 @@
         };
         let record = self.directory.parse_routes(document)?;
         self.facts.learn(record, "hall", None);
-        let known = self.facts.revision();
-        if known < revision {
+        let (known, told) = (self.facts.revision(), answer.shared.revision);
+        if known < told {
             // Going on from where the reader is would skip that revision.
-            let why = format!("routes of revision {known}, not {revision}");
+            let why = format!("routes of revision {known}, not {told}");
             return Err(Error::new(Code::PeerLost, why));
         }
         Ok(())
--- a/crates/shell/src/directory/shared_messages.rs
+++ b/crates/shell/src/directory/shared_messages.rs
@@ -1,5 +1,6 @@
 //! What processes ask one another of what one of them has read.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -82,22 +83,31 @@
     }
 }
 
+/// What another entry answered.
+#[derive(Clone, Debug)]
+pub struct ReaderAnswer {
+    /// Where that entry answers others.
+    pub entry: SocketAddr,
+    /// What it has read.
+    pub shared: SharedAnswer,
+}
+
 /// Asks another process of the hall for what it has read.
 pub trait HallReader: Send + Sync {
     /// Returns a fresh answer, or `None` if the platform is to be read.
     fn ask(
         &self,
         question: SharedQuestion,
-    ) -> BoxFuture<'_, Option<SharedAnswer>>;
+    ) -> BoxFuture<'_, Option<ReaderAnswer>>;
 
-    /// Returns the document of the routes that the entry asked last has in
-    /// force.
+    /// Returns the document of the routes that an entry has in force.
     ///
     /// # Errors
     ///
     /// If it brings none in time.
     fn fetch_routes(
         &self,
+        entry: SocketAddr,
         within: Duration,
     ) -> BoxFuture<'_, Result<Bytes, Error>>;
 }
--- a/crates/shell/tests/follow.rs
+++ b/crates/shell/tests/follow.rs
@@ -1,5 +1,6 @@
 //! Following a platform that publishes in quick succession.
 
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -8,13 +9,13 @@
 use futures::future::BoxFuture;
 use stairhinge::Error;
 use stairhinge::direct::{RouteTable, RouteTableParts};
-use stairhinge_shell::Shutdown;
 use stairhinge_shell::decisions::DecisionLog;
 use stairhinge_shell::directory::{
     Change, Collection, Directory, Facts, Follow, Freshness, HallReader,
-    Listing, Record, Share, SharedAnswer, SharedQuestion, SharedRoutes,
-    Sharing, Watched, follow,
+    Listing, ReaderAnswer, Record, Share, SharedAnswer, SharedQuestion,
+    SharedRoutes, Sharing, Watched, follow,
 };
+use stairhinge_shell::{Shutdown, Stopper};
 use tokio::sync::watch;
 
 /// A platform with routes of rising revisions.
@@ -45,12 +46,13 @@
     fn ask(
         &self,
         _question: SharedQuestion,
-    ) -> BoxFuture<'_, Option<SharedAnswer>> {
+    ) -> BoxFuture<'_, Option<ReaderAnswer>> {
         Box::pin(async { None })
     }
 
     fn fetch_routes(
         &self,
+        _entry: SocketAddr,
         _within: Duration,
     ) -> BoxFuture<'_, Result<Bytes, Error>> {
         unreachable!("nobody has answered")
@@ -105,6 +107,30 @@
     }
 }
 
+/// Follows the routes as an entry that asks another one first, within a bound
+/// of 900 ms.
+fn share_reading(
+    platform: &Arc<Routes>,
+    reader: Arc<dyn HallReader>,
+) -> (Arc<Facts>, Stopper) {
+    let log = DecisionLog::new(DecisionLog::MOST_BYTES);
+    let facts = Arc::new(Facts::new(log, Duration::ZERO));
+    let (stopper, shutdown) = Shutdown::new();
+    let share = Arc::new(Share::new(Arc::clone(&facts)));
+    let bound = Duration::from_millis(900);
+    let plan = Follow {
+        collection: Collection::Declarations,
+        wait: Duration::from_secs(4),
+        pace: Duration::from_millis(10),
+        doubt: Duration::from_secs(4),
+        burst_pace: Duration::from_millis(300),
+        sharing: Some(Sharing { share, reader, bound }),
+    };
+    let directory = Arc::clone(platform) as Arc<dyn Directory>;
+    tokio::spawn(follow(directory, Arc::clone(&facts), plan, shutdown));
+    (facts, stopper)
+}
+
 async fn until(what: &str, condition: impl Fn() -> bool) {
     let end = tokio::time::Instant::now() + Duration::from_secs(30);
     while !condition() {
@@ -147,6 +173,9 @@
     until("one more", || facts.revision() == 2 + published).await;
 }
 
+/// The address of [`Behind`].
+const BEHIND: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
+
 /// A reader that says it has newer routes, and hands over old ones.
 struct Behind;
 
@@ -154,11 +183,11 @@
     fn ask(
         &self,
         question: SharedQuestion,
-    ) -> BoxFuture<'_, Option<SharedAnswer>> {
+    ) -> BoxFuture<'_, Option<ReaderAnswer>> {
         Box::pin(async move {
             // Asked only by those who know something.
             question.after?;
-            Some(SharedAnswer {
+            let shared = SharedAnswer {
                 at: 1_000,
                 age_ms: 0,
                 failed_ms: None,
@@ -166,14 +195,17 @@
                 routes: Some(SharedRoutes::Fetch),
                 targets: Vec::new(),
                 replicas: None,
-            })
+            };
+            Some(ReaderAnswer { entry: BEHIND, shared })
         })
     }
 
     fn fetch_routes(
         &self,
+        entry: SocketAddr,
         _within: Duration,
     ) -> BoxFuture<'_, Result<Bytes, Error>> {
+        assert_eq!(entry, BEHIND, "the one that answered is asked");
         Box::pin(async { Ok(Bytes::from_static(b"1")) })
     }
 }
@@ -181,22 +213,7 @@
 #[tokio::test]
 async fn old_routes_of_a_reader_that_is_ahead_skip_no_revision() {
     let platform = Routes::start();
-    let log = DecisionLog::new(DecisionLog::MOST_BYTES);
-    let facts = Arc::new(Facts::new(log, Duration::ZERO));
-    let (_stopper, shutdown) = Shutdown::new();
-    let share = Arc::new(Share::new(Arc::clone(&facts)));
-    let bound = Duration::from_millis(900);
-    let reader = Arc::new(Behind);
-    let plan = Follow {
-        collection: Collection::Declarations,
-        wait: Duration::from_secs(4),
-        pace: Duration::from_millis(10),
-        doubt: Duration::from_secs(4),
-        burst_pace: Duration::from_millis(300),
-        sharing: Some(Sharing { share, reader, bound }),
-    };
-    let directory: Arc<dyn Directory> = platform.clone();
-    tokio::spawn(follow(directory, Arc::clone(&facts), plan, shutdown));
+    let (facts, _stopper) = share_reading(&platform, Arc::new(Behind));
     until("the first routes", || facts.revision() == 1).await;
     platform.newest.send_modify(|n| *n += 1);
     until("the next routes", || facts.revision() == 2).await;
@@ -204,23 +221,8 @@
 
 #[tokio::test]
 async fn who_shares_reading_never_waits_long_at_the_platform() {
-    let bound = Duration::from_millis(900);
     let platform = Routes::start();
-    let log = DecisionLog::new(DecisionLog::MOST_BYTES);
-    let facts = Arc::new(Facts::new(log, Duration::ZERO));
-    let (_stopper, shutdown) = Shutdown::new();
-    let share = Arc::new(Share::new(Arc::clone(&facts)));
-    let reader = Arc::new(Nobody);
-    let plan = Follow {
-        collection: Collection::Declarations,
-        wait: Duration::from_secs(4),
-        pace: Duration::from_millis(10),
-        doubt: Duration::from_secs(4),
-        burst_pace: Duration::from_millis(300),
-        sharing: Some(Sharing { share, reader, bound }),
-    };
-    let directory: Arc<dyn Directory> = platform.clone();
-    tokio::spawn(follow(directory, Arc::clone(&facts), plan, shutdown));
+    let (_facts, _stopper) = share_reading(&platform, Arc::new(Nobody));
     let calls = || platform.calls.load(Ordering::Relaxed);
     until("some watches", || calls() > 3).await;
     let longest = platform.longest_wait.load(Ordering::Relaxed);
--- a/src/weights.rs
+++ b/src/weights.rs
@@ -36,3 +36,9 @@
 
 #[cfg(test)]
 mod puller_tests;
+
+#[cfg(test)]
+mod takeover_tests;
+
+#[cfg(test)]
+mod tree_tests;
