Settings are read again while a process runs

Cause: SIGHUP, and a settings file that changes without one, had no effect before the next start; Decision::Reload existed and was never written. An entry takes grace_s and retry, an agent grace_s, version_ms and link_mbps; other fields are named in the log as waiting for the next start. Settings that cannot be used change nothing.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -9,7 +9,7 @@
     Collection, Directory, Facts, Follow, HallReader, Share, Sharing, follow,
 };
 use stairhinge_shell::http::{Client, Limits, serve};
-use stairhinge_shell::{Shutdown, Stopper};
+use stairhinge_shell::{LiveSettings, SettingsWatch, Shutdown, Stopper};
 use tokio::net::TcpListener;
 
 use crate::dialect::Dialect;
@@ -31,7 +31,8 @@
 /// How much of the grace is left for the process to end.
 const LAST: Duration = Duration::from_millis(400);
 
-/// Runs an entry until it is told to stop and its requests have ended.
+/// Runs an entry until it is told to stop and its requests have ended. With a
+/// watch it takes changed settings while it runs.
 ///
 /// # Errors
 ///
@@ -42,6 +43,7 @@
     dialect: Arc<dyn Dialect>,
     log: DecisionLog,
     shutdown: Shutdown,
+    watch: Option<SettingsWatch>,
 ) -> Result<(), Error> {
     log.write(&Decision::Start {
         role: "entry",
@@ -89,8 +91,12 @@
         tokio::spawn(desk.clone().tell());
         tokio::spawn(desk.take());
     }
+    let live = LiveSettings::new(settings.clone());
+    if let Some(watch) = watch {
+        tokio::spawn(live.clone().follow(watch, log.clone()));
+    }
     let forwarder = Arc::new(Forwarder::new(
-        settings.clone(),
+        live.clone(),
         Arc::clone(&facts),
         Arc::clone(&dispatcher),
         dialect,
@@ -106,7 +112,7 @@
     let ended = serve(listener, limits(&settings), shutdown, forwarder);
     tokio::select! {
         () = ended => {}
-        () = overrun(&settings, stopping, &log) => {}
+        () = overrun(&live, stopping, &log) => {}
     }
     log.flush();
     Ok(())
@@ -198,13 +204,13 @@
 
 /// Ends once a planned stop has used up its grace.
 async fn overrun(
-    settings: &EntrySettings,
+    settings: &LiveSettings<EntrySettings>,
     shutdown: Shutdown,
     log: &DecisionLog,
 ) {
     shutdown.wait().await;
-    let grace_ms = settings.grace().as_millis() as u64;
-    log.write(&Decision::Stop { grace_ms });
-    let left = settings.grace().saturating_sub(LAST);
+    let grace = settings.get().grace();
+    log.write(&Decision::Stop { grace_ms: grace.as_millis() as u64 });
+    let left = grace.saturating_sub(LAST);
     tokio::time::sleep(left).await;
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -20,10 +20,10 @@
     AttemptResult, NextStep, Repeat, RetryShare, next_step,
 };
 use stairhinge::{Code, Error, Ran};
-use stairhinge_shell::Shutdown;
 use stairhinge_shell::decisions::Decision;
 use stairhinge_shell::directory::Facts;
 use stairhinge_shell::http::{Body, Failed, Handler, full, read};
+use stairhinge_shell::{LiveSettings, Shutdown};
 
 use crate::admit::{find_route, find_workspace};
 use crate::cancel_watch::CancelWatch;
@@ -48,7 +48,7 @@
 
 /// Forwards the requests of one entry.
 pub(crate) struct Forwarder {
-    settings: EntrySettings,
+    settings: LiveSettings<EntrySettings>,
     pub facts: Arc<Facts>,
     pub dispatcher: Arc<Dispatcher>,
     dialect: Arc<dyn Dialect>,
@@ -88,7 +88,7 @@
 impl Forwarder {
     /// Returns a forwarder without connections.
     pub(crate) fn new(
-        settings: EntrySettings,
+        settings: LiveSettings<EntrySettings>,
         facts: Arc<Facts>,
         dispatcher: Arc<Dispatcher>,
         dialect: Arc<dyn Dialect>,
@@ -191,7 +191,7 @@
             .ok_or_else(|| Error::new(Code::NoBackend, "no destination"))?;
         let patience = caller.patience.unwrap_or(DEFAULT_PATIENCE);
         let deadline = started + patience.min(route.timeout());
-        let most = self.settings.body_bytes;
+        let most = self.settings.get().body_bytes;
         let within = deadline.saturating_duration_since(Instant::now());
         let body = read(body, most, within).await?;
         let priority = workspace
@@ -313,7 +313,7 @@
             return Ok(Response::from_parts(head, relay(state)));
         }
         let Upstream { body, connection, place, .. } = upstream;
-        let most = self.settings.body_bytes;
+        let most = self.settings.get().body_bytes;
         let bytes = read(body, most, context.left()).await.map_err(|e| {
             place.failed();
             Missed::new(AttemptResult::Silent, e)
@@ -359,13 +359,12 @@
         service: &Arc<str>,
         act: impl FnOnce(&mut RetryShare) -> T,
     ) -> T {
-        let bound = self.settings.retry;
+        let bound = self.settings.get().retry;
+        let window = Duration::from_secs(bound.window_s);
         let mut shares =
             self.shares.lock().unwrap_or_else(PoisonError::into_inner);
-        let share = shares.entry(Arc::clone(service)).or_insert_with(|| {
-            let window = Duration::from_secs(bound.window_s);
-            RetryShare::new(window, bound.ratio, bound.minimum)
-        });
+        let share = shares.entry(Arc::clone(service)).or_default();
+        share.set_bound(window, bound.ratio, bound.minimum);
         act(share)
     }
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -4,11 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use stairhinge::{Code, Error};
+use stairhinge_shell::Settings;
 
 /// The bound on retries over all entries together.
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct RetryBound {
     /// Retries against requests.
     pub ratio: f64,
@@ -19,7 +20,7 @@
 }
 
 /// The settings of an entry that sends straight to replicas.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct EntrySettings {
     /// The instance's name.
     pub instance: Arc<str>,
@@ -92,13 +93,8 @@
     2_500
 }
 
-impl EntrySettings {
-    /// Reads settings from YAML.
-    ///
-    /// # Errors
-    ///
-    /// [`Code::BadSettings`] with the line and the range.
-    pub fn parse(text: &str) -> Result<EntrySettings, Error> {
+impl Settings for EntrySettings {
+    fn parse(text: &str) -> Result<EntrySettings, Error> {
         let settings: EntrySettings = serde_saphyr::from_str(text)
             .map_err(|e| Error::new(Code::BadSettings, e))?;
         if settings.grace_s == 0 {
@@ -111,6 +107,18 @@
         Ok(settings)
     }
 
+    // Addresses, limits of listeners and the times by which a process's parts
+    // were made need a new start.
+    fn with_live(&self, next: &EntrySettings) -> EntrySettings {
+        EntrySettings {
+            grace_s: next.grace_s,
+            retry: next.retry,
+            ..self.clone()
+        }
+    }
+}
+
+impl EntrySettings {
     /// Returns how long a planned stop may take.
     pub const fn grace(&self) -> Duration {
         Duration::from_secs(self.grace_s)
--- a/crates/loader/src/agent.rs
+++ b/crates/loader/src/agent.rs
@@ -14,7 +14,7 @@
     Collection, Directory, Facts, Follow, Freshness, News, follow,
 };
 use stairhinge_shell::http::{Client, Limits, serve};
-use stairhinge_shell::{Shaper, Shutdown};
+use stairhinge_shell::{LiveSettings, SettingsWatch, Shaper, Shutdown};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -40,7 +40,10 @@
 
 /// What the parts of an agent share.
 pub(crate) struct Agent {
+    /// The settings of its start: who it is and whom it serves.
     pub settings: AgentSettings,
+    /// The settings in force.
+    pub live: LiveSettings<AgentSettings>,
     pub facts: Arc<Facts>,
     pub engine: Arc<dyn StagedEngine>,
     pub origin: Arc<dyn WeightOrigin>,
@@ -173,7 +176,8 @@
     }
 }
 
-/// Runs an agent until it is told to stop.
+/// Runs an agent until it is told to stop. With a watch it takes changed
+/// settings while it runs.
 ///
 /// # Errors
 ///
@@ -185,6 +189,7 @@
     origin: Arc<dyn WeightOrigin>,
     log: DecisionLog,
     shutdown: Shutdown,
+    watch: Option<SettingsWatch>,
 ) -> Result<(), Error> {
     log.write(&Decision::Start {
         role: "agent",
@@ -210,10 +215,14 @@
         },
         shutdown.clone(),
     ));
-    let grace_ms = settings.grace_s * 1000;
+    let live = LiveSettings::new(settings.clone());
+    if let Some(watch) = watch {
+        tokio::spawn(live.clone().follow(watch, log.clone()));
+    }
     let uplink = Shaper::new(settings.chunk_rate());
     let agent = Arc::new(Agent {
         settings,
+        live: live.clone(),
         facts,
         engine,
         origin,
@@ -248,6 +257,7 @@
         () = serve(listener, limits, shutdown, server) => {}
         () = async {
             stopping.wait().await;
+            let grace_ms = live.get().grace_s * 1000;
             log.write(&Decision::Stop { grace_ms });
             // Transfers are taken up elsewhere; nobody's answer passes here.
             tokio::time::sleep(Duration::from_millis(grace_ms / 8)).await;
--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -280,7 +280,7 @@
     // A little ahead, so that the origin's link is never idle: it may go
     // down soon after a version is named.
     let origin_pace =
-        agent.settings.transfer(manifest.chunk_bytes).mul_f64(ORIGIN_AHEAD);
+        agent.live.get().transfer(manifest.chunk_bytes).mul_f64(ORIGIN_AHEAD);
     let patience = Patience::new()
         .with_hold(Duration::from_millis(800))
         .with_waiting(NEVER)
--- a/crates/loader/src/settings.rs
+++ b/crates/loader/src/settings.rs
@@ -4,11 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use stairhinge::{Code, Error};
+use stairhinge_shell::Settings;
 
 /// The settings of an agent beside an engine.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct AgentSettings {
     /// The instance's name.
     pub instance: Arc<str>,
@@ -38,13 +39,8 @@
     100
 }
 
-impl AgentSettings {
-    /// Reads settings from YAML.
-    ///
-    /// # Errors
-    ///
-    /// [`Code::BadSettings`] with the line and the range.
-    pub fn parse(text: &str) -> Result<AgentSettings, Error> {
+impl Settings for AgentSettings {
+    fn parse(text: &str) -> Result<AgentSettings, Error> {
         let settings: AgentSettings = serde_saphyr::from_str(text)
             .map_err(|e| Error::new(Code::BadSettings, e))?;
         if settings.link_mbps.is_nan() || settings.link_mbps <= 0.0 {
@@ -57,6 +53,18 @@
         Ok(settings)
     }
 
+    // Who the agent is and whom it serves needs a new start.
+    fn with_live(&self, next: &AgentSettings) -> AgentSettings {
+        AgentSettings {
+            grace_s: next.grace_s,
+            version_ms: next.version_ms,
+            link_mbps: next.link_mbps,
+            ..self.clone()
+        }
+    }
+}
+
+impl AgentSettings {
     /// Returns the bytes a second that chunks may take of the link. The rest
     /// is for answers, which would else queue behind them.
     pub const fn chunk_rate(&self) -> u64 {
--- a/crates/loader/src/turn.rs
+++ b/crates/loader/src/turn.rs
@@ -62,10 +62,10 @@
         let rollout = Rollout::new(subject.as_bytes(), &members, &me);
         // The first ones finish their work while the last chunks come.
         let ready = transfer(agent, manifest).saturating_sub(FINISH);
-        let bound = agent.settings.version_bound().saturating_sub(MARGIN);
+        let bound = agent.live.get().version_bound().saturating_sub(MARGIN);
         let pauses_at =
             rollout.pauses_at(named.after(ready), outdated.after(bound));
-        let end = agent.settings.version_bound().saturating_sub(TAKE_OUT);
+        let end = agent.live.get().version_bound().saturating_sub(TAKE_OUT);
         Turn {
             number: rollout.turn(),
             pauses_at: Some(pauses_at),
@@ -109,7 +109,7 @@
 fn transfer(agent: &Agent, manifest: &VersionManifest) -> Duration {
     let bytes =
         manifest.digests.len() as u64 * u64::from(manifest.chunk_bytes);
-    let rate = agent.settings.chunk_rate().max(1);
+    let rate = agent.live.get().chunk_rate().max(1);
     // Every replica also sends about as much as it gets, and the last chunk
     // passes several hands.
     Duration::from_millis(bytes * 1000 / rate) * 3 / 2
--- a/crates/loader/src/watch_link.rs
+++ b/crates/loader/src/watch_link.rs
@@ -67,6 +67,6 @@
     share.sample(delay);
     let ms = delay.as_millis() as u32;
     agent.link_ms.store(ms, Ordering::Relaxed);
-    let rate = agent.settings.chunk_rate() as f64 * share.uplink();
+    let rate = agent.live.get().chunk_rate() as f64 * share.uplink();
     agent.uplink.set_rate(rate as u64);
 }
--- a/crates/shell/src/decisions.rs
+++ b/crates/shell/src/decisions.rs
@@ -32,10 +32,19 @@
         /// How long it may take, in milliseconds.
         grace_ms: u64,
     },
-    /// The settings were read again.
+    /// The settings have changed and were read again.
     Reload {
-        /// Whether they were taken.
-        taken: bool,
+        /// The changed ones that are in force from now on.
+        taken: &'a [String],
+        /// The changed ones that are in force from the next start on.
+        at_restart: &'a [String],
+    },
+    /// The settings have changed and cannot be used: the old ones stay.
+    ReloadRefused {
+        /// The numbered code.
+        code: u16,
+        /// What is wrong with them.
+        reason: &'a str,
     },
     /// A dependency stopped answering.
     DependencyLost {
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -17,14 +17,20 @@
 pub mod packed;
 pub mod settings;
 
+mod live_settings;
 mod logs;
 mod metrics;
 mod rate;
+mod settings_watch;
 mod shutdown;
 mod slot;
 
+pub use self::live_settings::{LiveSettings, Settings};
 pub use self::logs::{start as start_logs, to_report};
 pub use self::metrics::Metrics;
 pub use self::rate::Shaper;
-pub use self::shutdown::{Shutdown, Stopper, on_signals};
+pub use self::settings_watch::{SettingsSource, SettingsWatch};
+pub use self::shutdown::{
+    HangUps, Shutdown, Stopper, on_signals, stop_on_signals,
+};
 pub use self::slot::Slot;
--- a/crates/shell/src/shutdown.rs
+++ b/crates/shell/src/shutdown.rs
@@ -1,6 +1,6 @@
 //! The planned stop of a process.
 
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 
 /// Tells a process's tasks to stop.
@@ -38,20 +38,30 @@
     }
 }
 
-/// Stops on SIGTERM and SIGINT.
+/// Stops on SIGTERM and SIGINT. A SIGHUP is noted and ends nothing: the
+/// program reads its settings at its start only.
 ///
 /// # Errors
 ///
 /// If the signals cannot be listened for.
 pub fn on_signals() -> std::io::Result<Shutdown> {
-    // Without a handler a hang-up ends the process. Settings are read at the
-    // start only: one that changes them is noted and needs a restart.
-    let mut hang_up = signal(SignalKind::hangup())?;
+    let mut hang_ups = HangUps::listen()?;
     tokio::spawn(async move {
-        while hang_up.recv().await.is_some() {
+        loop {
+            hang_ups.next().await;
             log::warn!("settings are read again at the next start only");
         }
     });
+    stop_on_signals()
+}
+
+/// Stops on SIGTERM and SIGINT; the caller handles SIGHUP, which ends a
+/// process that does not.
+///
+/// # Errors
+///
+/// If the signals cannot be listened for.
+pub fn stop_on_signals() -> std::io::Result<Shutdown> {
     let (stopper, shutdown) = Shutdown::new();
     let mut term = signal(SignalKind::terminate())?;
     let mut int = signal(SignalKind::interrupt())?;
@@ -64,3 +74,24 @@
     });
     Ok(shutdown)
 }
+
+/// Hang-ups (SIGHUP), which tell that settings have changed.
+#[derive(Debug)]
+pub struct HangUps(Signal);
+
+impl HangUps {
+    /// Listens for hang-ups, which end the process no more.
+    ///
+    /// # Errors
+    ///
+    /// If the signal cannot be listened for.
+    pub fn listen() -> std::io::Result<HangUps> {
+        signal(SignalKind::hangup()).map(HangUps)
+    }
+
+    /// Waits for the next one.
+    pub async fn next(&mut self) {
+        // There is no end of it while the process lives.
+        self.0.recv().await;
+    }
+}
--- a/src/direct/retry_share.rs
+++ b/src/direct/retry_share.rs
@@ -11,7 +11,7 @@
 use crate::Time;
 
 /// Counts requests and retries of one service in a sliding window.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct RetryShare {
     window: Duration,
     ratio: f64,
@@ -31,13 +31,16 @@
     /// Returns the share of a bound: `ratio` of the requests and `minimum`
     /// retries in each `window`, over all entries.
     pub fn new(window: Duration, ratio: f64, minimum: u32) -> RetryShare {
-        RetryShare {
-            window,
-            ratio: ratio * RetryShare::SAFETY,
-            allowance: f64::from(minimum) / RetryShare::ENTRIES,
-            requests: VecDeque::new(),
-            retries: VecDeque::new(),
-        }
+        let mut share = RetryShare::default();
+        share.set_bound(window, ratio, minimum);
+        share
+    }
+
+    /// Keeps another bound from now on; what was spent stays spent.
+    pub fn set_bound(&mut self, window: Duration, ratio: f64, minimum: u32) {
+        self.window = window;
+        self.ratio = ratio * RetryShare::SAFETY;
+        self.allowance = f64::from(minimum) / RetryShare::ENTRIES;
     }
 
     /// Counts a request's first attempt.
