--- a/crates/shell/src/settings_watch.rs
+++ b/crates/shell/src/settings_watch.rs
@@ -41,24 +41,28 @@
         SettingsWatch { source, hang_ups, known: Some(known) }
     }
 
-    /// Waits until other settings stand there, and returns them.
+    /// Waits until other settings stand there, or somebody says so, and
+    /// returns what stands there.
     ///
     /// # Errors
     ///
-    /// [`Unreadable`](stairhinge::Code::Unreadable), once, if the source cannot be read any more.
+    /// [`Unreadable`](stairhinge::Code::Unreadable) if the source cannot be
+    /// read any more; once, or whenever somebody says that it has changed.
     pub async fn changed(&mut self) -> Result<String, Error> {
         loop {
-            // A signal that is not sent, or not heard, delays one look.
             let signal = self.hang_ups.next();
-            let _ = tokio::time::timeout(LOOK, signal).await;
+            let told = tokio::time::timeout(LOOK, signal).await.is_ok();
             match self.source.read() {
-                Ok(text) if self.known.as_ref() == Some(&text) => {}
                 Ok(text) => {
-                    self.known = Some(text.clone());
-                    return Ok(text);
+                    let same = self.known.as_ref() == Some(&text);
+                    if told || !same {
+                        self.known = Some(text.clone());
+                        return Ok(text);
+                    }
                 }
                 Err(error) => {
-                    if self.known.take().is_some() {
+                    let was_known = self.known.take().is_some();
+                    if told || was_known {
                         return Err(error);
                     }
                 }
