explain-request: why a request ended as it did, from logs alone

Root: stairhinge::explanation (typed lines, one history a request, a cause). An agent's start line names its engine, so that its lines stand beside the requests of its replica.

--- a/crates/cli/src/cmd.rs
+++ b/crates/cli/src/cmd.rs
@@ -7,6 +7,7 @@
 pub mod docs;
 pub mod drain;
 pub mod explain;
+pub mod explain_request;
 pub mod status;
 pub mod timeline;
 
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,7 +3,9 @@
 mod cmd;
 
 use argh::FromArgs;
-use cmd::{check, demo, diff, docs, drain, explain, status, timeline};
+use cmd::{
+    check, demo, diff, docs, drain, explain, explain_request, status, timeline,
+};
 
 /// Operates a stairhinge fleet: checks declarations and settings, shows where
 /// versions stand, explains, drains, and merges logs into one time line.
@@ -20,6 +22,7 @@
     Diff(diff::Args),
     Status(status::Args),
     Explain(explain::Args),
+    ExplainRequest(explain_request::Args),
     Drain(drain::Args),
     Timeline(timeline::Args),
     Demo(demo::Args),
@@ -34,6 +37,7 @@
         Command::Diff(args) => diff::run(&args)?,
         Command::Status(args) => status::run(&args).await?,
         Command::Explain(args) => explain::run(&args).await?,
+        Command::ExplainRequest(args) => explain_request::run(&args)?,
         Command::Drain(args) => drain::run(&args).await?,
         Command::Timeline(args) => timeline::run(&args)?,
         Command::Demo(args) => demo::run(&args).await?,
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -49,6 +49,7 @@
         role: "entry",
         instance: &settings.instance,
         hall: &settings.hall,
+        engine: None,
     });
     let listener = bind(settings.listen).await?;
     let ready = bind(settings.ready).await?;
--- a/crates/loader/src/agent.rs
+++ b/crates/loader/src/agent.rs
@@ -195,6 +195,7 @@
         role: "agent",
         instance: &settings.instance,
         hall: &settings.hall,
+        engine: Some(settings.engine),
     });
     let addr = settings.listen;
     let listener = TcpListener::bind(addr).await.map_err(|e| {
--- a/crates/shell/src/decisions.rs
+++ b/crates/shell/src/decisions.rs
@@ -26,6 +26,9 @@
         instance: &'a str,
         /// Its data hall.
         hall: &'a str,
+        /// The engine that it serves, of an agent.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        engine: Option<SocketAddr>,
     },
     /// The process was told to stop.
     Stop {
--- a/crates/shell/src/decisions_tests.rs
+++ b/crates/shell/src/decisions_tests.rs
@@ -1,6 +1,9 @@
 //! Tests of the log of decisions.
 
+use std::sync::Arc;
+
 use serde_json::Value;
+use stairhinge::explanation::{LogLine, LoggedDecision};
 
 use super::{Decision, DecisionLog};
 
@@ -50,3 +53,60 @@
     let kept = text.lines().count() as u64 - 1;
     assert_eq!(last["lines"], 10_000 - kept);
 }
+
+#[test]
+fn what_is_logged_of_requests_explains_them() {
+    let log = DecisionLog::new(DecisionLog::MOST_BYTES);
+    let written = [
+        Decision::Start {
+            role: "entry",
+            instance: "front-1",
+            hall: "rivera",
+            engine: None,
+        },
+        Decision::Sent {
+            request: "r1",
+            replica: "i-a",
+            attempt: 1,
+            load: 3,
+            delay_ms: 0,
+            report_age_ms: None,
+            revision: 1,
+            version: Some(2),
+            left_ms: 900,
+            waited_ms: 40,
+        },
+        Decision::AttemptFailed {
+            request: "r1",
+            replica: "i-a",
+            reason: "loading",
+            after_ms: 4,
+            next: "retry",
+        },
+        Decision::NoReplica {
+            request: "r1",
+            service: "pool",
+            listed: 9,
+            suitable: 4,
+            waited_ms: 80,
+            revision: 1,
+        },
+        Decision::Resumed {
+            request: "r1",
+            replica: "i-b",
+            after_event: Some(3),
+        },
+        ENDED,
+        Decision::Cancelled { request: "r1", took_ms: 7 },
+    ];
+    for decision in &written {
+        log.write(decision);
+    }
+    let text = String::from_utf8(log.take()).unwrap();
+    let process = Arc::from("front-1");
+    for line in text.lines() {
+        let line = LogLine::parse(&process, line).unwrap();
+        assert_ne!(*line.decision(), LoggedDecision::Other, "{line:?}");
+    }
+    assert_eq!(text.lines().count(), written.len());
+}
--- /dev/null
+++ b/src/explanation/cause.rs
@@ -0,0 +1,240 @@
+//! The cause of a request's end, or of its being late.
+
+use std::fmt;
+use std::sync::Arc;
+
+use super::{LogLine, LoggedDecision, Outcome, RequestHistory};
+
+/// Why a request ended as it did.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Cause {
+    /// Nothing went wrong: the time is the replica's own.
+    Replica {
+        /// Since the request's head arrived, in milliseconds.
+        took_ms: u64,
+    },
+    /// It was answered after a wait for room.
+    WaitedForRoom {
+        /// How long it waited, in milliseconds.
+        waited_ms: u64,
+        /// Since the request's head arrived, in milliseconds.
+        took_ms: u64,
+    },
+    /// It was answered after failed attempts.
+    FailedAttempts {
+        /// How long these took, in milliseconds.
+        lost_ms: u64,
+        /// What the last of them brought.
+        reason: Arc<str>,
+        /// Since the request's head arrived, in milliseconds.
+        took_ms: u64,
+    },
+    /// No replica that is known could serve it, with room or without.
+    NoSuitableReplica {
+        /// Replicas listed of the service.
+        listed: usize,
+    },
+    /// All replicas that could serve it were full.
+    NoRoom {
+        /// Replicas that could take it if they had room.
+        suitable: usize,
+        /// How long it waited, in milliseconds.
+        waited_ms: u64,
+    },
+    /// An attempt failed, and no other was allowed or left time.
+    AttemptFailed {
+        /// The replica.
+        replica: Arc<str>,
+        /// What it brought.
+        reason: Arc<str>,
+    },
+    /// It was refused before a replica was looked for.
+    Rule {
+        /// The numbered code.
+        code: u16,
+        /// What is wrong with it.
+        reason: Arc<str>,
+    },
+    /// Its caller left.
+    CallerLeft {
+        /// Whether a replica was at work on it.
+        sent: bool,
+        /// Since the request's head arrived, in milliseconds.
+        took_ms: u64,
+    },
+    /// The entry ended first.
+    EntryEnded {
+        /// Whether it had been sent to a replica.
+        sent: bool,
+    },
+    /// The log does not reach to its end.
+    Unknown,
+}
+
+impl Cause {
+    /// Returns the cause that a request's lines show.
+    pub fn of(history: &RequestHistory) -> Cause {
+        let sent = find(history, |d| match d {
+            LoggedDecision::Sent { .. } => Some(()),
+            _ => None,
+        })
+        .is_some();
+        match history.outcome() {
+            Outcome::Answered => answered(history),
+            Outcome::Refused | Outcome::BrokenOff => failed(history),
+            Outcome::CallerLeft => {
+                Cause::CallerLeft { sent, took_ms: took(history) }
+            }
+            Outcome::ProcessEnded => Cause::EntryEnded { sent },
+            Outcome::Open => Cause::Unknown,
+        }
+    }
+
+    /// Returns the kind of the cause: what requests with like causes share.
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Cause::Replica { .. } => "replica's own time",
+            Cause::WaitedForRoom { .. } => "waited for room",
+            Cause::FailedAttempts { .. } => "attempts failed before",
+            Cause::NoSuitableReplica { .. } => "no suitable replica",
+            Cause::NoRoom { .. } => "no room",
+            Cause::AttemptFailed { .. } => "attempt failed",
+            Cause::Rule { .. } => "not allowed",
+            Cause::CallerLeft { sent: true, .. } => "left while served",
+            Cause::CallerLeft { sent: false, .. } => "left while waiting",
+            Cause::EntryEnded { .. } => "entry ended",
+            Cause::Unknown => "the log ends",
+        }
+    }
+}
+
+fn find<T>(
+    history: &RequestHistory,
+    pick: impl Fn(&LoggedDecision) -> Option<T>,
+) -> Option<T> {
+    history.lines().iter().map(LogLine::decision).rev().find_map(pick)
+}
+
+fn took(history: &RequestHistory) -> u64 {
+    let took = find(history, |d| match d {
+        LoggedDecision::Ended { took_ms, .. }
+        | LoggedDecision::Cancelled { took_ms, .. } => Some(*took_ms),
+        _ => None,
+    });
+    took.unwrap_or_default()
+}
+
+fn answered(history: &RequestHistory) -> Cause {
+    let took_ms = took(history);
+    let mut lost_ms = 0;
+    let mut last = None;
+    let mut waited = 0;
+    for line in history.lines() {
+        match line.decision() {
+            LoggedDecision::AttemptFailed { after_ms, reason, .. } => {
+                lost_ms += after_ms;
+                last = Some(Arc::clone(reason));
+            }
+            LoggedDecision::Sent { waited_ms, attempt: 1, .. } => {
+                waited = *waited_ms;
+            }
+            _ => {}
+        }
+    }
+    if let Some(reason) = last {
+        return Cause::FailedAttempts { lost_ms, reason, took_ms };
+    }
+    if waited > 0 {
+        return Cause::WaitedForRoom { waited_ms: waited, took_ms };
+    }
+    Cause::Replica { took_ms }
+}
+
+fn failed(history: &RequestHistory) -> Cause {
+    // The last of these two is what the answer says.
+    let cause = find(history, |d| match d {
+        LoggedDecision::NoReplica { listed, suitable: 0, .. } => {
+            Some(Cause::NoSuitableReplica { listed: *listed })
+        }
+        LoggedDecision::NoReplica { suitable, waited_ms, .. } => {
+            let (suitable, waited_ms) = (*suitable, *waited_ms);
+            Some(Cause::NoRoom { suitable, waited_ms })
+        }
+        LoggedDecision::AttemptFailed { replica, reason, .. } => {
+            Some(Cause::AttemptFailed {
+                replica: Arc::clone(replica),
+                reason: Arc::clone(reason),
+            })
+        }
+        _ => None,
+    });
+    cause.or_else(|| broken_off(history)).unwrap_or_else(|| rule(history))
+}
+
+/// Returns the cause of an answer that its replica did not bring to its end.
+fn broken_off(history: &RequestHistory) -> Option<Cause> {
+    let replica = find(history, |d| match d {
+        LoggedDecision::Sent { replica, .. } => Some(Arc::clone(replica)),
+        _ => None,
+    })?;
+    Some(Cause::AttemptFailed { replica, reason: reason(history) })
+}
+
+fn rule(history: &RequestHistory) -> Cause {
+    let code = find(history, |d| match d {
+        LoggedDecision::Ended { code, .. } => Some(*code),
+        _ => None,
+    });
+    let code = code.unwrap_or_default();
+    Cause::Rule { code, reason: reason(history) }
+}
+
+fn reason(history: &RequestHistory) -> Arc<str> {
+    let reason = find(history, |d| match d {
+        LoggedDecision::Ended { reason, .. } => Some(Arc::clone(reason)),
+        _ => None,
+    });
+    reason.unwrap_or_else(|| Arc::from(""))
+}
+
+impl fmt::Display for Cause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Cause::Replica { took_ms } => {
+                write!(f, "the replica took {took_ms} ms, nothing else did")
+            }
+            Cause::WaitedForRoom { waited_ms, took_ms } => {
+                write!(f, "{waited_ms} of {took_ms} ms went by until a ")?;
+                f.write_str("replica had room")
+            }
+            Cause::FailedAttempts { lost_ms, reason, took_ms } => {
+                write!(f, "{lost_ms} of {took_ms} ms went by in attempts ")?;
+                write!(f, "that failed, the last with: {reason}")
+            }
+            Cause::NoSuitableReplica { listed } => {
+                write!(f, "none of {listed} replicas listed could serve it")
+            }
+            Cause::NoRoom { suitable, waited_ms } => {
+                write!(f, "all {suitable} replicas that could serve it ")?;
+                write!(f, "were full for {waited_ms} ms")
+            }
+            Cause::AttemptFailed { replica, reason } => {
+                write!(f, "replica {replica} failed: {reason}")
+            }
+            Cause::Rule { code, reason } => {
+                write!(f, "refused by rule, code {code}: {reason}")
+            }
+            Cause::CallerLeft { sent, took_ms } => {
+                let at = if *sent { "served" } else { "waiting" };
+                write!(f, "the caller left after {took_ms} ms, while {at}")
+            }
+            Cause::EntryEnded { sent: true } => {
+                f.write_str("the entry ended while a replica was at work")
+            }
+            Cause::EntryEnded { sent: false } => {
+                f.write_str("the entry ended before it was sent")
+            }
+            Cause::Unknown => f.write_str("the log ends before the request"),
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 * [`direct`] is serving from entries straight to replicas: routes, keys,
   retries, streams that are taken up elsewhere, turns of a rollout.
 * [`event`] is the time line over all processes.
+* [`explanation`] is why a request ended as it did, from logs alone.
 
 # Example
 
@@ -58,6 +59,7 @@
 pub mod direct;
 pub mod document;
 pub mod event;
+pub mod explanation;
 pub mod rank;
 pub mod request;
 pub mod routing;
