A replica pauses when its last chunks are about to come, and orders wait

Now the pace of the last second tells when the fetch will be whole, and a replica pauses a second before. Ruled out: refusals by entries (few), the version's end (28 s).

--- a/crates/loader/src/drive.rs
+++ b/crates/loader/src/drive.rs
@@ -273,7 +273,7 @@
     turn: usize,
 ) -> Result<(), Error> {
     verify_staged(agent, manifest).await?;
-    let state = agent.engine_state().await?;
+    let state = idle_engine(agent).await?;
     let order = LoadOrder {
         model: Arc::clone(&manifest.model),
         version: manifest.version,
@@ -289,6 +289,22 @@
     await_loaded(agent, manifest).await
 }
 
+/// Waits until the engine has carried out what it was ordered to: it refuses
+/// an order while another one is under way.
+async fn idle_engine(agent: &Agent) -> Result<EngineState, Error> {
+    let until = tokio::time::Instant::now() + LOAD_LIMIT;
+    loop {
+        let state = agent.engine_state().await?;
+        if !state.busy {
+            return Ok(state);
+        }
+        if tokio::time::Instant::now() > until {
+            return Err(Error::new(Code::EngineLost, "an order hangs"));
+        }
+        tokio::time::sleep(PAUSE / 2).await;
+    }
+}
+
 fn log_order(
     agent: &Agent,
     order: &LoadOrder,
--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -9,7 +9,7 @@
 use futures::StreamExt as _;
 use futures::stream::FuturesUnordered;
 use stairhinge::weights::{
-    Chunk, ChunkRequest, Patience, Puller, Source, Takeover, Walk,
+    Chunk, ChunkRequest, FetchPace, Patience, Puller, Source, Takeover, Walk,
 };
 use stairhinge::{Code, Digest, Error, rank};
 use stairhinge_shell::decisions::Decision;
@@ -169,9 +169,10 @@
     let mut asked = FuturesUnordered::new();
     let mut listed = Instant::now();
     let mut relist = Relist::default();
-    let mut arrived = Instant::now();
+    let mut pace = FetchPace::new();
     while !puller.done() {
-        turn.consider(agent, puller.share(), arrived.elapsed());
+        let now = agent.facts.now();
+        turn.consider(agent, pace.remaining(puller.missing_count(), now));
         ready.extend(puller.poll(agent.facts.now()));
         let most = agent.link_share().questions(known.len().max(1) + 1);
         while asked.len() < most {
@@ -189,7 +190,7 @@
             match taken {
                 Ok(true) => {
                     agent.note_moved();
-                    arrived = Instant::now();
+                    pace.arrived(agent.facts.now());
                     drawn.count(&source);
                 }
                 Ok(false) => {}
--- a/crates/loader/src/turn.rs
+++ b/crates/loader/src/turn.rs
@@ -19,12 +19,6 @@
 /// How long a replica usually needs to finish what it runs.
 const FINISH: Duration = Duration::from_millis(1_000);
 
-/// A fetch that has brought nothing for so long has stalled.
-const STALLED: Duration = Duration::from_millis(600);
-
-/// Per mille of the chunks that have to be here before a replica pauses.
-const ENOUGH: u32 = 600;
-
 /// This replica's turn in a change of version.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Turn {
@@ -79,12 +73,13 @@
     }
 
     /// Pauses the replica once its turn has come and its chunks are about to
-    /// be there, and not while their transfer has stalled.
-    pub(crate) fn consider(&self, agent: &Agent, share: u32, idle: Duration) {
+    /// be there: not while their transfer has stalled, and not while the last
+    /// ones come slowly.
+    pub(crate) fn consider(&self, agent: &Agent, remaining: Option<Duration>) {
         let Some(pauses_at) = self.pauses_at else { return };
         let due = agent.facts.now() >= pauses_at;
-        let comes = share >= ENOUGH && idle < STALLED;
-        agent.set_paused(due && comes);
+        let soon = remaining.is_some_and(|span| span <= FINISH);
+        agent.set_paused(due && soon);
     }
 
     /// Waits until the version that the replica holds may begin nothing more.
--- a/src/weights.rs
+++ b/src/weights.rs
@@ -12,6 +12,7 @@
 mod bound;
 mod bucket;
 mod chunk_request;
+mod fetch_pace;
 mod link_share;
 mod manifest;
 mod manifest_source;
@@ -23,6 +24,7 @@
 pub use self::bound::{Bound, Link};
 pub use self::bucket::Bucket;
 pub use self::chunk_request::ChunkRequest;
+pub use self::fetch_pace::FetchPace;
 pub use self::link_share::LinkShare;
 pub use self::manifest::{Chunk, Manifest};
 pub use self::manifest_source::ManifestSource;
@@ -34,6 +36,9 @@
 #[cfg(test)]
 mod tests;
 
+#[cfg(test)]
+mod fetch_pace_tests;
+
 #[cfg(test)]
 mod puller_tests;
 
--- a/src/weights/puller.rs
+++ b/src/weights/puller.rs
@@ -366,6 +366,11 @@
         self.held.iter().all(|h| *h)
     }
 
+    /// Returns how many chunks are missing.
+    pub fn missing_count(&self) -> usize {
+        self.held.iter().filter(|held| !**held).count()
+    }
+
     /// Returns the share of chunks that are here, per mille.
     pub fn share(&self) -> u32 {
         let held = self.held.iter().filter(|h| **h).count();
