A version that is mostly out when the next one is named is finished, and serves meanwhile

Change: where at least half of a copy's transfer has passed, all agents fetch the earlier version to its end first, at most until its bound, and find the later one's manifest meanwhile. Whole in memory it is a reserve: it is loaded in turns at the end of the bound, unless the later version is here by then. Ruled out: deciding by an agent's own share of chunks, which differs between agents that need one another's chunks. FetchProgress names the first missing chunks.

--- a/crates/loader/src/drive.rs
+++ b/crates/loader/src/drive.rs
@@ -15,6 +15,7 @@
 use crate::holdings::Held;
 use crate::manifest::VersionManifest;
 use crate::peers::first_report;
+use crate::reserve::{Reserve, due, superseded};
 use crate::turn::Turn;
 
 /// How long to wait before looking again.
@@ -29,10 +30,11 @@
 /// How long chunks stay in memory for peers after a load.
 const SHARE: Duration = Duration::from_secs(6);
 
+/// The version that the engine is to serve.
 #[derive(Clone, Debug, Eq, PartialEq)]
-struct Wanted {
-    model: Arc<str>,
-    version: u64,
+pub(crate) struct Wanted {
+    pub model: Arc<str>,
+    pub version: u64,
 }
 
 /// Keeps the engine at the version wanted.
@@ -70,10 +72,9 @@
             continue;
         }
         shared = None;
-        let changed = newer(&agent, &wanted);
         let done = tokio::select! {
             done = change(&agent, &wanted) => done,
-            () = changed => Ok(()),
+            () = superseded(&agent, &wanted) => Ok(()),
         };
         agent.set_paused(false);
         if let Err(error) = done {
@@ -104,23 +105,9 @@
     }
 }
 
-/// Ends when another version is wanted.
-async fn newer(agent: &Agent, current: &Wanted) {
-    let mut changes = agent.facts.changes();
-    loop {
-        if changes.changed().await.is_err() {
-            std::future::pending::<()>().await;
-        }
-        let other = wanted(agent).is_some_and(|w| w != *current);
-        if other {
-            return;
-        }
-    }
-}
-
 /// Returns what the engine is to serve: the version named, or what its
 /// fellow replicas hold as long as none has been named.
-fn wanted(agent: &Agent) -> Option<Wanted> {
+pub(crate) fn wanted(agent: &Agent) -> Option<Wanted> {
     let view = agent.facts.view();
     let routes = view.routes.as_ref()?;
     let service = routes.service(&agent.settings.service)?;
@@ -176,10 +163,17 @@
     let manifest = find_manifest(agent, &wanted.model, wanted.version).await;
     take_staged(agent, &manifest).await;
     let turn = Turn::new(agent, &manifest);
+    let reserve = Reserve::find(agent, wanted);
     let fetched = tokio::select! {
-        fetched = fetch(agent, &manifest, &turn) => fetched,
+        biased;
+        () = due(agent, reserve.as_ref()) => None,
+        fetched = fetch(agent, &manifest, &turn) => Some(fetched),
         never = take_out_in_time(agent, &manifest, &turn) => match never {},
     };
+    let Some(fetched) = fetched else {
+        let Some(reserve) = reserve else { return Ok(()) };
+        return load(agent, &reserve.manifest, reserve.turn.number()).await;
+    };
     if let Err(error) = fetched {
         agent.holdings.forget(&wanted.model, wanted.version);
         return Err(error);
--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -47,6 +47,9 @@
 /// How many agents of its hall each one passes a chunk on to.
 const FANOUT: usize = 2;
 
+/// The most missing chunks that are named in the log.
+const MOST_LOGGED: usize = 6;
+
 /// Spoilt chunks after which the manifest itself is doubted.
 const DOUBT_MANIFEST: u32 = 12;
 
@@ -172,7 +175,7 @@
     let mut pace = FetchPace::new();
     while !puller.done() {
         let now = agent.facts.now();
-        turn.consider(agent, pace.remaining(puller.missing_count(), now));
+        turn.consider(agent, pace.remaining(puller.missing().count(), now));
         ready.extend(puller.poll(agent.facts.now()));
         let most = agent.link_share().questions(known.len().max(1) + 1);
         while asked.len() < most {
@@ -233,6 +236,7 @@
     let share = agent.link_share();
     agent.facts.log().write(&Decision::FetchProgress {
         share: puller.share(),
+        missing: puller.missing().take(MOST_LOGGED).collect(),
         link_part: share.part(),
         uplink_part: share.uplink(),
         asked: asked.iter().map(Source::name).collect(),
--- a/crates/loader/src/lib.rs
+++ b/crates/loader/src/lib.rs
@@ -16,6 +16,7 @@
 mod listeners;
 mod manifest;
 mod peers;
+mod reserve;
 mod serve;
 mod settings;
 mod turn;
--- a/crates/shell/src/decisions.rs
+++ b/crates/shell/src/decisions.rs
@@ -217,6 +217,8 @@
     FetchProgress {
         /// Chunks that are here, per mille.
         share: u32,
+        /// The first of those that are not.
+        missing: Vec<usize>,
         /// The part of the link that questions for chunks may fill.
         link_part: f64,
         /// The part of the link that chunks sent to peers may take.
--- a/src/weights/puller.rs
+++ b/src/weights/puller.rs
@@ -366,9 +366,10 @@
         self.held.iter().all(|h| *h)
     }
 
-    /// Returns how many chunks are missing.
-    pub fn missing_count(&self) -> usize {
-        self.held.iter().filter(|held| !**held).count()
+    /// Returns the chunks that are missing, as counted by [`Self::learn`].
+    pub fn missing(&self) -> impl Iterator<Item = usize> {
+        let held = self.held.iter().enumerate();
+        held.filter(|(_, held)| !**held).map(|(i, _)| i)
     }
 
     /// Returns the share of chunks that are here, per mille.
--- a/src/weights/puller/stall.rs
+++ b/src/weights/puller/stall.rs
@@ -80,9 +80,4 @@
         let origin = Source::Origin;
         !self.asked.contains_key(&origin) && !self.suspect(&origin, now)
     }
-
-    fn missing(&self) -> impl Iterator<Item = usize> {
-        let held = self.held.iter().enumerate();
-        held.filter(|(_, held)| !**held).map(|(i, _)| i)
-    }
 }
