Late chunks: the origin is asked past a full queue, and the next drawers of another hall

A question to the origin was queued behind up to 25 questions to fellows, of which a poor link bears a few at a time and each may wait 0.8 to 2.3 s; and an agent that draws for its hall from a squeezed drawer of another hall waited 2.3 s for it although the next in rank there had taken the chunk over. Change: QuestionQueue (the origin first and always, known holders before those who may wait), and late_drawers: once only the last chunks are missing, the first three drawers of the other hall are asked, by one agent of the hall after the other. Tests fail without either.

--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -1,6 +1,5 @@
 //! Drawing the chunks of a version.
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -9,7 +8,8 @@
 use futures::StreamExt as _;
 use futures::stream::FuturesUnordered;
 use stairhinge::weights::{
-    Chunk, ChunkRequest, FetchPace, Patience, Puller, Source, Takeover, Walk,
+    Chunk, ChunkRequest, FetchPace, Patience, Puller, QuestionQueue, Source,
+    Takeover, Walk,
 };
 use stairhinge::{Code, Digest, Error, rank};
 use stairhinge_shell::decisions::Decision;
@@ -168,7 +168,7 @@
     let mut spoilt = 0;
     let mut known = peers(agent);
     let mut puller = puller(agent, manifest, &known);
-    let mut ready = VecDeque::new();
+    let mut ready = QuestionQueue::new();
     let mut asked = FuturesUnordered::new();
     let mut listed = Instant::now();
     let mut relist = Relist::default();
@@ -176,10 +176,11 @@
     while !puller.done() {
         let now = agent.facts.now();
         turn.consider(agent, pace.remaining(puller.missing().count(), now));
-        ready.extend(puller.poll(agent.facts.now()));
+        for question in puller.poll(now) {
+            ready.push(question);
+        }
         let most = agent.link_share().questions(known.len().max(1) + 1);
-        while asked.len() < most {
-            let Some(question) = ready.pop_front() else { break };
+        while let Some(question) = ready.next(asked.len(), most) {
             asked.push(put(agent, manifest, question));
         }
         let timer = tokio::time::sleep(PAUSE);
--- a/src/weights.rs
+++ b/src/weights.rs
@@ -18,6 +18,7 @@
 mod manifest_source;
 mod patience;
 mod puller;
+mod question_queue;
 mod store;
 mod walk;
 
@@ -30,6 +31,7 @@
 pub use self::manifest_source::ManifestSource;
 pub use self::patience::{Patience, Takeover};
 pub use self::puller::Puller;
+pub use self::question_queue::QuestionQueue;
 pub use self::store::Store;
 pub use self::walk::{Source, Walk};
 
@@ -42,6 +44,9 @@
 #[cfg(test)]
 mod puller_tests;
 
+#[cfg(test)]
+mod question_queue_tests;
+
 #[cfg(test)]
 mod takeover_tests;
 
--- a/src/weights/puller/stall.rs
+++ b/src/weights/puller/stall.rs
@@ -1,5 +1,6 @@
 //! What to ask when no chunk comes.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::Puller;
@@ -53,10 +54,42 @@
                 asks.push((source, want.clone()));
             }
         }
+        asks.extend(self.late_drawers(stalled, now));
         asks.extend(self.take_over(Puller::LAST, stalled, now));
         asks
     }
 
+    /// Returns the questions for chunks that another hall draws: those who
+    /// are next in rank there may have drawn what the first is late with.
+    ///
+    /// They are asked by one agent of the hall after the other, since each
+    /// answer crosses a link between halls.
+    fn late_drawers(
+        &self,
+        stalled: Duration,
+        now: Time,
+    ) -> BTreeMap<Source, Vec<usize>> {
+        let mut asks: BTreeMap<Source, Vec<usize>> = BTreeMap::new();
+        for i in self.missing() {
+            let place = self.walk.hall_place(i) as u32;
+            let due = Puller::LAST.after + Puller::LAST.step * place;
+            if stalled < due {
+                continue;
+            }
+            for source in self.walk.drawers(i) {
+                let busy = self.asked.contains_key(&source);
+                if busy || self.suspect(&source, now) {
+                    continue;
+                }
+                let want = asks.entry(source).or_default();
+                if want.len() < Puller::MOST_WANT {
+                    want.push(i);
+                }
+            }
+        }
+        asks
+    }
+
     /// Returns the question to the origin for the chunk that this agent is
     /// next in rank for, once it is its turn to take that one over.
     ///
--- a/src/weights/takeover_tests.rs
+++ b/src/weights/takeover_tests.rs
@@ -255,3 +255,41 @@
     }
     assert_eq!(draws.len(), 8, "each draws one of its own: {draws:?}");
 }
+
+#[test]
+fn who_took_a_late_chunk_over_in_another_hall_is_asked_for_it() {
+    let all = halls(2, 5);
+    let list = chunks(96);
+    // A chunk that the other hall draws, and that comes here through me.
+    let (me, i) = (0..5)
+        .flat_map(|me| (0..list.len()).map(move |i| (me, i)))
+        .find(|(me, i)| {
+            let ranks = walk(&all, 0, *me);
+            ranks.hall_place(*i) == 0 && ranks.drawers(*i).count() > 1
+        })
+        .unwrap();
+    let drawers: Vec<Source> = walk(&all, 0, me).drawers(i).collect();
+    let mut puller = Puller::new(
+        walk(&all, 0, me),
+        &list,
+        Patience::new().with_waiting(Duration::from_secs(3_600)),
+        0,
+        |d| *d != list[i].digest(),
+    );
+    let mut asked = None;
+    for ms in (0..2_000).step_by(50) {
+        let now = Time::from_millis(ms);
+        for ask in puller.poll(now) {
+            if *ask.source() == drawers[1] {
+                asked.get_or_insert(ms);
+            }
+            // The first drawer sits behind a squeezed link and does not
+            // answer; the fellows of this hall have nothing.
+            if matches!(ask.source(), Source::Near(_)) {
+                puller.waited(ask.source(), now);
+            }
+        }
+    }
+    let asked = asked.expect("the next one in rank is asked");
+    assert!(asked <= 1_000, "only after {asked} ms");
+}
--- a/src/weights/walk.rs
+++ b/src/weights/walk.rs
@@ -47,6 +47,9 @@
     /// Agents of another hall that are asked before the next hall is.
     const FAR_TRIES: usize = 2;
 
+    /// Agents of another hall that may have drawn a chunk which is late.
+    const DRAWERS: usize = 3;
+
     /// Returns the walk of agent `me` in `hall`, where `budget` halls may
     /// each draw a whole copy from the origin.
     ///
@@ -245,6 +248,23 @@
         place + own.position(|name| *name == self.me).unwrap_or(0)
     }
 
+    /// Returns how many agents of this hall rank before this one for a
+    /// chunk.
+    pub fn hall_place(&self, index: usize) -> usize {
+        let mut own = self.turned(self.mine, index);
+        own.position(|name| *name == self.me).unwrap_or(0)
+    }
+
+    /// Returns the agents of another hall that draw a chunk from the origin,
+    /// one after the other should the first of them not bring it; none if
+    /// they belong to this hall.
+    pub fn drawers(&self, index: usize) -> impl Iterator<Item = Source> {
+        let hall = index % self.halls.len();
+        let most = if hall == self.mine { 0 } else { Walk::DRAWERS };
+        let names = self.turned(hall, index).take(most);
+        names.map(|name| Source::Far(Arc::clone(name)))
+    }
+
     /// Returns the other agents of the hall.
     pub fn fellows(&self) -> impl Iterator<Item = Source> {
         let others = self.halls[self.mine].iter().filter(|n| **n != self.me);
