Callers are told to come back by what the shortage is, spread in time

Cause: every refused caller came back after 1 s. Shortage: declined 0.5 to 1.5 s, no room 1 to 2 s, no replica at all 2.5 to 3.5 s. Not yet measured.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -17,7 +17,7 @@
 use hyper::{Request, Response};
 use rand::RngExt as _;
 use stairhinge::direct::{
-    AttemptResult, NextStep, Repeat, RetryShare, next_step,
+    AttemptResult, NextStep, Repeat, RetryShare, Shortage, next_step,
 };
 use stairhinge::{Code, Error, Ran};
 use stairhinge_shell::decisions::Decision;
@@ -43,9 +43,6 @@
 /// A time limit that nobody named.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(60);
 
-/// When a refused caller may come back, at the earliest.
-const COME_BACK: Duration = Duration::from_millis(1_000);
-
 /// Forwards the requests of one entry.
 pub(crate) struct Forwarder {
     settings: LiveSettings<EntrySettings>,
@@ -178,7 +175,7 @@
         let view = self.facts.view();
         let Some(routes) = view.routes.clone() else {
             let error = Error::new(Code::NoRoutes, "none are known yet");
-            return Err(Failed::new(error).with_back(COME_BACK));
+            return Err(refused(error, Shortage::NoReplica));
         };
         drop(view);
         // Faults of the head are told before a byte of the body is read.
@@ -253,7 +250,7 @@
                 NextStep::Refuse => {
                     let why = format!("declined: {}", missed.reason);
                     let error = Error::new(Code::NoBackend, why);
-                    return Err(Failed::new(error).with_back(COME_BACK));
+                    return Err(refused(error, Shortage::Declined));
                 }
                 NextStep::Fail => return Err(lost(&context, &missed)),
             };
@@ -276,14 +273,19 @@
         if found.is_err() {
             self.log_no_replica(context, need, from);
         }
-        let why = match found {
+        let (why, shortage) = match found {
             Ok(place) => return Ok(place),
-            Err(NoReplica::Full) => "no replica had room in time",
-            Err(NoReplica::None) => "no replica serves this",
+            Err(NoReplica::Full) => {
+                ("no replica had room in time", Shortage::NoRoom)
+            }
+            Err(NoReplica::None) => {
+                ("no replica serves this", Shortage::NoReplica)
+            }
         };
-        let code = if ran { Code::LostBackend } else { Code::NoBackend };
-        let failed = Failed::new(Error::new(code, why));
-        Err(if ran { failed } else { failed.with_back(COME_BACK) })
+        if ran {
+            return Err(Failed::new(Error::new(Code::LostBackend, why)));
+        }
+        Err(refused(Error::new(Code::NoBackend, why), shortage))
     }
 
     /// Passes an answer on: a stream as it comes, all else once it is whole.
@@ -369,6 +371,13 @@
     }
 }
 
+/// Returns the refusal of a request that has not run, with when its caller
+/// may come back.
+fn refused(error: Error, shortage: Shortage) -> Failed {
+    let span = shortage.come_back(rand::rng().random());
+    Failed::new(error).with_back(span)
+}
+
 fn need(context: &RequestContext) -> Need {
     Need {
         service: Arc::clone(&context.service),
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -6,7 +6,7 @@
 //! path. [`RouteTable`] says which service takes a request and under which
 //! limits; [`balance`] which replica; [`next_step`] what follows after an
 //! attempt; [`RetryShare`] whether a further attempt may be made at all;
-//! [`EventSplitter`] where a stream may be cut and taken up again;
+//! [`Shortage`] when a refused caller comes back; [`EventSplitter`] where a stream may be cut and taken up again;
 //! [`Rollout`] when a replica changes to new weights; [`VersionOverlap`] what
 //! becomes of a version when the next one is named meanwhile; and [`ReaderChoice`]
 //! which entry reads the platform for the others.
@@ -14,6 +14,7 @@
 pub mod balance;
 
 mod attempt_result;
+mod come_back;
 mod event_splitter;
 mod layers;
 mod published_replicas;
@@ -27,6 +28,7 @@
 mod version_target;
 
 pub use self::attempt_result::{AttemptResult, NextStep, next_step};
+pub use self::come_back::Shortage;
 pub use self::event_splitter::{Event, EventSplitter};
 pub use self::layers::LayerRange;
 pub use self::published_replicas::{PublishedReplicas, ReplicaChanges};
@@ -41,6 +43,8 @@
 pub use self::version_overlap::VersionOverlap;
 pub use self::version_target::{VersionTarget, VersionTargets};
 
+#[cfg(test)]
+mod come_back_tests;
 #[cfg(test)]
 mod sharing_tests;
 #[cfg(test)]
--- /dev/null
+++ b/src/direct/come_back.rs
@@ -0,0 +1,34 @@
+//! When a refused caller is told to come back.
+//!
+//! A caller that comes back too early is refused again and has used up its
+//! retry. Callers refused in the same moment are told different times, so
+//! that they do not come back as one wave.
+
+use std::time::Duration;
+
+/// Why no replica could be given to a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Shortage {
+    /// All replicas that could serve it are full.
+    NoRoom,
+    /// No replica could serve it, with room or without.
+    NoReplica,
+    /// The replica that was asked declined.
+    Declined,
+}
+
+impl Shortage {
+    /// Returns when a caller may come back. `draw` is between 0 and 1.
+    pub fn come_back(self, draw: f64) -> Duration {
+        let (least, most): (u32, u32) = match self {
+            // Another replica may take it at once.
+            Shortage::Declined => (500, 1_500),
+            // Room comes as requests end, each of which lasts about a second.
+            Shortage::NoRoom => (1_000, 2_000),
+            // Weights have to come or processes to start: that takes seconds.
+            Shortage::NoReplica => (2_500, 3_500),
+        };
+        let spread = f64::from(most - least) * draw.clamp(0.0, 1.0);
+        Duration::from_millis(u64::from(least) + spread as u64)
+    }
+}
