Feeds tell news only when they change

Each of 76 agents tells each of 27 entries of other halls its load up to 2.5 times a second, and every such line repeated the revision, its holder and all versions with their ages. Not yet measured.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -179,7 +179,7 @@
         let mut state = self.lock();
         let known = state.known.entry(Arc::clone(incarnation)).or_default();
         if let Some(last) = &mut known.reported {
-            report.keep_entries(&mut last.report);
+            report.keep_from(&mut last.report);
         }
         known.load = known.load.reported(report.queued, report.running);
         known.reported = Some(Reported { report, at: Instant::now() });
--- a/crates/gateway/src/dispatch/news.rs
+++ b/crates/gateway/src/dispatch/news.rs
@@ -12,7 +12,9 @@
 impl Dispatcher {
     /// Learns from a report which versions are named, and how long ago.
     pub(crate) fn learn(&self, report: &EngineReport) {
-        self.facts.learn_targets(&report.news.targets);
+        if let Some(news) = &report.news {
+            self.facts.learn_targets(&news.targets);
+        }
     }
 
     /// Returns the newest routes that any agent tells of.
@@ -21,7 +23,7 @@
         let told = state
             .known
             .values()
-            .filter_map(|k| Some(&k.reported.as_ref()?.report.news));
+            .filter_map(|k| k.reported.as_ref()?.report.news.as_ref());
         told.max_by_key(|news| news.revision).cloned()
     }
 
@@ -53,7 +55,8 @@
             let Some((replica, _)) = view.replicas.get(incarnation) else {
                 continue;
             };
-            let theirs = &reported.report.news;
+            let theirs = reported.report.news.as_ref();
+            let Some(theirs) = theirs else { continue };
             let knows = |t: &TargetAge| {
                 let same = |o: &TargetAge| {
                     o.model == t.model && o.version >= t.version
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -155,7 +155,7 @@
             if line.len() > 1 {
                 let mut report: EngineReport = serde_json::from_slice(&line)?;
                 if let Some(earlier) = &mut newest {
-                    report.keep_entries(earlier);
+                    report.keep_from(earlier);
                 }
                 newest = Some(report);
             } else {
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -30,9 +30,10 @@
     /// milliseconds; 0 while chunks do not use it.
     #[serde(default)]
     pub link_ms: u32,
-    /// The newest that the agent knows to be published.
-    #[serde(default)]
-    pub news: News,
+    /// The newest that the agent knows to be published; told when it
+    /// changes.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub news: Option<News>,
     /// The first in rank of each hall's entries that listen to the agent;
     /// told to entries of its own hall, when it changes.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -49,12 +50,14 @@
             && self.version == other.version
     }
 
-    /// Keeps what an earlier report told of entries, if this one tells
-    /// nothing of them.
-    pub(crate) fn keep_entries(&mut self, earlier: &mut EngineReport) {
+    /// Keeps what an earlier report told that is only told when it changes.
+    pub(crate) fn keep_from(&mut self, earlier: &mut EngineReport) {
         if self.entries.is_none() {
             self.entries = earlier.entries.take();
         }
+        if self.news.is_none() {
+            self.news = earlier.news.take();
+        }
     }
 
     /// Returns all requests at the engine.
--- a/crates/loader/src/agent.rs
+++ b/crates/loader/src/agent.rs
@@ -97,7 +97,7 @@
         told.holder = news.holder;
         let news = told.clone();
         drop(told);
-        self.report.send_modify(|report| report.news = news);
+        self.report.send_modify(|report| report.news = Some(news));
     }
 
     /// Asks the engine how it stands.
--- a/crates/loader/src/drive.rs
+++ b/crates/loader/src/drive.rs
@@ -96,7 +96,8 @@
             let Ok(report) = first_report(&agent.client, addr).await else {
                 continue;
             };
-            agent.facts.learn_targets(&report.news.targets);
+            let news = report.news.unwrap_or_default();
+            agent.facts.learn_targets(&news.targets);
             if !agent.facts.view().targets.any_presumed() {
                 return;
             }
--- a/crates/loader/src/feed.rs
+++ b/crates/loader/src/feed.rs
@@ -18,7 +18,7 @@
 use stairhinge::direct::HallEntry;
 use stairhinge_gateway::EngineReport;
 use stairhinge_shell::Shutdown;
-use stairhinge_shell::directory::Facts;
+use stairhinge_shell::directory::{Facts, News};
 use stairhinge_shell::http::{Body, BodyError, headers};
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -71,11 +71,19 @@
 struct Told {
     report: EngineReport,
     at: Instant,
-    /// The versions named, and whether their age was known.
+    /// The news, and of the versions named whether their age was known.
+    news: Option<News>,
     targets: Vec<(Arc<str>, u64, bool)>,
     entries: Vec<HallEntry>,
 }
 
+impl Told {
+    /// Returns whether it told the news that another line would tell.
+    fn has_news_of(&self, other: &Told) -> bool {
+        self.news == other.news && self.targets == other.targets
+    }
+}
+
 struct Feed {
     /// Who else listens, for an entry of the own hall.
     near: Option<Listeners>,
@@ -108,16 +116,23 @@
         }
         let mut report = self.reports.borrow_and_update().clone();
         let entries = entries(self.near.as_ref());
-        let told = self.told.as_ref().map(|told| &told.entries);
-        let news = (told != Some(&entries)).then(|| entries.clone());
-        self.told = Some(Told {
+        let now = Told {
+            news: report.news.clone(),
             report: report.clone(),
             at: Instant::now(),
             targets: targets(&self.facts),
             entries,
+        };
+        let told = self.told.as_ref();
+        // What seldom changes is told only then: most lines are about load.
+        let same = told.is_some_and(|told| told.entries == now.entries);
+        report.entries = (!same).then(|| now.entries.clone());
+        let same = told.is_some_and(|told| told.has_news_of(&now));
+        report.news = (!same).then(|| News {
+            targets: self.facts.target_ages(),
+            ..now.news.clone().unwrap_or_default()
         });
-        report.entries = news;
-        report.news.targets = self.facts.target_ages();
+        self.told = Some(now);
         let mut line = serde_json::to_vec(&report).ok()?;
         line.push(b'\n');
         Some(Bytes::from(line))
--- a/crates/loader/src/watch_engine.rs
+++ b/crates/loader/src/watch_engine.rs
@@ -67,7 +67,7 @@
         queued: state.queued,
         pace: state.pace,
         link_ms: agent.link_ms.load(Ordering::Relaxed),
-        news: agent.news(),
+        news: Some(agent.news()),
         // Added as they are sent, to those who may know.
         entries: None,
     }
