When the origin comes back it sends what is missing about once

All agents had stalled for 6 s, so every one of them was due to take chunks over in the moment of the return, and those in charge asked only every 0.8 s by then. Change: a stall counts from the origin's last failure, and for 3 s after one the slower takeover holds, also for the last chunks; those in charge ask every 0.2 s; the earlier version is finished as long as it is then valid for 1.5 s.

--- a/crates/loader/src/reserve.rs
+++ b/crates/loader/src/reserve.rs
@@ -16,9 +16,6 @@
 /// How often arrivals are looked for, beside being told of them.
 const LOOK: Duration = Duration::from_millis(100);
 
-/// How long a reserve has to be valid for to be worth a load.
-const WORTH_LOADING: Duration = Duration::from_millis(1_500);
-
 /// Ends when another version is wanted, and `current` is not to be fetched
 /// to its end before it.
 pub(crate) async fn superseded(agent: &Agent, current: &Wanted) {
@@ -118,7 +115,7 @@
         let outdated =
             view.targets.outdated_since(&wanted.model, manifest.version)?;
         let end = outdated.after(agent.live.get().version_bound());
-        if end.since(agent.facts.now()) < WORTH_LOADING {
+        if end.since(agent.facts.now()) < VersionOverlap::WORTH_SERVING {
             return None;
         }
         let from = overlap(agent, &manifest, wanted.version)?.reserve_from();
--- a/src/direct/version_overlap.rs
+++ b/src/direct/version_overlap.rs
@@ -28,6 +28,9 @@
     /// this part of a copy's transfer.
     const FINISHED_FROM: u32 = 2;
 
+    /// How long a version has to be valid for to be worth a load.
+    pub const WORTH_SERVING: Duration = Duration::from_millis(1_500);
+
     /// Returns the overlap of versions named at `earlier` and `later`, where
     /// a copy's transfer takes `transfer` and a named version has to serve
     /// within `bound`.
@@ -43,13 +46,13 @@
     /// Returns until when the earlier version is fetched before the later
     /// one, or `None` if it is left at once.
     ///
-    /// At the end of its bound replicas hold nothing valid any more; what is
-    /// not whole by then helps nobody sooner than the later version.
+    /// It is finished as long as it is then valid for a while.
     pub fn finish_until(&self) -> Option<Time> {
         let spent = self.later.since(self.earlier);
         let mostly_out =
             spent >= self.transfer / VersionOverlap::FINISHED_FROM;
-        mostly_out.then(|| self.earlier.after(self.bound))
+        let useful = self.bound.saturating_sub(VersionOverlap::WORTH_SERVING);
+        mostly_out.then(|| self.later.after(useful))
     }
 
     /// Returns from when on the earlier version is loaded as a reserve: not
--- a/src/weights/patience.rs
+++ b/src/weights/patience.rs
@@ -98,8 +98,8 @@
     pub const DOUBLINGS: u32 = 4;
 
     /// How often a suspicion of the origin doubles at most: everybody waits
-    /// for it to come back.
-    pub const ORIGIN_DOUBLINGS: u32 = 2;
+    /// for it to come back, and what is in charge of few chunks asks little.
+    pub const ORIGIN_DOUBLINGS: u32 = 0;
 
     /// Returns the longest suspicion of the origin.
     pub const fn origin_longest(self) -> Duration {
--- a/src/weights/puller.rs
+++ b/src/weights/puller.rs
@@ -54,6 +54,8 @@
     gained: (usize, Time),
     /// Since when only the last chunks have been missing.
     last_since: Option<Time>,
+    /// When the origin last failed.
+    origin_failed: Option<Time>,
 }
 
 impl Puller {
@@ -70,6 +72,9 @@
         step: Duration::from_millis(100),
     };
 
+    /// How long after the origin's last failure it may still be down.
+    const ORIGIN_RECENT: Duration = Duration::from_millis(3_000);
+
     /// How long the last chunks usually take.
     const LAST_USUAL: Duration = Duration::from_millis(400);
 
@@ -120,6 +125,7 @@
             slow: HashSet::new(),
             gained: (0, Time::ZERO),
             last_since: None,
+            origin_failed: None,
         }
     }
 
@@ -325,6 +331,9 @@
     /// Takes note that a source failed, stalled or sent corrupt bytes.
     pub fn failed(&mut self, source: &Source, now: Time) {
         self.asked.remove(source);
+        if *source == Source::Origin {
+            self.origin_failed = Some(now);
+        }
         let standing = self.standing.entry(source.clone()).or_default();
         let most = match source {
             Source::Origin => Patience::ORIGIN_DOUBLINGS,
--- a/src/weights/puller/stall.rs
+++ b/src/weights/puller/stall.rs
@@ -105,10 +105,32 @@
         }
         let next = self.missing().min_by_key(|i| self.walk.place(*i))?;
         let place = self.walk.place(next) as u32;
+        let (takeover, stalled) = self.after_failure(takeover, stalled, now);
         let due = stalled >= takeover.after + takeover.step * place;
         due.then(|| (Source::Origin, vec![next]))
     }
 
+    /// Returns when to take over, and how long no chunk has come as far as
+    /// that counts.
+    ///
+    /// While the origin is down all agents stall. Those in charge go on
+    /// asking and will draw what is missing as soon as it is back; others
+    /// that find it back at the same moment would draw all of it again.
+    fn after_failure(
+        &self,
+        takeover: Takeover,
+        stalled: Duration,
+        now: Time,
+    ) -> (Takeover, Duration) {
+        let Some(failed) = self.origin_failed else {
+            return (takeover, stalled);
+        };
+        let since = now.since(failed);
+        let recent = since < Puller::ORIGIN_RECENT;
+        let patient = self.patience.takeover.filter(|_| recent);
+        (patient.unwrap_or(takeover), stalled.min(since))
+    }
+
     fn is_origin_free(&self, now: Time) -> bool {
         let origin = Source::Origin;
         !self.asked.contains_key(&origin) && !self.suspect(&origin, now)
--- a/src/weights/takeover_tests.rs
+++ b/src/weights/takeover_tests.rs
@@ -293,3 +293,53 @@
     let asked = asked.expect("the next one in rank is asked");
     assert!(asked <= 1_000, "only after {asked} ms");
 }
+
+#[test]
+fn an_origin_that_comes_back_sends_what_is_missing_about_once() {
+    let all = halls(3, 25);
+    let list = chunks(96);
+    let takeover = Takeover {
+        after: Duration::from_millis(1_500),
+        step: Duration::from_millis(250),
+    };
+    let patience = Patience::new()
+        .with_waiting(Duration::from_secs(3_600))
+        .with_suspect(Duration::from_secs(2))
+        .with_takeover(takeover);
+    for missing in [8, 15] {
+        let gone = &list[list.len() - missing..];
+        let gone: Vec<Digest> = gone.iter().map(|c| c.digest()).collect();
+        let mut draws = 0;
+        for (h, (_, names)) in all.iter().enumerate() {
+            for i in 0..names.len() {
+                let walk = walk(&all, h, i);
+                let held = |d: &Digest| !gone.contains(d);
+                let mut puller = Puller::new(walk, &list, patience, 0, held);
+                draws += draws_at_return(&mut puller);
+            }
+        }
+        assert!(draws >= missing, "{draws} draws for {missing} chunks");
+        assert!(draws <= missing * 3, "{draws} draws for {missing} chunks");
+    }
+}
+
+/// Returns how many questions to the origin a puller sends in the first 0.6 s
+/// after the origin was down for 6 s, while peers have nothing.
+fn draws_at_return(puller: &mut Puller) -> usize {
+    const BACK: u64 = 6_000;
+    let mut draws = 0;
+    for ms in (0..BACK + 600).step_by(50) {
+        let now = Time::from_millis(ms);
+        for ask in puller.poll(now) {
+            if *ask.source() != Source::Origin {
+                puller.waited(ask.source(), now);
+            } else if ms < BACK {
+                puller.failed(ask.source(), now);
+            } else {
+                draws += 1;
+                puller.got(ask.source(), &ask.want()[0]);
+            }
+        }
+    }
+    draws
+}
