--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -250,7 +250,11 @@
                 NextStep::Refuse => {
                     let why = format!("declined: {}", missed.reason);
                     let error = Error::new(Code::NoBackend, why);
-                    return Err(refused(error, Shortage::Declined));
+                    let shortage = match missed.result {
+                        AttemptResult::Unsent => Shortage::Unreachable,
+                        _ => Shortage::Declined,
+                    };
+                    return Err(refused(error, shortage));
                 }
                 NextStep::Fail => return Err(lost(&context, &missed)),
             };
--- a/src/direct/come_back.rs
+++ b/src/direct/come_back.rs
@@ -13,18 +13,21 @@
     NoRoom,
     /// No replica could serve it, with room or without.
     NoReplica,
-    /// The replica that was asked declined.
+    /// The replicas that were asked declined.
     Declined,
+    /// No connection came up to the replicas that were asked.
+    Unreachable,
 }
 
 impl Shortage {
     /// Returns when a caller may come back. `draw` is between 0 and 1.
     pub fn come_back(self, draw: f64) -> Duration {
         let (least, most): (u32, u32) = match self {
-            // Another replica may take it at once.
-            Shortage::Declined => (500, 1_500),
-            // Room comes as requests end, each of which lasts about a second.
-            Shortage::NoRoom => (1_000, 2_000),
+            // Room comes as requests end, each of which lasts about a
+            // second; who declines has just been found full or changing.
+            Shortage::NoRoom | Shortage::Declined => (1_000, 2_000),
+            // Two that are gone at a time are seldom the only ones.
+            Shortage::Unreachable => (2_000, 3_000),
             // Weights have to come or processes to start: that takes seconds.
             Shortage::NoReplica => (2_500, 3_500),
         };
--- a/src/direct/come_back_tests.rs
+++ b/src/direct/come_back_tests.rs
@@ -7,16 +7,20 @@
 #[test]
 fn callers_come_back_later_the_longer_a_shortage_lasts() {
     let span = |s: Shortage| (s.come_back(0.0), s.come_back(1.0));
-    let (soon, room) = (span(Shortage::Declined), span(Shortage::NoRoom));
+    let (room, gone) = (span(Shortage::NoRoom), span(Shortage::Unreachable));
     let outage = span(Shortage::NoReplica);
-    assert!(soon.0 < room.0 && room.1 < outage.0);
+    assert!(room.0 < gone.0 && gone.0 < outage.0);
     assert!(outage.1 <= Duration::from_secs(4), "{outage:?}");
 }
 
 #[test]
 fn callers_refused_together_come_back_one_after_the_other() {
-    for shortage in [Shortage::Declined, Shortage::NoRoom, Shortage::NoReplica]
-    {
+    for shortage in [
+        Shortage::Declined,
+        Shortage::NoRoom,
+        Shortage::Unreachable,
+        Shortage::NoReplica,
+    ] {
         let times: Vec<Duration> =
             (0..=4).map(|d| shortage.come_back(f64::from(d) / 4.0)).collect();
         for pair in times.windows(2) {
