Agents read lists less often in long fetches, and routes when they are in doubt

Each of 76 agents read the list of replicas every second of a fetch, which lasts up to 14 s with the origin down, and the routes every 20 s. Now the list is read after 1, 2, 4, 8 s of a fetch, the routes every 60 s and, at most every 4 s, when the origin cannot be reached where they say and an entry has told of newer ones. Not yet measured.

--- a/crates/loader/src/agent.rs
+++ b/crates/loader/src/agent.rs
@@ -16,7 +16,7 @@
 use stairhinge_shell::http::{Client, Limits, serve};
 use stairhinge_shell::{LiveSettings, SettingsWatch, Shaper, Shutdown};
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::drive::drive;
 use crate::engine::{EngineState, StagedEngine};
@@ -56,6 +56,8 @@
     share: Mutex<LinkShare>,
     /// The newest routes that an entry has told of.
     pub told: Mutex<News>,
+    /// Told when the routes may be out of date.
+    routes_doubted: Notify,
     /// The entries that listen, of any hall.
     pub listeners: Listeners,
     /// How long the newest probe of the link took, in milliseconds.
@@ -78,6 +80,15 @@
 }
 
 impl Agent {
+    /// Takes note that the origin could not be reached where the routes say
+    /// that it is.
+    pub(crate) fn doubt_origin(&self) {
+        let told = self.news().revision;
+        if told > self.facts.revision() {
+            self.routes_doubted.notify_one();
+        }
+    }
+
     /// Returns the newest that this agent knows to be published. Ages of
     /// versions are added as they are sent.
     pub(crate) fn news(&self) -> News {
@@ -148,14 +159,19 @@
     }
 }
 
-/// How often the routes are read.
-const ROUTES_EVERY: Duration = Duration::from_secs(20);
+/// How often the routes are read while nothing is wrong with them.
+const ROUTES_EVERY: Duration = Duration::from_secs(60);
+
+/// The least span between two readings of routes that are in doubt.
+const ROUTES_DOUBTED: Duration = Duration::from_secs(4);
 
 /// The pause before the routes are read again after a failure.
 const ROUTES_AGAIN: Duration = Duration::from_millis(400);
 
 /// Reads the routes now and then: an agent needs the kind of its engine and
 /// the origin, which hardly change, and routes change often and are large.
+/// They are read sooner if the origin cannot be reached and there are newer
+/// ones, in which it may stand elsewhere.
 async fn read_routes(agent: Arc<Agent>) {
     loop {
         let known = agent.facts.view().routes.is_some();
@@ -170,9 +186,14 @@
             }
             Err(error) => log_failure(&agent, "routes", &error),
         }
-        let known = agent.facts.view().routes.is_some();
-        let pause = if known { ROUTES_EVERY } else { ROUTES_AGAIN };
-        tokio::time::sleep(pause).await;
+        if agent.facts.view().routes.is_none() {
+            tokio::time::sleep(ROUTES_AGAIN).await;
+            continue;
+        }
+        tokio::time::sleep(ROUTES_DOUBTED).await;
+        let rest = ROUTES_EVERY.saturating_sub(ROUTES_DOUBTED);
+        let doubted = agent.routes_doubted.notified();
+        let _ = tokio::time::timeout(rest, doubted).await;
     }
 }
 
@@ -233,6 +254,7 @@
         uplink,
         share: Mutex::default(),
         told: Mutex::default(),
+        routes_doubted: Notify::new(),
         listeners: Listeners::default(),
         link_ms: AtomicU32::new(0),
         moved: AtomicU64::new(0),
--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -25,7 +25,12 @@
 /// How long to wait before looking again when nobody can be asked.
 const PAUSE: Duration = Duration::from_millis(50);
 
-/// How often the list of peers is read while a fetch lasts.
+/// How often it is logged how a fetch stands.
+const PROGRESS: Duration = Duration::from_millis(1_000);
+
+/// How long a fetch lasts until the list of peers is read again; each next
+/// time it takes twice as long. Who leaves is noticed by failures, and who
+/// comes has nothing to give yet.
 const RELIST: Duration = Duration::from_millis(1_000);
 
 /// How many draws on the origin a fetch makes before peers are asked.
@@ -170,7 +175,8 @@
     let mut puller = puller(agent, manifest, &known);
     let mut ready = QuestionQueue::new();
     let mut asked = FuturesUnordered::new();
-    let mut listed = Instant::now();
+    let mut logged = Instant::now();
+    let mut listed_next = started + RELIST;
     let mut relist = Relist::default();
     let mut pace = FetchPace::new();
     while !puller.done() {
@@ -201,6 +207,9 @@
                 Err(error) => {
                     log_failure(agent, source.name(), &error);
                     puller.failed(&source, agent.facts.now());
+                    if source == Source::Origin {
+                        agent.doubt_origin();
+                    }
                     let corrupt = error.code() == Code::CorruptChunk;
                     spoilt += u32::from(corrupt);
                 }
@@ -210,9 +219,12 @@
                 return Err(Error::new(Code::BadManifest, why));
             }
         }
-        if listed.elapsed() > RELIST {
-            listed = Instant::now();
+        if logged.elapsed() > PROGRESS {
+            logged = Instant::now();
             log_progress(agent, &puller);
+        }
+        if Instant::now() > listed_next {
+            listed_next += started.elapsed();
             relist.start(agent);
         }
         let now = peers(agent);
--- a/crates/loader/src/find_manifest.rs
+++ b/crates/loader/src/find_manifest.rs
@@ -82,7 +82,8 @@
     let found = match source {
         ManifestSource::Origin => {
             let addr = origin_addr(agent)?;
-            agent.origin.manifest(addr, model, version).await?
+            let answer = agent.origin.manifest(addr, model, version).await;
+            answer.inspect_err(|_| agent.doubt_origin())?
         }
         ManifestSource::Agent(asked) => {
             let none = || Error::new(Code::NoSource, "no peer is listed");
