Agents read routes from entries, and no replica pauses before its chunks are here

Now agents read routes from the platform at their start only, and newer ones from an entry of the own hall, packed. Cause 2: at 23 s 25 of 76 replicas were paused though 4 chunks lay at an origin that was down: the pace of the last second said that the fetch was about to end. Not yet measured.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,5 +32,6 @@
     Attempt, CallerRequest, Dialect, Judgement, PlainDialect, header_text,
 };
 pub use self::entry::run;
+pub use self::news::fetch_routes;
 pub use self::report::EngineReport;
 pub use self::settings::{EntrySettings, RetryBound};
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -122,8 +122,12 @@
     }
 }
 
-/// Fetches the document of the routes that another entry has in force.
-pub(crate) async fn fetch_routes(
+/// Fetches the document of the routes that an entry has in force.
+///
+/// # Errors
+///
+/// [`Code::PeerLost`] if it does not hand them over in time.
+pub async fn fetch_routes(
     client: &Client,
     holder: SocketAddr,
     within: Duration,
--- a/crates/loader/src/agent.rs
+++ b/crates/loader/src/agent.rs
@@ -11,7 +11,7 @@
 use stairhinge_gateway::EngineReport;
 use stairhinge_shell::decisions::{Decision, DecisionLog};
 use stairhinge_shell::directory::{
-    Collection, Directory, Facts, Follow, Freshness, News, follow,
+    Collection, Directory, Facts, Follow, News, follow,
 };
 use stairhinge_shell::http::{Client, Limits, serve};
 use stairhinge_shell::{LiveSettings, SettingsWatch, Shaper, Shutdown};
@@ -20,10 +20,10 @@
 
 use crate::drive::drive;
 use crate::engine::{EngineState, StagedEngine};
-use crate::fetch::log_failure;
 use crate::holdings::Holdings;
 use crate::listeners::Listeners;
 use crate::manifest::WeightOrigin;
+use crate::read_routes::read_routes;
 use crate::serve::AgentServer;
 use crate::settings::AgentSettings;
 use crate::watch_engine::watch_engine;
@@ -89,6 +89,11 @@
         }
     }
 
+    /// Ends when the origin is doubted to be where the routes say.
+    pub(crate) async fn origin_doubted(&self) {
+        self.routes_doubted.notified().await;
+    }
+
     /// Returns the newest that this agent knows to be published. Ages of
     /// versions are added as they are sent.
     pub(crate) fn news(&self) -> News {
@@ -159,44 +164,6 @@
     }
 }
 
-/// How often the routes are read while nothing is wrong with them.
-const ROUTES_EVERY: Duration = Duration::from_secs(60);
-
-/// The least span between two readings of routes that are in doubt.
-const ROUTES_DOUBTED: Duration = Duration::from_secs(4);
-
-/// The pause before the routes are read again after a failure.
-const ROUTES_AGAIN: Duration = Duration::from_millis(400);
-
-/// Reads the routes now and then: an agent needs the kind of its engine and
-/// the origin, which hardly change, and routes change often and are large.
-/// They are read sooner if the origin cannot be reached and there are newer
-/// ones, in which it may stand elsewhere.
-async fn read_routes(agent: Arc<Agent>) {
-    loop {
-        let known = agent.facts.view().routes.is_some();
-        let freshness =
-            if known { Freshness::Stale } else { Freshness::Current };
-        let read = agent.directory.list(Collection::Routes, freshness);
-        match read.await {
-            Ok(listing) => {
-                for record in listing.records.into_iter().flatten() {
-                    agent.facts.learn(record, "list", None);
-                }
-            }
-            Err(error) => log_failure(&agent, "routes", &error),
-        }
-        if agent.facts.view().routes.is_none() {
-            tokio::time::sleep(ROUTES_AGAIN).await;
-            continue;
-        }
-        tokio::time::sleep(ROUTES_DOUBTED).await;
-        let rest = ROUTES_EVERY.saturating_sub(ROUTES_DOUBTED);
-        let doubted = agent.routes_doubted.notified();
-        let _ = tokio::time::timeout(rest, doubted).await;
-    }
-}
-
 /// Runs an agent until it is told to stop. With a watch it takes changed
 /// settings while it runs.
 ///
--- a/crates/loader/src/drive.rs
+++ b/crates/loader/src/drive.rs
@@ -168,7 +168,7 @@
     let fetched = tokio::select! {
         biased;
         () = due(agent, reserve.as_ref()) => None,
-        fetched = fetch(agent, &manifest, &turn) => Some(fetched),
+        fetched = fetch(agent, &manifest) => Some(fetched),
         never = take_out_in_time(agent, &manifest, &turn) => match never {},
     };
     let Some(fetched) = fetched else {
--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -8,8 +8,8 @@
 use futures::StreamExt as _;
 use futures::stream::FuturesUnordered;
 use stairhinge::weights::{
-    Chunk, ChunkRequest, FetchPace, Patience, Puller, QuestionQueue, Source,
-    Takeover, Walk,
+    Chunk, ChunkRequest, Patience, Puller, QuestionQueue, Source, Takeover,
+    Walk,
 };
 use stairhinge::{Code, Digest, Error, rank};
 use stairhinge_shell::decisions::Decision;
@@ -20,7 +20,6 @@
 use crate::holdings::Held;
 use crate::manifest::VersionManifest;
 use crate::peers::{PeerAnswer, Question, ask};
-use crate::turn::Turn;
 
 /// How long to wait before looking again when nobody can be asked.
 const PAUSE: Duration = Duration::from_millis(50);
@@ -158,7 +157,6 @@
 pub(crate) async fn fetch(
     agent: &Arc<Agent>,
     manifest: &Arc<VersionManifest>,
-    turn: &Turn,
 ) -> Result<Drawn, Error> {
     let started = Instant::now();
     let held =
@@ -178,11 +176,8 @@
     let mut logged = Instant::now();
     let mut listed_next = started + RELIST;
     let mut relist = Relist::default();
-    let mut pace = FetchPace::new();
     while !puller.done() {
-        let now = agent.facts.now();
-        turn.consider(agent, pace.remaining(puller.missing().count(), now));
-        for question in puller.poll(now) {
+        for question in puller.poll(agent.facts.now()) {
             ready.push(question);
         }
         let most = agent.link_share().questions(known.len().max(1) + 1);
@@ -200,7 +195,6 @@
             match taken {
                 Ok(true) => {
                     agent.note_moved();
-                    pace.arrived(agent.facts.now());
                     drawn.count(&source);
                 }
                 Ok(false) => {}
--- a/crates/loader/src/lib.rs
+++ b/crates/loader/src/lib.rs
@@ -16,6 +16,7 @@
 mod listeners;
 mod manifest;
 mod peers;
+mod read_routes;
 mod reserve;
 mod serve;
 mod settings;
--- a/crates/loader/src/listeners.rs
+++ b/crates/loader/src/listeners.rs
@@ -36,6 +36,12 @@
         first
     }
 
+    /// Returns the entries of a hall that listen now.
+    pub(crate) fn of_hall(&self, hall: &str) -> Vec<HallEntry> {
+        let feeds = self.feeds.lock().unwrap_or_else(PoisonError::into_inner);
+        feeds.keys().filter(|entry| &*entry.hall == hall).cloned().collect()
+    }
+
     /// Counts a feed of an entry in until the guard is dropped.
     pub(crate) fn listen(&self, entry: HallEntry) -> Listening {
         let mut feeds =
--- /dev/null
+++ b/crates/loader/src/read_routes.rs
@@ -0,0 +1,96 @@
+//! Reading the routes: an agent needs the kind of its engine and the origin.
+//!
+//! Both hardly change, and routes change often and are large: where all
+//! agents read them from the platform at a time, links between halls are full
+//! for seconds. They are read from there at the start only, and afterwards
+//! from an entry of the own hall, which has them packed.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use stairhinge::{Code, Error, rank};
+use stairhinge_gateway::fetch_routes;
+use stairhinge_shell::directory::{Collection, Freshness};
+
+use crate::agent::Agent;
+use crate::fetch::log_failure;
+
+/// How often the routes are read while nothing is wrong with them.
+const EVERY: Duration = Duration::from_secs(60);
+
+/// The least span between two readings of routes that are in doubt.
+const DOUBTED: Duration = Duration::from_secs(4);
+
+/// The pause before the routes are read again after a failure.
+const AGAIN: Duration = Duration::from_millis(400);
+
+/// How long an entry may take to hand the routes over.
+const WITHIN: Duration = Duration::from_millis(2_000);
+
+/// Reads the routes at the start, and later now and then; sooner if the
+/// origin cannot be reached and there are newer ones, in which it may stand
+/// elsewhere.
+pub(crate) async fn read_routes(agent: Arc<Agent>) {
+    while agent.facts.view().routes.is_none() {
+        if let Err(error) = from_platform(&agent, Freshness::Current).await {
+            log_failure(&agent, "routes", &error);
+        }
+        if agent.facts.view().routes.is_none() {
+            tokio::time::sleep(AGAIN).await;
+        }
+    }
+    loop {
+        tokio::time::sleep(DOUBTED).await;
+        let rest = EVERY.saturating_sub(DOUBTED);
+        let _ = tokio::time::timeout(rest, agent.origin_doubted()).await;
+        if let Err(error) = newer(&agent).await {
+            log_failure(&agent, "routes", &error);
+        }
+    }
+}
+
+/// Reads newer routes, if an entry has told of some.
+async fn newer(agent: &Agent) -> Result<(), Error> {
+    if agent.news().revision <= agent.facts.revision() {
+        return Ok(());
+    }
+    match from_entry(agent).await {
+        Ok(()) => Ok(()),
+        Err(error) => {
+            log_failure(agent, "routes of an entry", &error);
+            from_platform(agent, Freshness::Stale).await
+        }
+    }
+}
+
+async fn from_platform(
+    agent: &Agent,
+    freshness: Freshness,
+) -> Result<(), Error> {
+    let read = agent.directory.list(Collection::Routes, freshness);
+    for record in read.await?.records {
+        agent.facts.learn(record?, "list", None);
+    }
+    Ok(())
+}
+
+async fn from_entry(agent: &Agent) -> Result<(), Error> {
+    let none = || Error::new(Code::PeerLost, "no entry of the hall listens");
+    let entry = near_entry(agent).ok_or_else(none)?;
+    let document = fetch_routes(&agent.client, entry, WITHIN).await?;
+    let record = agent.directory.parse_routes(document)?;
+    agent.facts.learn(record, "entry", None);
+    Ok(())
+}
+
+/// Returns the entry of the hall that this agent asks: each asks another one.
+fn near_entry(agent: &Agent) -> Option<SocketAddr> {
+    let me = agent.addr().to_string();
+    let near = agent.listeners.of_hall(&agent.settings.hall);
+    near.into_iter()
+        .max_by_key(|entry| {
+            rank::score(me.as_bytes(), &entry.addr.to_string())
+        })
+        .map(|entry| entry.addr)
+}
--- a/crates/loader/src/turn.rs
+++ b/crates/loader/src/turn.rs
@@ -89,16 +89,6 @@
         self.number
     }
 
-    /// Pauses the replica once its turn has come and its chunks are about to
-    /// be there: not while their transfer has stalled, and not while the last
-    /// ones come slowly.
-    pub(crate) fn consider(&self, agent: &Agent, remaining: Option<Duration>) {
-        let Some(pauses_at) = self.pauses_at else { return };
-        let due = agent.facts.now() >= pauses_at;
-        let soon = remaining.is_some_and(|span| span <= FINISH);
-        agent.set_paused(due && soon);
-    }
-
     /// Waits until the version that the replica holds may begin nothing more.
     pub(crate) async fn wait_for_end(&self, agent: &Agent) {
         let Some(ends_at) = self.ends_at else {
--- a/src/weights.rs
+++ b/src/weights.rs
@@ -12,7 +12,6 @@
 mod bound;
 mod bucket;
 mod chunk_request;
-mod fetch_pace;
 mod link_share;
 mod manifest;
 mod manifest_source;
@@ -25,7 +24,6 @@
 pub use self::bound::{Bound, Link};
 pub use self::bucket::Bucket;
 pub use self::chunk_request::ChunkRequest;
-pub use self::fetch_pace::FetchPace;
 pub use self::link_share::LinkShare;
 pub use self::manifest::{Chunk, Manifest};
 pub use self::manifest_source::ManifestSource;
@@ -38,9 +36,6 @@
 #[cfg(test)]
 mod tests;
 
-#[cfg(test)]
-mod fetch_pace_tests;
-
 #[cfg(test)]
 mod puller_tests;
 
