--- a/src/weights/puller.rs
+++ b/src/weights/puller.rs
@@ -178,11 +178,15 @@
         let count = self.chunks.len();
         for step in 0..count {
             let i = (self.turn + step) % count;
-            if self.held[i] || out.contains(&i) {
+            if self.held[i] {
                 continue;
             }
             let source = self.source(i, now);
-            if self.asked.contains_key(&source)
+            // While the origin is down its drawers ask peers too, and these
+            // questions wait; the origin is not to be asked later for it.
+            let elsewhere = out.contains(&i) && source != Source::Origin;
+            if elsewhere
+                || self.asked.contains_key(&source)
                 || self.too_early(&source, i, now)
             {
                 continue;
--- a/src/weights/takeover_tests.rs
+++ b/src/weights/takeover_tests.rs
@@ -343,3 +343,46 @@
     }
     draws
 }
+
+#[test]
+fn an_origin_that_is_down_is_tried_again_though_peers_are_asked_meanwhile() {
+    let all = halls(1, 4);
+    let list = chunks(96);
+    let ranks = walk(&all, 0, 0);
+    let mine = (0..list.len()).find(|i| ranks.place(*i) == 0).unwrap();
+    let takeover = Takeover {
+        after: Duration::from_millis(1_500),
+        step: Duration::from_millis(250),
+    };
+    let patience = Patience::new()
+        .with_suspect(Duration::from_secs(2))
+        .with_takeover(takeover);
+    let mut puller = Puller::new(walk(&all, 0, 0), &list, patience, 0, |d| {
+        *d != list[mine].digest()
+    });
+    let hold = 800;
+    let mut waiting: Vec<(u64, Source)> = Vec::new();
+    let mut tries = Vec::new();
+    for ms in (0..6_000).step_by(50) {
+        let now = Time::from_millis(ms);
+        for ask in puller.poll(now) {
+            if *ask.source() == Source::Origin {
+                tries.push(ms);
+                puller.failed(ask.source(), now);
+            } else {
+                let until = ms + ask.hold().as_millis() as u64;
+                waiting.push((until, ask.source().clone()));
+            }
+        }
+        waiting.retain(|(until, source)| {
+            let over = *until <= ms;
+            if over {
+                puller.waited(source, now);
+            }
+            !over
+        });
+    }
+    let gaps = tries.windows(2).map(|t| t[1] - t[0]);
+    let longest = gaps.max().expect("it is tried again");
+    assert!(longest < hold / 2, "{longest} ms without a try");
+}
