Fellows tell of the last chunks instead of sending them all; no queue at engines

Now fellows say what they hold once they hold one, and one of them is asked for it. Engines: up to an eighth of the slots more than there are was sent to an engine. A request waits at the entry instead, where any replica can free it.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -388,5 +388,5 @@
 /// An engine's slots are free again after a whole generation, so hardly any
 /// may wait for one; a plain service's work is short.
 const fn queue_room(slots: u32, engine: bool) -> u32 {
-    if engine { slots.div_ceil(8) } else { slots }
+    if engine { 0 } else { slots }
 }
--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -347,6 +347,7 @@
     }
     let question = Question {
         want,
+        tell: question.tell(),
         hold_ms: question.hold().as_millis() as u64,
         model: Arc::clone(&manifest.model),
         version: manifest.version,
--- a/crates/loader/src/peers.rs
+++ b/crates/loader/src/peers.rs
@@ -33,6 +33,9 @@
     pub want: Vec<u32>,
     /// How long to wait for one, in milliseconds.
     pub hold_ms: u64,
+    /// Whether it is only to be told what is held, once one is.
+    #[serde(default)]
+    pub tell: bool,
 }
 
 /// What a peer answered.
--- a/crates/loader/src/serve.rs
+++ b/crates/loader/src/serve.rs
@@ -119,8 +119,15 @@
         let until = Instant::now() + hold;
         let found = loop {
             let arrived = self.agent.holdings.arrived();
-            if let Some(found) = self.first(&question).await {
-                break Some(found);
+            if question.tell && self.holds_any(&question) {
+                break None;
+            }
+            let found = match question.tell {
+                true => None,
+                false => self.first(&question).await,
+            };
+            if found.is_some() {
+                break found;
             }
             if tokio::time::timeout_at(until, arrived).await.is_err() {
                 break None;
@@ -150,6 +157,17 @@
         Ok(response)
     }
 
+    /// Returns whether any wanted chunk is held.
+    fn holds_any(&self, question: &Question) -> bool {
+        let holdings = &self.agent.holdings;
+        let known = holdings.manifest(&question.model, question.version);
+        let Some(manifest) = known else { return false };
+        let digests = question.want.iter();
+        let mut digests =
+            digests.filter_map(|place| manifest.digests.get(*place as usize));
+        digests.any(|digest| holdings.holds(digest))
+    }
+
     /// Returns the first wanted chunk that is held and still good.
     async fn first(&self, question: &Question) -> Option<(u32, Bytes)> {
         let agent = &self.agent;
--- a/src/weights/chunk_request.rs
+++ b/src/weights/chunk_request.rs
@@ -12,6 +12,7 @@
     pub(super) want: Vec<Digest>,
     pub(super) hold: Duration,
     pub(super) hello: bool,
+    pub(super) tell: bool,
 }
 
 impl ChunkRequest {
@@ -31,6 +32,12 @@
         self.hello
     }
 
+    /// Returns whether the source is only to say what it holds, once it holds
+    /// any of what is wanted.
+    pub fn tell(&self) -> bool {
+        self.tell
+    }
+
     /// Returns how long the source may wait before it says "not yet".
     pub fn hold(&self) -> Duration {
         self.hold
--- a/src/weights/puller.rs
+++ b/src/weights/puller.rs
@@ -34,6 +34,17 @@
 struct Asked {
     want: Vec<usize>,
     since: Time,
+    /// Whether it brings no chunk.
+    tell: bool,
+}
+
+/// A question to be sent because chunks are late.
+#[derive(Clone, Debug)]
+struct LateAsk {
+    source: Source,
+    want: Vec<usize>,
+    /// Whether the source is only to say what it holds.
+    tell: bool,
 }
 
 /// The state of drawing one set of chunks.
@@ -164,8 +175,14 @@
         for (source, want) in self.leftovers(now) {
             asks.push(self.ask(source, want, Duration::ZERO, now));
         }
-        for (source, want) in self.stalled(now) {
-            asks.push(self.ask(source, want, self.patience.hold, now));
+        for late in self.stalled(now) {
+            let hold = self.patience.hold;
+            let mut ask = self.ask(late.source, late.want, hold, now);
+            ask.tell = late.tell;
+            if let Some(asked) = self.asked.get_mut(&ask.source) {
+                asked.tell = late.tell;
+            }
+            asks.push(ask);
         }
         asks
     }
@@ -173,8 +190,9 @@
     /// Returns what to ask of the sources in charge.
     fn plan(&self, now: Time) -> BTreeMap<Source, Vec<usize>> {
         let mut plan: BTreeMap<Source, Vec<usize>> = BTreeMap::new();
+        let coming = self.asked.values().filter(|a| !a.tell);
         let out: HashSet<usize> =
-            self.asked.values().flat_map(|a| &a.want).copied().collect();
+            coming.flat_map(|a| &a.want).copied().collect();
         let count = self.chunks.len();
         for step in 0..count {
             let i = (self.turn + step) % count;
@@ -211,7 +229,7 @@
     fn leftovers(&self, now: Time) -> Vec<(Source, Vec<usize>)> {
         let mut fresh: HashSet<usize> = HashSet::new();
         for asked in self.asked.values() {
-            if now.since(asked.since) < Puller::OVERDUE {
+            if !asked.tell && now.since(asked.since) < Puller::OVERDUE {
                 fresh.extend(&asked.want);
             }
         }
@@ -269,8 +287,9 @@
         standing.asked |= !hello;
         standing.hello = hello;
         let digests = want.iter().map(|i| self.chunks[*i].digest()).collect();
-        self.asked.insert(source.clone(), Asked { want, since: now });
-        ChunkRequest { source, want: digests, hold, hello }
+        let asked = Asked { want, since: now, tell: false };
+        self.asked.insert(source.clone(), asked);
+        ChunkRequest { source, want: digests, hold, hello, tell: false }
     }
 
     fn source(&self, i: usize, now: Time) -> Source {
--- a/src/weights/puller/stall.rs
+++ b/src/weights/puller/stall.rs
@@ -3,14 +3,14 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::Puller;
+use super::{LateAsk, Puller};
 use crate::Time;
 use crate::weights::{Source, Takeover};
 
 impl Puller {
     /// Returns what to ask when no chunk comes: whoever is in charge is slow,
     /// gone, or cut off itself.
-    pub(super) fn stalled(&mut self, now: Time) -> Vec<(Source, Vec<usize>)> {
+    pub(super) fn stalled(&mut self, now: Time) -> Vec<LateAsk> {
         let held = self.held.iter().filter(|h| **h).count();
         if self.gained.0 != held {
             self.gained = (held, now);
@@ -30,7 +30,11 @@
     }
 
     /// Returns what to ask when only a few chunks are missing: all fellows
-    /// are asked, and the origin by one agent after the other.
+    /// are to say once they hold one, and the origin is asked by one agent
+    /// after the other.
+    ///
+    /// If the fellows sent the chunk itself, each agent would get it as often
+    /// as it has fellows, over links that have just brought the rest.
     ///
     /// `stalled` is how long no chunk has come, `lasting` how long only the
     /// last ones have been missing: they may also come one by one.
@@ -39,26 +43,38 @@
         stalled: Duration,
         lasting: Duration,
         now: Time,
-    ) -> Vec<(Source, Vec<usize>)> {
+    ) -> Vec<LateAsk> {
         let lasting = lasting.saturating_sub(Puller::LAST_USUAL);
         let stalled = stalled.max(lasting);
         if stalled < Puller::LAST.after {
             return Vec::new();
         }
-        let want: Vec<usize> =
-            self.missing().take(Puller::MOST_WANT).collect();
         let mut asks = Vec::new();
         for source in self.walk.fellows() {
             let busy = self.asked.contains_key(&source);
-            if !busy && !self.suspect(&source, now) {
-                asks.push((source, want.clone()));
+            if busy || self.suspect(&source, now) {
+                continue;
+            }
+            let want = self.not_known_at(&source);
+            if !want.is_empty() {
+                asks.push(LateAsk { source, want, tell: true });
             }
         }
-        asks.extend(self.late_drawers(stalled, now));
+        for (source, want) in self.late_drawers(stalled, now) {
+            asks.push(LateAsk { source, want, tell: false });
+        }
         asks.extend(self.take_over(Puller::LAST, stalled, now));
         asks
     }
 
+    /// Returns missing chunks that a source has not said to hold.
+    fn not_known_at(&self, source: &Source) -> Vec<usize> {
+        let holds = self.standing.get(source).map(|s| &s.holds);
+        let known = |i: &usize| holds.is_some_and(|h| h.contains(i));
+        let unknown = self.missing().filter(|i| !known(i));
+        unknown.take(Puller::MOST_WANT).collect()
+    }
+
     /// Returns the questions for chunks that another hall draws: those who
     /// are next in rank there may have drawn what the first is late with.
     ///
@@ -99,7 +115,7 @@
         takeover: Takeover,
         stalled: Duration,
         now: Time,
-    ) -> Option<(Source, Vec<usize>)> {
+    ) -> Option<LateAsk> {
         if !self.is_origin_free(now) {
             return None;
         }
@@ -107,7 +123,8 @@
         let place = self.walk.place(next) as u32;
         let (takeover, stalled) = self.after_failure(takeover, stalled, now);
         let due = stalled >= takeover.after + takeover.step * place;
-        due.then(|| (Source::Origin, vec![next]))
+        let source = Source::Origin;
+        due.then(|| LateAsk { source, want: vec![next], tell: false })
     }
 
     /// Returns when to take over, and how long no chunk has come as far as
--- a/src/weights/question_queue_tests.rs
+++ b/src/weights/question_queue_tests.rs
@@ -11,6 +11,7 @@
         want: Vec::new(),
         hold: Duration::from_millis(hold_ms),
         hello: false,
+        tell: false,
     }
 }
 
--- a/src/weights/takeover_tests.rs
+++ b/src/weights/takeover_tests.rs
@@ -386,3 +386,44 @@
     let longest = gaps.max().expect("it is tried again");
     assert!(longest < hold / 2, "{longest} ms without a try");
 }
+
+#[test]
+fn a_last_chunk_comes_once_though_all_fellows_are_asked() {
+    let all = halls(1, 12);
+    let list = chunks(96);
+    let mut puller = Puller::new(
+        walk(&all, 0, 3),
+        &list,
+        Patience::new().with_waiting(Duration::from_secs(3_600)),
+        0,
+        |d| *d != list[40].digest(),
+    );
+    // For 2 s nobody has it; then all fellows do, in the same moment.
+    let mut waiting: Vec<(bool, Source)> = Vec::new();
+    let mut sent = 0;
+    for ms in (0..3_000).step_by(50) {
+        let now = Time::from_millis(ms);
+        for ask in puller.poll(now) {
+            match ask.source() {
+                Source::Origin => puller.failed(ask.source(), now),
+                _ if ask.hello() => puller.waited(ask.source(), now),
+                peer => waiting.push((ask.tell(), peer.clone())),
+            }
+        }
+        if ms < 2_000 {
+            continue;
+        }
+        for (tell, source) in waiting.drain(..) {
+            let held = (0..list.len()).map(|i| i == 40);
+            puller.learn(&source, held);
+            if tell {
+                puller.waited(&source, now);
+            } else {
+                sent += 1;
+                puller.got(&source, &list[40].digest());
+            }
+        }
+    }
+    assert!(puller.done());
+    assert!((1..=2).contains(&sent), "it was sent {sent} times");
+}
