--- a/src/weights/puller.rs
+++ b/src/weights/puller.rs
@@ -63,6 +63,8 @@
     slow: HashSet<Source>,
     /// How many chunks were here, and since when.
     gained: (usize, Time),
+    /// How many chunks came from peers, and since when.
+    passed_on: (usize, Time),
     /// Since when only the last chunks have been missing.
     last_since: Option<Time>,
     /// When the origin last failed.
@@ -135,6 +137,7 @@
             started: None,
             slow: HashSet::new(),
             gained: (0, Time::ZERO),
+            passed_on: (0, Time::ZERO),
             last_since: None,
             origin_failed: None,
         }
--- a/src/weights/puller/stall.rs
+++ b/src/weights/puller/stall.rs
@@ -15,6 +15,13 @@
         if self.gained.0 != held {
             self.gained = (held, now);
         }
+        let near_or_far = self.standing.iter().filter(|(source, _)| {
+            matches!(source, Source::Near(_) | Source::Far(_))
+        });
+        let passed_on = near_or_far.map(|(_, standing)| standing.got).sum();
+        if self.passed_on.0 != passed_on {
+            self.passed_on = (passed_on, now);
+        }
         let missing = self.held.len() - held;
         let few = (self.held.len() / Puller::LAST_PART).max(1);
         let started = self.started.unwrap_or(now);
@@ -143,7 +150,10 @@
             return (takeover, stalled);
         };
         let since = now.since(failed);
-        let recent = since < Puller::ORIGIN_RECENT;
+        // Once peers pass chunks on again it is back, and whoever is in
+        // charge of what is missing even so may be gone.
+        let back = self.passed_on.1 > failed;
+        let recent = since < Puller::ORIGIN_RECENT && !back;
         let patient = self.patience.takeover.filter(|_| recent);
         (patient.unwrap_or(takeover), stalled.min(since))
     }
--- a/src/weights/takeover_tests.rs
+++ b/src/weights/takeover_tests.rs
@@ -427,3 +427,47 @@
     assert!(puller.done());
     assert!((1..=2).contains(&sent), "it was sent {sent} times");
 }
+
+#[test]
+fn what_a_drawer_that_is_gone_leaves_is_soon_taken_over_after_an_outage() {
+    let all = halls(1, 6);
+    let list = chunks(96);
+    let takeover = Takeover {
+        after: Duration::from_millis(1_500),
+        step: Duration::from_millis(250),
+    };
+    let patience = Patience::new()
+        .with_waiting(Duration::from_secs(3_600))
+        .with_suspect(Duration::from_secs(2))
+        .with_takeover(takeover);
+    // One chunk's drawer is gone, and this agent is the next in rank; one
+    // other chunk comes at the origin's return.
+    let ranks = walk(&all, 0, 0);
+    let place = |place: usize| {
+        let mut chunks = 0..list.len();
+        chunks.find(|i| ranks.place(*i) == place).unwrap()
+    };
+    let (left, other) = (place(1), place(3));
+    let missing = [list[left].digest(), list[other].digest()];
+    let held = |d: &Digest| !missing.contains(d);
+    let mut puller = Puller::new(walk(&all, 0, 0), &list, patience, 0, held);
+    let mut drawn = None;
+    for ms in (0..10_000).step_by(50) {
+        let now = Time::from_millis(ms);
+        for ask in puller.poll(now) {
+            if *ask.source() != Source::Origin {
+                puller.waited(ask.source(), now);
+            } else if ms < 6_000 {
+                puller.failed(ask.source(), now);
+            } else if ask.want()[0] == missing[0] {
+                drawn.get_or_insert(ms);
+            }
+        }
+        if ms == 6_200 {
+            let fellow = ranks.fellows().next().unwrap();
+            puller.got(&fellow, &missing[1]);
+        }
+    }
+    let drawn = drawn.expect("it is taken over");
+    assert!(drawn <= 7_200, "only at {drawn} ms");
+}
