Turns begin when the chunks are here

Without the early pause, the turns that were due by the time the chunks came were taken by all their replicas at once. Each agent now spreads the turns from when its own fetch ended to the bound.

--- a/crates/loader/src/drive.rs
+++ b/crates/loader/src/drive.rs
@@ -185,6 +185,7 @@
         agent.holdings.forget(&wanted.model, wanted.version);
         return Err(error);
     }
+    let turn = Turn::new(agent, &manifest);
     turn.wait(agent).await;
     load(agent, &manifest, turn.number()).await?;
     let settled = Arc::clone(agent);
--- a/crates/loader/src/turn.rs
+++ b/crates/loader/src/turn.rs
@@ -27,18 +27,16 @@
 }
 
 impl Turn {
-    /// Works out the turn of this replica for a version.
+    /// Works out the turn of this replica for a version, as of now.
     pub(crate) fn new(agent: &Agent, manifest: &VersionManifest) -> Turn {
         let view = agent.facts.view();
         let serves =
             agent.state.borrow().as_ref().is_some_and(|s| s.model.is_some());
         let held = agent.state.borrow().as_ref().and_then(|s| s.version);
-        let named = view.targets.since(&manifest.model);
         let outdated = held.and_then(|version| {
             view.targets.outdated_since(&manifest.model, version)
         });
-        let (true, Some(named), Some(outdated)) = (serves, named, outdated)
-        else {
+        let (true, Some(outdated)) = (serves, outdated) else {
             return Turn { number: 0, pauses_at: None, ends_at: None };
         };
         let service = &agent.settings.service;
@@ -51,11 +49,11 @@
         let subject = format!("{}@{}", manifest.model, manifest.version);
         let me = agent.settings.engine.to_string();
         let rollout = Rollout::new(subject.as_bytes(), &members, &me);
-        // No replica has all chunks sooner.
-        let ready = transfer(agent, manifest);
+        // Once the chunks are here the turns are spread over what time is
+        // left, however late they came.
+        let first = agent.facts.now();
         let bound = agent.live.get().version_bound().saturating_sub(MARGIN);
-        let pauses_at =
-            rollout.pauses_at(named.after(ready), outdated.after(bound));
+        let pauses_at = rollout.pauses_at(first, outdated.after(bound));
         let end = agent.live.get().version_bound().saturating_sub(TAKE_OUT);
         Turn {
             number: rollout.turn(),
@@ -86,11 +84,3 @@
         agent.set_paused(true);
     }
 }
-
-/// Returns how long the chunks of a version take over this instance's link.
-fn transfer(agent: &Agent, manifest: &VersionManifest) -> Duration {
-    let bytes =
-        manifest.digests.len() as u64 * u64::from(manifest.chunk_bytes);
-    let rate = agent.live.get().chunk_rate().max(1);
-    Duration::from_millis(bytes * 1000 / rate)
-}
