--- a/crates/loader/src/drive.rs
+++ b/crates/loader/src/drive.rs
@@ -178,15 +178,17 @@
     take_staged(agent, &manifest).await;
     let turn = Turn::new(agent, &manifest);
     let fetched = tokio::select! {
-        fetched = fetch(agent, &manifest) => fetched,
+        fetched = fetch(agent, &manifest, &turn) => fetched,
         never = take_out_in_time(agent, &manifest, &turn) => match never {},
     };
     if let Err(error) = fetched {
         agent.holdings.forget(&wanted.model, wanted.version);
         return Err(error);
     }
-    let turn = Turn::new(agent, &manifest);
-    turn.wait(agent).await;
+    // One that has paused already has finished its work meanwhile.
+    if !agent.is_paused() {
+        Turn::new(agent, &manifest).wait(agent).await;
+    }
     load(agent, &manifest, turn.number()).await?;
     let settled = Arc::clone(agent);
     tokio::spawn(async move {
--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -20,6 +20,7 @@
 use crate::holdings::Held;
 use crate::manifest::VersionManifest;
 use crate::peers::{PeerAnswer, Question, ask};
+use crate::turn::Turn;
 
 /// How long to wait before looking again when nobody can be asked.
 const PAUSE: Duration = Duration::from_millis(50);
@@ -157,6 +158,7 @@
 pub(crate) async fn fetch(
     agent: &Arc<Agent>,
     manifest: &Arc<VersionManifest>,
+    turn: &Turn,
 ) -> Result<Drawn, Error> {
     let started = Instant::now();
     let held =
@@ -177,7 +179,9 @@
     let mut listed_next = started + RELIST;
     let mut relist = Relist::default();
     while !puller.done() {
-        for question in puller.poll(agent.facts.now()) {
+        let now = agent.facts.now();
+        turn.consider(agent, puller.is_ending(now));
+        for question in puller.poll(now) {
             ready.push(question);
         }
         let most = agent.link_share().questions(known.len().max(1) + 1);
--- a/crates/loader/src/turn.rs
+++ b/crates/loader/src/turn.rs
@@ -36,7 +36,9 @@
         let outdated = held.and_then(|version| {
             view.targets.outdated_since(&manifest.model, version)
         });
-        let (true, Some(outdated)) = (serves, outdated) else {
+        let named = view.targets.since(&manifest.model);
+        let (true, Some(named), Some(outdated)) = (serves, named, outdated)
+        else {
             return Turn { number: 0, pauses_at: None, ends_at: None };
         };
         let service = &agent.settings.service;
@@ -49,9 +51,10 @@
         let subject = format!("{}@{}", manifest.model, manifest.version);
         let me = agent.settings.engine.to_string();
         let rollout = Rollout::new(subject.as_bytes(), &members, &me);
-        // Once the chunks are here the turns are spread over what time is
-        // left, however late they came.
-        let first = agent.facts.now();
+        // The first ones finish their work while the last chunks come. Once
+        // these are here, the turns are spread over what time is left.
+        let soonest = named.after(transfer(agent, manifest));
+        let first = soonest.max(agent.facts.now());
         let bound = agent.live.get().version_bound().saturating_sub(MARGIN);
         let pauses_at = rollout.pauses_at(first, outdated.after(bound));
         let end = agent.live.get().version_bound().saturating_sub(TAKE_OUT);
@@ -67,6 +70,14 @@
         self.number
     }
 
+    /// Pauses the replica once its turn has come and its fetch is about to
+    /// end: it finishes what it runs while the last chunks come.
+    pub(crate) fn consider(&self, agent: &Agent, ending: bool) {
+        let Some(pauses_at) = self.pauses_at else { return };
+        let due = agent.facts.now() >= pauses_at;
+        agent.set_paused(due && ending);
+    }
+
     /// Waits until the version that the replica holds may begin nothing more.
     pub(crate) async fn wait_for_end(&self, agent: &Agent) {
         let Some(ends_at) = self.ends_at else {
@@ -84,3 +95,11 @@
         agent.set_paused(true);
     }
 }
+
+/// Returns how long the chunks of a version take over this instance's link.
+fn transfer(agent: &Agent, manifest: &VersionManifest) -> Duration {
+    let bytes =
+        manifest.digests.len() as u64 * u64::from(manifest.chunk_bytes);
+    let rate = agent.live.get().chunk_rate().max(1);
+    Duration::from_millis(bytes * 1000 / rate)
+}
