--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,6 +1,7 @@
 //! One request, from its head to the head of its answer.
 
 mod log;
+mod refuse;
 mod send;
 
 use std::collections::HashMap;
@@ -19,12 +20,12 @@
 use stairhinge::direct::{
     AttemptResult, NextStep, Repeat, RetryShare, Shortage, next_step,
 };
-use stairhinge::{Code, Error, Ran};
-use stairhinge_shell::decisions::Decision;
+use stairhinge::{Code, Error};
 use stairhinge_shell::directory::Facts;
 use stairhinge_shell::http::{Body, Failed, Handler, full, read};
 use stairhinge_shell::{LiveSettings, Shutdown};
 
+use self::refuse::{lost, refused};
 use crate::admit::{find_route, find_workspace};
 use crate::cancel_watch::CancelWatch;
 use crate::dialect::{CallerRequest, Dialect};
@@ -142,29 +143,6 @@
         response
     }
 
-    fn refusal(
-        &self,
-        id: &str,
-        failed: &Failed,
-        started: Instant,
-    ) -> Response<Body> {
-        let mut response = failed.response();
-        if let Some(span) = failed.back() {
-            self.dialect.come_back(response.headers_mut(), span);
-        }
-        let status = response.status().as_u16();
-        let code = failed.error().code().number();
-        self.metrics.ended(status, code);
-        self.facts.log().write(&Decision::Ended {
-            request: id,
-            status,
-            code,
-            reason: failed.error().message(),
-            took_ms: started.elapsed().as_millis() as u64,
-        });
-        response
-    }
-
     async fn answer(
         self: Arc<Self>,
         head: Parts,
@@ -375,13 +353,6 @@
     }
 }
 
-/// Returns the refusal of a request that has not run, with when its caller
-/// may come back.
-fn refused(error: Error, shortage: Shortage) -> Failed {
-    let span = shortage.come_back(rand::rng().random());
-    Failed::new(error).with_back(span)
-}
-
 fn need(context: &RequestContext) -> Need {
     Need {
         service: Arc::clone(&context.service),
@@ -392,12 +363,3 @@
         prompt_tokens: context.caller.prompt_tokens,
     }
 }
-
-fn lost(context: &RequestContext, missed: &Missed) -> Failed {
-    let code = if context.left().is_zero() {
-        Code::TimedOut
-    } else {
-        Code::LostBackend
-    };
-    Failed::new(Error::new(code, &missed.reason)).with_ran(Ran::MayHaveRun)
-}
--- /dev/null
+++ b/crates/gateway/src/forward/refuse.rs
@@ -0,0 +1,56 @@
+//! The system's own answers to requests that it gives up on.
+
+use std::time::Instant;
+
+use hyper::Response;
+use rand::RngExt as _;
+use stairhinge::direct::Shortage;
+use stairhinge::{Code, Error, Ran};
+use stairhinge_shell::decisions::Decision;
+use stairhinge_shell::http::{Body, Failed};
+
+use super::{Forwarder, Missed};
+use crate::request_context::RequestContext;
+
+impl Forwarder {
+    /// Answers with a failure, and logs it.
+    pub(super) fn refusal(
+        &self,
+        id: &str,
+        failed: &Failed,
+        started: Instant,
+    ) -> Response<Body> {
+        let mut response = failed.response();
+        if let Some(span) = failed.back() {
+            self.dialect.come_back(response.headers_mut(), span);
+        }
+        let status = response.status().as_u16();
+        let code = failed.error().code().number();
+        self.metrics.ended(status, code);
+        self.facts.log().write(&Decision::Ended {
+            request: id,
+            status,
+            code,
+            reason: failed.error().message(),
+            took_ms: started.elapsed().as_millis() as u64,
+        });
+        response
+    }
+}
+
+/// Returns the refusal of a request that has not run, with when its caller
+/// may come back.
+pub(super) fn refused(error: Error, shortage: Shortage) -> Failed {
+    let span = shortage.come_back(rand::rng().random());
+    Failed::new(error).with_back(span)
+}
+
+/// Returns the failure of a request that may have run.
+pub(super) fn lost(context: &RequestContext, missed: &Missed) -> Failed {
+    let code = if context.left().is_zero() {
+        Code::TimedOut
+    } else {
+        Code::LostBackend
+    };
+    Failed::new(Error::new(code, &missed.reason)).with_ran(Ran::MayHaveRun)
+}
--- a/crates/loader/src/drive.rs
+++ b/crates/loader/src/drive.rs
@@ -10,10 +10,11 @@
 
 use crate::agent::Agent;
 use crate::engine::{EngineState, LoadOrder, LoadOutcome};
-use crate::fetch::{Relist, fetch, list_peers, log_failure, peers};
+use crate::fetch::{fetch, log_failure};
 use crate::find_manifest::find_manifest;
 use crate::holdings::Held;
 use crate::manifest::VersionManifest;
+use crate::peer_list::{Relist, list_peers, peers};
 use crate::peers::first_report;
 use crate::turn::Turn;
 
--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -13,12 +13,11 @@
 };
 use stairhinge::{Code, Digest, Error, rank};
 use stairhinge_shell::decisions::Decision;
-use stairhinge_shell::directory::{Collection, Freshness, Record};
-use tokio::task::JoinHandle;
 
 use crate::agent::Agent;
 use crate::holdings::Held;
 use crate::manifest::VersionManifest;
+use crate::peer_list::{Relist, origin_addr, peers};
 use crate::peers::{PeerAnswer, Question, ask};
 use crate::turn::Turn;
 
@@ -76,79 +75,6 @@
     }
 }
 
-/// Returns where the origin of weights is published to be.
-///
-/// # Errors
-///
-/// [`Code::NoSource`] if nowhere.
-pub(crate) fn origin_addr(agent: &Agent) -> Result<SocketAddr, Error> {
-    let view = agent.facts.view();
-    let origin = view.routes.as_ref().and_then(|r| r.origin());
-    let none = || Error::new(Code::NoSource, "no origin is published");
-    origin.map(|o| o.addr).ok_or_else(none)
-}
-
-/// Returns the other agents of the service with their data halls.
-pub(crate) fn peers(agent: &Agent) -> Vec<(Arc<str>, SocketAddr)> {
-    let me = agent.addr();
-    let mut peers = Vec::new();
-    let view = agent.facts.view();
-    for (replica, _) in view.of_service(&agent.settings.service) {
-        let addr = SocketAddr::new(replica.addr.ip(), me.port());
-        if addr != me {
-            peers.push((Arc::clone(&replica.hall), addr));
-        }
-    }
-    peers.sort();
-    peers.dedup();
-    peers
-}
-
-/// Reads the list of replicas, cheaply: what is a little old will do.
-pub(crate) async fn list_peers(agent: &Agent) {
-    let listed =
-        agent.directory.list(Collection::Replicas, Freshness::Stale).await;
-    match listed {
-        Ok(listing) => {
-            let mut replicas = Vec::new();
-            for record in listing.records {
-                if let Ok(Record::Replica(replica)) = record {
-                    replicas.push(replica);
-                }
-            }
-            agent.facts.replace_replicas(replicas, true);
-        }
-        Err(error) => log_failure(agent, "replica list", &error),
-    }
-}
-
-/// Reads the list of replicas beside a fetch, which goes on meanwhile: a
-/// platform that is silent must not hold up the chunks.
-#[derive(Default)]
-pub(crate) struct Relist {
-    reading: Option<JoinHandle<()>>,
-}
-
-impl Relist {
-    /// Reads the list, unless it is being read already.
-    pub(crate) fn start(&mut self, agent: &Arc<Agent>) {
-        if self.reading.as_ref().is_some_and(|task| !task.is_finished()) {
-            return;
-        }
-        let agent = Arc::clone(agent);
-        let task = async move { list_peers(&agent).await };
-        self.reading = Some(tokio::spawn(task));
-    }
-}
-
-impl Drop for Relist {
-    fn drop(&mut self) {
-        if let Some(task) = self.reading.take() {
-            task.abort();
-        }
-    }
-}
-
 /// Draws what is missing of a version and stages it at the engine.
 ///
 /// # Errors
--- a/crates/loader/src/find_manifest.rs
+++ b/crates/loader/src/find_manifest.rs
@@ -8,8 +8,9 @@
 use stairhinge::{Code, Error, rank};
 
 use crate::agent::Agent;
-use crate::fetch::{log_failure, origin_addr, peers};
+use crate::fetch::log_failure;
 use crate::manifest::VersionManifest;
+use crate::peer_list::{origin_addr, peers};
 use crate::peers::manifest as ask_manifest;
 
 /// How long to wait before asking again.
--- a/crates/loader/src/lib.rs
+++ b/crates/loader/src/lib.rs
@@ -15,6 +15,7 @@
 mod holdings;
 mod listeners;
 mod manifest;
+mod peer_list;
 mod peers;
 mod read_routes;
 mod serve;
--- a/crates/loader/src/watch_link.rs
+++ b/crates/loader/src/watch_link.rs
@@ -9,7 +9,7 @@
 use stairhinge::Error;
 
 use crate::agent::Agent;
-use crate::fetch::peers;
+use crate::peer_list::peers;
 
 /// How often the link is probed while chunks go over it.
 const EVERY: Duration = Duration::from_millis(200);
--- a/src/weights.rs
+++ b/src/weights.rs
@@ -36,6 +36,9 @@
 #[cfg(test)]
 mod tests;
 
+#[cfg(test)]
+mod outage_tests;
+
 #[cfg(test)]
 mod puller_tests;
 
