--- a/crates/loader/src/serve.rs
+++ b/crates/loader/src/serve.rs
@@ -117,21 +117,11 @@
         }
         let hold = Duration::from_millis(question.hold_ms).min(MOST_HOLD);
         let until = Instant::now() + hold;
-        let found = loop {
-            let arrived = self.agent.holdings.arrived();
-            if question.tell && self.holds_any(&question) {
-                break None;
-            }
-            let found = match question.tell {
-                true => None,
-                false => self.first(&question).await,
-            };
-            if found.is_some() {
-                break found;
-            }
-            if tokio::time::timeout_at(until, arrived).await.is_err() {
-                break None;
-            }
+        let found = if question.tell {
+            self.until_held(&question, until).await;
+            None
+        } else {
+            self.first_until(&question, until).await
         };
         let mut response = match found {
             None => {
@@ -157,6 +147,35 @@
         Ok(response)
     }
 
+    /// Waits until any wanted chunk is held, or the time is over.
+    async fn until_held(&self, question: &Question, until: Instant) {
+        loop {
+            let arrived = self.agent.holdings.arrived();
+            if self.holds_any(question) {
+                return;
+            }
+            if tokio::time::timeout_at(until, arrived).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Returns the first wanted chunk that is held, waiting for one.
+    async fn first_until(
+        &self,
+        question: &Question,
+        until: Instant,
+    ) -> Option<(u32, Bytes)> {
+        loop {
+            let arrived = self.agent.holdings.arrived();
+            let found = self.first(question).await;
+            if found.is_some() {
+                return found;
+            }
+            tokio::time::timeout_at(until, arrived).await.ok()?;
+        }
+    }
+
     /// Returns whether any wanted chunk is held.
     fn holds_any(&self, question: &Question) -> bool {
         let holdings = &self.agent.holdings;
