Agents that start together do not keep links full with routes

Agents also read the list of replicas twice a second although it is of no use without routes. Change: an agent asks an entry of its hall once one listens, pauses twice as long after each failure, up to 6.4 s, and reads no list before it has routes. Not yet measured.

--- a/crates/loader/src/drive.rs
+++ b/crates/loader/src/drive.rs
@@ -41,6 +41,12 @@
 pub(crate) async fn drive(agent: Arc<Agent>) {
     let mut changes = agent.facts.changes();
     let mut state = agent.state.subscribe();
+    // Without routes the list of replicas is of no use yet.
+    while agent.facts.view().routes.is_none() {
+        if changes.changed().await.is_err() {
+            return;
+        }
+    }
     list_peers(&agent).await;
     tokio::spawn(learn_ages(Arc::clone(&agent)));
     let mut shared: Option<Wanted> = None;
--- a/crates/loader/src/listeners.rs
+++ b/crates/loader/src/listeners.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use stairhinge::direct::HallEntry;
+use tokio::sync::Notify;
 
 /// The entries of a hall that others are told of: those that may read the
 /// platform for them.
@@ -17,6 +18,7 @@
 pub(crate) struct Listeners {
     /// How many feeds each has open.
     feeds: Arc<Mutex<BTreeMap<HallEntry, u32>>>,
+    joined: Arc<Notify>,
 }
 
 impl Listeners {
@@ -42,11 +44,18 @@
         feeds.keys().filter(|entry| &*entry.hall == hall).cloned().collect()
     }
 
+    /// Ends when the next entry begins to listen.
+    pub(crate) async fn joined(&self) {
+        self.joined.notified().await;
+    }
+
     /// Counts a feed of an entry in until the guard is dropped.
     pub(crate) fn listen(&self, entry: HallEntry) -> Listening {
         let mut feeds =
             self.feeds.lock().unwrap_or_else(PoisonError::into_inner);
         *feeds.entry(entry.clone()).or_default() += 1;
+        drop(feeds);
+        self.joined.notify_waiters();
         Listening { entry, listeners: self.clone() }
     }
 
--- a/crates/loader/src/read_routes.rs
+++ b/crates/loader/src/read_routes.rs
@@ -22,9 +22,14 @@
 /// The least span between two readings of routes that are in doubt.
 const DOUBTED: Duration = Duration::from_secs(4);
 
-/// The pause before the routes are read again after a failure.
+/// The first pause before the routes are read again after a failure; each
+/// next one is twice as long. Where all processes start at once, what they
+/// read fills links for seconds, and reading again at once keeps them full.
 const AGAIN: Duration = Duration::from_millis(400);
 
+/// The longest pause.
+const LONGEST: Duration = Duration::from_millis(6_400);
+
 /// How long an entry may take to hand the routes over.
 const WITHIN: Duration = Duration::from_millis(2_000);
 
@@ -32,13 +37,12 @@
 /// origin cannot be reached and there are newer ones, in which it may stand
 /// elsewhere.
 pub(crate) async fn read_routes(agent: Arc<Agent>) {
-    while agent.facts.view().routes.is_none() {
-        if let Err(error) = from_platform(&agent, Freshness::Current).await {
-            log_failure(&agent, "routes", &error);
-        }
-        if agent.facts.view().routes.is_none() {
-            tokio::time::sleep(AGAIN).await;
-        }
+    let mut pause = AGAIN;
+    while let Err(error) = first(&agent).await {
+        log_failure(&agent, "routes", &error);
+        let entry = agent.listeners.joined();
+        let _ = tokio::time::timeout(pause, entry).await;
+        pause = (pause * 2).min(LONGEST);
     }
     loop {
         tokio::time::sleep(DOUBTED).await;
@@ -50,6 +54,18 @@
     }
 }
 
+/// Reads the first routes, from an entry if one listens already.
+async fn first(agent: &Agent) -> Result<(), Error> {
+    match near_entry(agent) {
+        Some(_) => from_entry(agent).await,
+        None => from_platform(agent, Freshness::Current).await,
+    }?;
+    if agent.facts.view().routes.is_some() {
+        return Ok(());
+    }
+    Err(Error::new(Code::NoRoutes, "none are published"))
+}
+
 /// Reads newer routes, if an entry has told of some.
 async fn newer(agent: &Agent) -> Result<(), Error> {
     if agent.news().revision <= agent.facts.revision() {
