--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -385,8 +385,8 @@
 
 /// Returns how many requests beyond its slots a replica may get.
 ///
-/// An engine's slots are free again after a whole generation, so hardly any
-/// may wait for one; a plain service's work is short.
+/// An engine's slot is free again after a whole generation, so no request
+/// waits for one there; a plain service's work is short.
 const fn queue_room(slots: u32, engine: bool) -> u32 {
     if engine { 0 } else { slots }
 }
--- a/src/explanation/explainer.rs
+++ b/src/explanation/explainer.rs
@@ -94,7 +94,7 @@
                 let Some(history) = self.requests.get_mut(&id) else {
                     continue;
                 };
-                if !history.is_over() {
+                if history.outcome() == Outcome::Open {
                     history.set_cut();
                 }
             }
@@ -105,11 +105,10 @@
     /// Returns what is known of a request.
     pub fn explain(&self, id: &str) -> Option<Explanation<'_>> {
         let history = self.requests.get(id)?;
-        let beliefs = self.beliefs(history);
         Some(Explanation {
             history,
-            agents: self.agents(history, &beliefs),
-            beliefs,
+            beliefs: self.beliefs(history),
+            agents: self.agents(history),
             cause: Cause::of(history),
         })
     }
@@ -161,15 +160,11 @@
     }
 
     /// Returns what agents of the replicas involved logged about that time.
-    fn agents(
-        &self,
-        history: &RequestHistory,
-        beliefs: &[&LogLine],
-    ) -> Vec<&LogLine> {
+    fn agents(&self, history: &RequestHistory) -> Vec<&LogLine> {
         let first = history.lines()[0].wall();
         let last = history.lines().last().map_or(first, LogLine::wall);
         let from = first.saturating_sub(CONTEXT_MS);
-        let addrs = self.addresses(history, beliefs);
+        let addrs = self.addresses(history);
         let mut lines: Vec<&LogLine> = Vec::new();
         for process in self.processes.values() {
             if !process.engine.is_some_and(|e| addrs.contains(&e)) {
@@ -188,18 +183,14 @@
 
     /// Returns the addresses of the replicas involved, as far as the entry
     /// has logged them.
-    fn addresses(
-        &self,
-        history: &RequestHistory,
-        beliefs: &[&LogLine],
-    ) -> Vec<SocketAddr> {
+    fn addresses(&self, history: &RequestHistory) -> Vec<SocketAddr> {
         let replicas = history.replicas();
         let process = self.processes.get(history.lines()[0].process());
         let known = process
             .into_iter()
             .flat_map(|p| p.beliefs.iter().chain(p.earlier.iter().flatten()));
         let mut addrs = Vec::new();
-        for line in known.chain(beliefs.iter().copied()) {
+        for line in known {
             let LoggedDecision::ReplicaListed { replica, addr, .. } =
                 line.decision()
             else {
--- a/src/explanation/history.rs
+++ b/src/explanation/history.rs
@@ -67,17 +67,6 @@
         self.lines.iter().filter_map(|l| l.decision().replica()).collect()
     }
 
-    /// Returns whether a final line stands there.
-    pub(super) fn is_over(&self) -> bool {
-        self.lines.iter().any(|line| {
-            matches!(
-                line.decision(),
-                LoggedDecision::Ended { .. }
-                    | LoggedDecision::Cancelled { .. }
-            )
-        })
-    }
-
     /// Returns how it ended.
     pub fn outcome(&self) -> Outcome {
         for line in self.lines.iter().rev() {
