--- /dev/null
+++ b/crates/chunks/src/cache.rs
@@ -0,0 +1,280 @@
+//! The chunks that an entry holds for the agents of its data hall.
+//!
+//! Agents stand on the narrowest links, and what one of them passes on to
+//! another goes over two of these, beside the answers of its replica. An
+//! entry has a link several times as wide: it draws what agents ask it for,
+//! once for all of them, and holds it as long as they ask.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use stairhinge::direct::HallEntry;
+use stairhinge::weights::Source;
+use stairhinge::{Code, Error};
+use stairhinge_shell::Shaper;
+use stairhinge_shell::http::{Body, answer};
+use tokio::time::Instant;
+
+use crate::answer::{ChunkServer, span, version_path};
+use crate::fetch::fetch;
+use crate::find_manifest::find_manifest;
+use crate::manifest::VersionManifest;
+use crate::owner::{ChunkOwner, Drawing, log_failure};
+use crate::peers::{ANY, STANDING, Standing};
+
+/// How long a version is drawn on though nobody asks for it: questions wait
+/// for 0.8 s here, so who still wants it asks again sooner.
+const DRAWN_FOR: Duration = Duration::from_millis(1_200);
+
+/// How long a version is held though nobody asks for it. Replicas that come
+/// together begin within a second or two of one another.
+const HELD_FOR: Duration = Duration::from_secs(12);
+
+/// How often versions that nobody asks for are looked for.
+const LOOK: Duration = Duration::from_millis(250);
+
+/// The most versions that are held at a time: the one in force, the one that
+/// comes, and one that was named in between.
+const MOST_VERSIONS: usize = 3;
+
+/// What an entry knows of others that a cache draws from.
+pub trait CacheSite: Send + Sync {
+    /// Returns the entries that hold chunks, of all data halls.
+    fn entries(&self) -> Vec<HallEntry>;
+
+    /// Returns the agents of the own hall whose engines serve a version.
+    fn holders(&self, model: &str, version: u64) -> Vec<SocketAddr>;
+}
+
+type Version = (Arc<str>, u64);
+
+/// How the draw of a version stands.
+#[derive(Clone, Copy, Debug)]
+struct Draw {
+    /// When an agent last wanted it.
+    asked: Instant,
+    /// When a chunk last came.
+    moved: Instant,
+    /// Whether the origin failed when it was last asked.
+    origin_lost: bool,
+}
+
+/// Holds versions for the agents of a data hall.
+pub struct ChunkCache {
+    drawing: Drawing,
+    site: Arc<dyn CacheSite>,
+    server: ChunkServer,
+    /// The versions drawn or held.
+    draws: Mutex<HashMap<Version, Draw>>,
+}
+
+impl ChunkCache {
+    /// Returns an empty cache that sends over a shaped link.
+    pub fn new(
+        drawing: Drawing,
+        site: Arc<dyn CacheSite>,
+        uplink: Shaper,
+    ) -> Arc<ChunkCache> {
+        let holdings = Arc::clone(&drawing.holdings);
+        Arc::new(ChunkCache {
+            server: ChunkServer::new(holdings, None, uplink),
+            drawing,
+            site,
+            draws: Mutex::default(),
+        })
+    }
+
+    /// Answers a question for chunks or a manifest, or `None` if a request
+    /// is neither.
+    ///
+    /// # Errors
+    ///
+    /// [`stairhinge::Code::NoSource`] if a manifest does not come in time.
+    pub async fn answer(
+        self: &Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Option<Result<Response<Body>, Error>> {
+        let path = request.uri().path().to_string();
+        if path == ANY && request.method() == Method::POST {
+            return Some(self.any(request).await);
+        }
+        let query = request.uri().query().unwrap_or_default();
+        if let Some((model, version)) = version_path(&path, STANDING) {
+            self.want(model, version, Duration::ZERO);
+            return Some(self.standing(model, version));
+        }
+        let (model, version) = ChunkServer::manifest_path(&path)?;
+        self.want(model, version, span(query, "idle_ms"));
+        Some(self.server.manifest(model, version, query).await)
+    }
+
+    fn standing(
+        &self,
+        model: &str,
+        version: u64,
+    ) -> Result<Response<Body>, Error> {
+        let holdings = &self.drawing.holdings;
+        let mut standing = Standing::default();
+        if let Some(manifest) = holdings.manifest(model, version) {
+            standing.held = holdings.count(&manifest);
+            standing.chunks = manifest.digests.len();
+        }
+        if let Some(draw) = self.lock().get(&(Arc::from(model), version)) {
+            standing.quiet_ms = draw.moved.elapsed().as_millis() as u64;
+            standing.origin_lost = draw.origin_lost;
+        }
+        let json = serde_json::to_string(&standing)
+            .map_err(|e| Error::new(Code::Internal, e))?;
+        Ok(answer(StatusCode::OK, json))
+    }
+
+    async fn any(
+        self: &Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<Body>, Error> {
+        let question = ChunkServer::question(request).await?;
+        let idle = Duration::from_millis(question.idle_ms);
+        self.want(&question.model, question.version, idle);
+        self.server.any(&question).await
+    }
+
+    /// Takes note that an agent wanted a version `idle` ago, and begins to
+    /// draw it if that was just now.
+    fn want(self: &Arc<Self>, model: &str, version: u64, idle: Duration) {
+        let Some(at) = Instant::now().checked_sub(idle) else { return };
+        let key: Version = (Arc::from(model), version);
+        let mut draws = self.lock();
+        if let Some(draw) = draws.get_mut(&key) {
+            draw.asked = draw.asked.max(at);
+            return;
+        }
+        if idle > DRAWN_FOR {
+            return;
+        }
+        let draw =
+            Draw { asked: at, moved: Instant::now(), origin_lost: false };
+        draws.insert(key.clone(), draw);
+        while draws.len() > MOST_VERSIONS {
+            let oldest = draws.iter().min_by_key(|(_, draw)| draw.asked);
+            let Some((oldest, _)) = oldest else { break };
+            let oldest = oldest.clone();
+            draws.remove(&oldest);
+            self.drawing.holdings.drop_version(&oldest.0, oldest.1);
+        }
+        drop(draws);
+        tokio::spawn(Arc::clone(self).hold(key));
+    }
+
+    /// Draws a version and holds it as long as it is asked for.
+    async fn hold(self: Arc<Self>, key: Version) {
+        tokio::select! {
+            () = self.draw(&key) => self.unasked(&key, HELD_FOR).await,
+            () = self.unasked(&key, DRAWN_FOR) => {}
+        }
+        self.lock().remove(&key);
+        self.drawing.holdings.drop_version(&key.0, key.1);
+    }
+
+    async fn draw(&self, key: &Version) {
+        let (model, version) = (&key.0, key.1);
+        let owner = CacheOwner { cache: self, key };
+        loop {
+            let manifest =
+                find_manifest(&self.drawing, &owner, model, version).await;
+            let drawn = fetch(&self.drawing, &owner, &manifest).await;
+            let Err(error) = drawn else { return };
+            log_failure(&self.drawing.facts, "cache", &error);
+            self.drawing.holdings.drop_version(model, version);
+        }
+    }
+
+    /// Ends once a version has not been asked for during a span.
+    async fn unasked(&self, key: &Version, span: Duration) {
+        loop {
+            tokio::time::sleep(LOOK).await;
+            let at = self.lock().get(key).map(|draw| draw.asked);
+            if at.is_none_or(|at| at.elapsed() > span) {
+                return;
+            }
+        }
+    }
+
+    fn note(&self, key: &Version, note: impl FnOnce(&mut Draw)) {
+        if let Some(draw) = self.lock().get_mut(key) {
+            note(draw);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<Version, Draw>> {
+        self.draws.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A cache as one that draws chunks.
+struct CacheOwner<'a> {
+    cache: &'a ChunkCache,
+    key: &'a Version,
+}
+
+impl ChunkOwner for CacheOwner<'_> {
+    fn peers(&self) -> Vec<(Arc<str>, SocketAddr)> {
+        let me = self.cache.drawing.addr;
+        let mut peers = Vec::new();
+        for entry in self.cache.site.entries() {
+            if entry.addr != me {
+                peers.push((entry.hall, entry.addr));
+            }
+        }
+        peers.sort();
+        peers
+    }
+
+    fn caches(&self) -> Vec<SocketAddr> {
+        Vec::new()
+    }
+
+    fn holders(&self, manifest: &VersionManifest) -> Vec<SocketAddr> {
+        self.cache.site.holders(&manifest.model, manifest.version)
+    }
+
+    // Few entries draw at a time, so each chunk has its share of the
+    // origin's link at once.
+    fn origin_pace(&self, _: u32) -> Duration {
+        Duration::ZERO
+    }
+
+    fn questions(&self, most: usize, _: usize) -> usize {
+        most
+    }
+
+    fn moved(&self, source: &Source) {
+        self.cache.note(self.key, |draw| {
+            draw.moved = Instant::now();
+            draw.origin_lost &= *source != Source::Origin;
+        });
+    }
+
+    fn origin_failed(&self) {
+        self.cache.note(self.key, |draw| draw.origin_lost = true);
+    }
+
+    fn idle(&self) -> Duration {
+        let at = self.cache.lock().get(self.key).map(|draw| draw.asked);
+        at.map_or(HELD_FOR, |at| at.elapsed())
+    }
+
+    fn kept<'a>(
+        &'a self,
+        _: &'a VersionManifest,
+        _: u32,
+        _: Bytes,
+    ) -> BoxFuture<'a, ()> {
+        Box::pin(std::future::ready(()))
+    }
+}
--- /dev/null
+++ b/crates/chunks/src/holdings.rs
@@ -0,0 +1,164 @@
+//! The chunks that a process can pass on.
+//!
+//! Each chunk was verified when it came. Its bytes stay in memory while
+//! peers may still want them; afterwards they are read back from the engine
+//! and verified again, since what lies there may turn bad.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bytes::Bytes;
+use stairhinge::Digest;
+use tokio::sync::Notify;
+
+use crate::manifest::VersionManifest;
+
+/// Where a chunk's bytes are.
+#[derive(Clone, Debug)]
+pub enum Held {
+    /// In memory.
+    Bytes(Bytes),
+    /// Staged at the engine, as this chunk of this model.
+    Staged(Arc<str>, u32),
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    manifests: Vec<Arc<VersionManifest>>,
+    held: HashMap<Digest, Held>,
+}
+
+/// The chunks held; shared by fetching and serving.
+#[derive(Debug, Default)]
+pub struct Holdings {
+    inner: Mutex<Inner>,
+    arrived: Notify,
+}
+
+impl Holdings {
+    /// The most manifests that are remembered.
+    const MOST_MANIFESTS: usize = 3;
+
+    /// Remembers a manifest.
+    pub fn remember(&self, manifest: &Arc<VersionManifest>) {
+        let mut inner = self.lock();
+        inner.manifests.retain(|m| {
+            m.version != manifest.version || m.model != manifest.model
+        });
+        if inner.manifests.len() >= Holdings::MOST_MANIFESTS {
+            let oldest = inner.manifests.remove(0);
+            for digest in &oldest.digests {
+                inner.held.remove(digest);
+            }
+        }
+        inner.manifests.push(Arc::clone(manifest));
+        drop(inner);
+        self.arrived.notify_waiters();
+    }
+
+    /// Returns the manifest of a version, if it is remembered.
+    pub fn manifest(
+        &self,
+        model: &str,
+        version: u64,
+    ) -> Option<Arc<VersionManifest>> {
+        let inner = self.lock();
+        let found = inner
+            .manifests
+            .iter()
+            .find(|m| &*m.model == model && m.version == version);
+        found.map(Arc::clone)
+    }
+
+    /// Forgets the manifest of a version.
+    pub fn forget(&self, model: &str, version: u64) {
+        self.lock()
+            .manifests
+            .retain(|m| &*m.model != model || m.version != version);
+    }
+
+    /// Drops the manifest of a version, with the chunks that no other
+    /// version has.
+    pub fn drop_version(&self, model: &str, version: u64) {
+        let mut inner = self.lock();
+        let of_version = |m: &Arc<VersionManifest>| {
+            &*m.model == model && m.version == version
+        };
+        let Some(place) = inner.manifests.iter().position(of_version) else {
+            return;
+        };
+        let dropped = inner.manifests.remove(place);
+        for digest in &dropped.digests {
+            let shared =
+                inner.manifests.iter().any(|m| m.digests.contains(digest));
+            if !shared {
+                inner.held.remove(digest);
+            }
+        }
+    }
+
+    /// Takes in a verified chunk.
+    pub fn keep(&self, digest: Digest, held: Held) {
+        self.lock().held.insert(digest, held);
+        self.arrived.notify_waiters();
+    }
+
+    /// Drops a chunk that has turned bad.
+    pub fn drop_chunk(&self, digest: &Digest) {
+        self.lock().held.remove(digest);
+    }
+
+    /// Returns where a chunk is, if it is held.
+    pub fn get(&self, digest: &Digest) -> Option<Held> {
+        self.lock().held.get(digest).cloned()
+    }
+
+    /// Returns whether a chunk is held.
+    pub fn holds(&self, digest: &Digest) -> bool {
+        self.lock().held.contains_key(digest)
+    }
+
+    /// Returns how many chunks of a version are held.
+    pub fn count(&self, manifest: &VersionManifest) -> usize {
+        let inner = self.lock();
+        let digests = manifest.digests.iter();
+        digests.filter(|d| inner.held.contains_key(*d)).count()
+    }
+
+    /// Returns a chunk's bytes if they are in memory.
+    pub fn bytes(&self, digest: &Digest) -> Option<Bytes> {
+        match self.lock().held.get(digest) {
+            Some(Held::Bytes(bytes)) => Some(bytes.clone()),
+            _ => None,
+        }
+    }
+
+    /// Leaves the bytes of a version to the engine, where they lie staged.
+    /// Chunks of other versions stay as they are.
+    pub fn settle(&self, manifest: &VersionManifest) {
+        let mut inner = self.lock();
+        for (i, digest) in manifest.digests.iter().enumerate() {
+            let Some(held) = inner.held.get_mut(digest) else { continue };
+            let model = Arc::clone(&manifest.model);
+            *held = Held::Staged(model, i as u32);
+        }
+    }
+
+    /// Forgets all chunks that only lie at the engine.
+    pub fn forget_staged(&self) {
+        self.lock().held.retain(|_, h| matches!(h, Held::Bytes(_)));
+    }
+
+    /// Returns a future that ends when the next chunk or manifest arrives.
+    pub fn arrived(&self) -> tokio::sync::futures::Notified<'_> {
+        self.arrived.notified()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+#[cfg(test)]
+#[path = "holdings_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/chunks/src/sources.rs
@@ -0,0 +1,112 @@
+//! Whom a process may draw chunks from.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use stairhinge::rank;
+use stairhinge::weights::{Chunk, Patience, Puller, Takeover, Walk};
+
+use crate::manifest::VersionManifest;
+use crate::owner::{ChunkOwner, Drawing, Peer};
+
+/// How many draws on the origin a fetch makes before peers are asked.
+const ORIGIN_COPIES: u32 = 1;
+
+/// A peer that answers is not left because it has nothing yet: while the
+/// origin is down nobody has, and all would turn to the origin at once.
+const NEVER: Duration = Duration::from_secs(3_600);
+
+/// When a process that is not in charge of a chunk draws it from the origin.
+const TAKEOVER: Takeover = Takeover {
+    after: Duration::from_millis(1_500),
+    step: Duration::from_millis(250),
+};
+
+/// How many processes of its hall each one passes a chunk on to.
+const FANOUT: usize = 2;
+
+/// The processes that may have chunks of a version, as of now.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(crate) struct Sources {
+    peers: Vec<Peer>,
+    caches: Vec<SocketAddr>,
+    holders: Vec<SocketAddr>,
+}
+
+impl Sources {
+    /// Returns those that an owner knows.
+    pub(crate) fn of(
+        owner: &dyn ChunkOwner,
+        manifest: &VersionManifest,
+    ) -> Sources {
+        Sources {
+            peers: owner.peers(),
+            caches: owner.caches(),
+            holders: owner.holders(manifest),
+        }
+    }
+
+    /// Returns how many there are, with the origin.
+    pub(crate) fn count(&self) -> usize {
+        let others = self.peers.len() + self.caches.len() + self.holders.len();
+        others.max(1) + 1
+    }
+
+    /// Returns the ranks of all of them for a version.
+    pub(crate) fn walk(
+        &self,
+        drawing: &Drawing,
+        manifest: &VersionManifest,
+    ) -> Walk {
+        let me: Arc<str> = Arc::from(drawing.addr.to_string());
+        let mut halls: Vec<(Arc<str>, Vec<Arc<str>>)> = Vec::new();
+        for (hall, addr) in &self.peers {
+            let name = Arc::from(addr.to_string());
+            match halls.iter_mut().find(|(h, _)| h == hall) {
+                Some((_, names)) => names.push(name),
+                None => halls.push((Arc::clone(hall), vec![name])),
+            }
+        }
+        let subject = subject(manifest);
+        let hall = &drawing.hall;
+        Walk::new(subject.as_bytes(), &halls, hall, &me, ORIGIN_COPIES)
+            .with_fanout(FANOUT)
+            .with_caches(names(&self.caches))
+            .with_holders(names(&self.holders))
+    }
+
+    /// Returns a puller of what is missing of a version.
+    pub(crate) fn puller(
+        &self,
+        drawing: &Drawing,
+        owner: &dyn ChunkOwner,
+        manifest: &VersionManifest,
+    ) -> Puller {
+        let mut chunks = Vec::new();
+        for digest in &manifest.digests {
+            chunks.push(Chunk::named(*digest, manifest.chunk_bytes));
+        }
+        let me = drawing.addr.to_string();
+        let turn = rank::score(subject(manifest).as_bytes(), &me) as usize;
+        let turn = turn % chunks.len().max(1);
+        let patience = Patience::new()
+            .with_hold(Duration::from_millis(800))
+            .with_waiting(NEVER)
+            .with_suspect(Duration::from_millis(2_000))
+            .with_takeover(TAKEOVER)
+            .with_origin_pace(owner.origin_pace(manifest.chunk_bytes));
+        let walk = self.walk(drawing, manifest);
+        let holdings = &drawing.holdings;
+        Puller::new(walk, &chunks, patience, turn, |d| holdings.holds(d))
+    }
+}
+
+fn names(addrs: &[SocketAddr]) -> Vec<Arc<str>> {
+    addrs.iter().map(|addr| Arc::from(addr.to_string())).collect()
+}
+
+/// Returns what names a version in ranks.
+fn subject(manifest: &VersionManifest) -> String {
+    format!("{}@{}", manifest.model, manifest.version)
+}
--- /dev/null
+++ b/crates/gateway/src/cache_site.rs
@@ -0,0 +1,30 @@
+//! What an entry knows of others that hold chunks.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use stairhinge::direct::HallEntry;
+use stairhinge_chunks::CacheSite;
+
+use crate::dispatch::Dispatcher;
+
+/// The entries and agents that the feeds tell of.
+pub(crate) struct FeedSite {
+    pub dispatcher: Arc<Dispatcher>,
+    pub agent_port: u16,
+}
+
+impl CacheSite for FeedSite {
+    fn entries(&self) -> Vec<HallEntry> {
+        self.dispatcher.entries()
+    }
+
+    fn holders(&self, model: &str, version: u64) -> Vec<SocketAddr> {
+        let mut holders = Vec::new();
+        for addr in self.dispatcher.serving(model, version) {
+            holders.push(SocketAddr::new(addr.ip(), self.agent_port));
+        }
+        holders.sort();
+        holders
+    }
+}
--- a/crates/gateway/src/dispatch/news.rs
+++ b/crates/gateway/src/dispatch/news.rs
@@ -42,6 +42,32 @@
         entries
     }
 
+    /// Returns the replicas of the own hall that serve a version, by the
+    /// reports of their agents.
+    pub(crate) fn serving(
+        &self,
+        model: &str,
+        version: u64,
+    ) -> Vec<SocketAddr> {
+        let view = self.facts.view();
+        let state = self.lock();
+        let mut serving = Vec::new();
+        for (incarnation, known) in &state.known {
+            let Some(reported) = &known.reported else { continue };
+            let report = &reported.report;
+            let holds = report.up
+                && report.version == Some(version)
+                && report.model.as_deref() == Some(model);
+            let listed = view.replicas.get(incarnation);
+            if let Some((replica, _)) = listed.filter(|_| holds)
+                && replica.hall == self.hall
+            {
+                serving.push(replica.addr);
+            }
+        }
+        serving
+    }
+
     /// Returns the replicas whose agents should be told some news: all that
     /// do not know of a version, and `most` of the own hall that do not know
     /// of the routes.
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -1,17 +1,22 @@
 //! Running an entry.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use stairhinge::{Code, Error};
+use stairhinge_chunks::{ChunkCache, Drawing, WeightOrigin};
 use stairhinge_shell::decisions::{Decision, DecisionLog};
 use stairhinge_shell::directory::{
     Collection, Directory, Facts, Follow, HallReader, Share, Sharing, follow,
 };
 use stairhinge_shell::http::{Client, Limits, serve};
-use stairhinge_shell::{LiveSettings, SettingsWatch, Shutdown, Stopper};
+use stairhinge_shell::{
+    LiveSettings, SettingsWatch, Shaper, Shutdown, Stopper,
+};
 use tokio::net::TcpListener;
 
+use crate::cache_site::FeedSite;
 use crate::dialect::Dialect;
 use crate::dispatch::{DispatchBounds, Dispatcher};
 use crate::feed::follow_agents;
@@ -28,6 +33,10 @@
 /// The balancer notices within this that an entry is not ready.
 const BALANCER: Duration = Duration::from_millis(3_000);
 
+/// The most connections of agents and other entries: a hall of 221 agents,
+/// each with a question or two out, and the entries of the fleet.
+const PEER_CONNECTIONS: usize = 640;
+
 /// How much of the grace is left for the process to end.
 const LAST: Duration = Duration::from_millis(400);
 
@@ -41,6 +50,7 @@
     settings: EntrySettings,
     directory: Arc<dyn Directory>,
     dialect: Arc<dyn Dialect>,
+    origin: Arc<dyn WeightOrigin>,
     log: DecisionLog,
     shutdown: Shutdown,
     watch: Option<SettingsWatch>,
@@ -105,10 +115,20 @@
         shutdown.clone(),
     ));
     tokio::spawn(keep_house(Arc::clone(&forwarder)));
+    let desk = settings.peers.map(|addr| {
+        (
+            addr,
+            HandOver {
+                share: Arc::clone(&share),
+                cache: chunk_cache(&settings, addr, &dispatcher, origin),
+            },
+        )
+    });
     // Held until the end: the listeners beside the callers' stop with it.
-    let _side_stopper =
-        serve_side_listeners(&settings, ready, &share, &metrics, &shutdown)
-            .await?;
+    let _side_stopper = serve_side_listeners(
+        &settings, ready, desk, &metrics, &facts, &shutdown,
+    )
+    .await?;
     let stopping = shutdown.clone();
     let ended = serve(listener, limits(&settings), shutdown, forwarder);
     tokio::select! {
@@ -119,7 +139,7 @@
     Ok(())
 }
 
-async fn bind(addr: std::net::SocketAddr) -> Result<TcpListener, Error> {
+async fn bind(addr: SocketAddr) -> Result<TcpListener, Error> {
     TcpListener::bind(addr)
         .await
         .map_err(|e| Error::new(Code::CannotBind, format_args!("{addr}: {e}")))
@@ -165,14 +185,36 @@
     ]
 }
 
+/// Returns the cache for the agents of the hall; others ask it at `addr`.
+fn chunk_cache(
+    settings: &EntrySettings,
+    addr: SocketAddr,
+    dispatcher: &Arc<Dispatcher>,
+    origin: Arc<dyn WeightOrigin>,
+) -> Arc<ChunkCache> {
+    let drawing = Drawing {
+        facts: Arc::clone(dispatcher.facts()),
+        holdings: Arc::default(),
+        client: Client::new(),
+        origin,
+        addr,
+        hall: Arc::clone(&settings.hall),
+    };
+    let site = Arc::new(FeedSite {
+        dispatcher: Arc::clone(dispatcher),
+        agent_port: settings.agent_port,
+    });
+    ChunkCache::new(drawing, site, Shaper::new(settings.chunk_rate()))
+}
+
 async fn serve_side_listeners(
     settings: &EntrySettings,
     ready: TcpListener,
-    share: &Arc<Share>,
+    desk: Option<(SocketAddr, HandOver)>,
     metrics: &Arc<EntryMetrics>,
+    facts: &Arc<Facts>,
     shutdown: &Shutdown,
 ) -> Result<Stopper, Error> {
-    let facts = share.facts();
     // They answer until the process ends: the stop is told by the answer.
     let (stopper, end) = Shutdown::new();
     let mut limits = limits(settings);
@@ -187,10 +229,10 @@
         let handler = Arc::new(ServeMetrics(Arc::clone(metrics)));
         tokio::spawn(serve(listener, limits, end.clone(), handler));
     }
-    if let Some(addr) = settings.peers {
+    if let Some((addr, desk)) = desk {
         let listener = bind(addr).await?;
-        let handler = Arc::new(HandOver { share: Arc::clone(share) });
-        tokio::spawn(serve(listener, limits, end, handler));
+        limits.connections = PEER_CONNECTIONS;
+        tokio::spawn(serve(listener, limits, end, Arc::new(desk)));
     }
     Ok(stopper)
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -319,7 +319,7 @@
         }
         strip(&mut head.headers);
         head.headers.remove(CONTENT_LENGTH);
-        self.log_ended(context, status.as_u16(), 0, "");
+        self.log_ended(context, status.as_u16(), 0, "", None);
         Ok(Response::from_parts(head, full(bytes)))
     }
 
--- a/crates/gateway/src/forward/log.rs
+++ b/crates/gateway/src/forward/log.rs
@@ -7,6 +7,7 @@
 
 use super::{Forwarder, Missed};
 use crate::dispatch::{Need, Place};
+use crate::pauses::Pauses;
 use crate::request_context::RequestContext;
 
 impl Forwarder {
@@ -17,6 +18,7 @@
         status: u16,
         code: u16,
         reason: &str,
+        pauses: Option<&Pauses>,
     ) {
         self.metrics.ended(status, code);
         self.facts.log().write(&Decision::Ended {
@@ -25,6 +27,8 @@
             code,
             reason,
             took_ms: context.elapsed_ms(),
+            first_ms: pauses.and_then(|p| p.first_ms(context.started)),
+            pause_ms: pauses.map(Pauses::longest_ms),
         });
     }
 
--- a/crates/gateway/src/forward/refuse.rs
+++ b/crates/gateway/src/forward/refuse.rs
@@ -33,6 +33,8 @@
             code,
             reason: failed.error().message(),
             took_ms: started.elapsed().as_millis() as u64,
+            first_ms: None,
+            pause_ms: None,
         });
         response
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! wire is the business of a [`Dialect`].
 
 mod admit;
+mod cache_site;
 mod cancel_watch;
 mod connect;
 mod dialect;
@@ -21,6 +22,7 @@
 mod hop_headers;
 mod metrics;
 mod news;
+mod pauses;
 mod pool;
 mod ready;
 mod relay;
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -15,6 +15,7 @@
 use hyper::header::CONTENT_TYPE;
 use hyper::{Request, Response, StatusCode};
 use stairhinge::{Code, Error};
+use stairhinge_chunks::ChunkCache;
 use stairhinge_shell::decisions::Decision;
 use stairhinge_shell::directory::{
     Directory, Facts, News, Share, SharedQuestion,
@@ -151,10 +152,11 @@
     let _ = client.send(to, request, WITHIN).await;
 }
 
-/// Hands on what is published: the routes in force to any peer, and all to
-/// entries of the own hall.
+/// Hands on what is published, the routes in force to any peer and all to
+/// entries of the own hall; and chunks to those who ask for them.
 pub(crate) struct HandOver {
     pub share: Arc<Share>,
+    pub cache: Arc<ChunkCache>,
 }
 
 impl Handler for HandOver {
@@ -166,7 +168,7 @@
             let answered = match request.uri().path() {
                 ROUTES => Ok(self.routes()),
                 PUBLISHED => self.published(request).await,
-                path => Err(Error::new(Code::UnknownPath, path)),
+                _ => self.chunks(request).await,
             };
             answered.unwrap_or_else(|e| Failed::new(e).response())
         })
@@ -174,6 +176,15 @@
 }
 
 impl HandOver {
+    async fn chunks(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<Response<Body>, Error> {
+        let path = request.uri().path().to_string();
+        let answered = self.cache.answer(request).await;
+        answered.unwrap_or_else(|| Err(Error::new(Code::UnknownPath, path)))
+    }
+
     fn routes(&self) -> Response<Body> {
         let Some(packed) = self.share.packed_routes() else {
             let mut response = Response::new(empty());
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -19,6 +19,7 @@
 
 use crate::dispatch::{Need, Place};
 use crate::forward::Forwarder;
+use crate::pauses::Pauses;
 use crate::pool::Connection;
 use crate::request_context::RequestContext;
 
@@ -51,6 +52,7 @@
     version: Option<u64>,
     tried: Vec<Arc<str>>,
     attempt: u32,
+    pauses: Pauses,
     ended: bool,
 }
 
@@ -80,6 +82,7 @@
             splitter: EventSplitter::new(),
             tried,
             attempt: 1,
+            pauses: Pauses::default(),
             ended: false,
         }
     }
@@ -88,6 +91,7 @@
     async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
         loop {
             if let Some(bytes) = self.whole_events() {
+                self.pauses.note(Instant::now());
                 return Some(Ok(bytes));
             }
             match self.read().await {
@@ -174,7 +178,8 @@
             self.forwarder.pool.put(connection, &self.headers);
             drop(place);
         }
-        self.forwarder.log_ended(&self.context, 200, 0, "");
+        let pauses = Some(&self.pauses);
+        self.forwarder.log_ended(&self.context, 200, 0, "", pauses);
     }
 
     /// Takes the stream up at another replica.
@@ -241,7 +246,8 @@
         } else {
             Code::AnswerBroke
         };
-        self.forwarder.log_ended(&self.context, 200, code.number(), reason);
+        let (code, pauses) = (code.number(), Some(&self.pauses));
+        self.forwarder.log_ended(&self.context, 200, code, reason, pauses);
         BodyError(reason.to_string())
     }
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -38,6 +38,9 @@
     pub peers: Option<SocketAddr>,
     /// The port of agents on the instances of replicas.
     pub agent_port: u16,
+    /// What the instance's link carries, in megabits a second.
+    #[serde(default = "default_link_mbps")]
+    pub link_mbps: f64,
     /// How long a planned stop may take, in seconds.
     pub grace_s: u64,
     /// How long a leaving replica may get new requests, in milliseconds.
@@ -69,6 +72,10 @@
     pub connections: usize,
 }
 
+const fn default_link_mbps() -> f64 {
+    100.0
+}
+
 const fn default_routes_ms() -> u64 {
     2_000
 }
@@ -100,6 +107,10 @@
         if settings.grace_s == 0 {
             return Err(Error::range("grace_s", 0, "1 or more"));
         }
+        if settings.link_mbps.is_nan() || settings.link_mbps <= 0.0 {
+            let found = settings.link_mbps;
+            return Err(Error::range("link_mbps", found, "more than 0"));
+        }
         if !(0.0..=1.0).contains(&settings.retry.ratio) {
             let ratio = settings.retry.ratio;
             return Err(Error::range("retry.ratio", ratio, "0 to 1"));
@@ -119,6 +130,13 @@
 }
 
 impl EntrySettings {
+    /// Returns the bytes a second that chunks may take of the link. The
+    /// other half is for callers and replicas.
+    pub const fn chunk_rate(&self) -> u64 {
+        const PART: f64 = 0.5;
+        (self.link_mbps * 1e6 / 8.0 * PART) as u64
+    }
+
     /// Returns how long a planned stop may take.
     pub const fn grace(&self) -> Duration {
         Duration::from_secs(self.grace_s)
--- a/crates/loader/src/agent.rs
+++ b/crates/loader/src/agent.rs
@@ -8,6 +8,9 @@
 use stairhinge::direct::Engine;
 use stairhinge::weights::LinkShare;
 use stairhinge::{Code, Error, Time};
+use stairhinge_chunks::{
+    ChunkServer, ChunkStage, Drawing, Holdings, WeightOrigin,
+};
 use stairhinge_gateway::EngineReport;
 use stairhinge_shell::decisions::{Decision, DecisionLog};
 use stairhinge_shell::directory::{
@@ -20,9 +23,7 @@
 
 use crate::drive::drive;
 use crate::engine::{EngineState, StagedEngine};
-use crate::holdings::Holdings;
 use crate::listeners::Listeners;
-use crate::manifest::WeightOrigin;
 use crate::read_routes::read_routes;
 use crate::serve::AgentServer;
 use crate::settings::AgentSettings;
@@ -46,10 +47,11 @@
     pub live: LiveSettings<AgentSettings>,
     pub facts: Arc<Facts>,
     pub engine: Arc<dyn StagedEngine>,
-    pub origin: Arc<dyn WeightOrigin>,
     pub directory: Arc<dyn Directory>,
-    pub holdings: Holdings,
+    pub holdings: Arc<Holdings>,
     pub client: Client,
+    /// What it draws chunks with.
+    pub drawing: Drawing,
     /// What chunks may take of the instance's link.
     pub uplink: Shaper,
     /// The part of the link that chunks may take now.
@@ -75,7 +77,7 @@
 impl Agent {
     /// Returns the address at which peers know this agent.
     pub(crate) fn addr(&self) -> SocketAddr {
-        SocketAddr::new(self.settings.engine.ip(), self.settings.listen.port())
+        self.drawing.addr
     }
 }
 
@@ -209,15 +211,23 @@
         tokio::spawn(live.clone().follow(watch, log.clone()));
     }
     let uplink = Shaper::new(settings.chunk_rate());
+    let drawing = Drawing {
+        facts: Arc::clone(&facts),
+        holdings: Arc::default(),
+        client: Client::new(),
+        origin,
+        addr: SocketAddr::new(settings.engine.ip(), settings.listen.port()),
+        hall: Arc::clone(&settings.hall),
+    };
     let agent = Arc::new(Agent {
         settings,
         live: live.clone(),
         facts,
         engine,
-        origin,
         directory,
-        holdings: Holdings::default(),
-        client: Client::new(),
+        holdings: Arc::clone(&drawing.holdings),
+        client: drawing.client.clone(),
+        drawing,
         uplink,
         share: Mutex::default(),
         told: Mutex::default(),
@@ -242,7 +252,14 @@
         linger: Duration::ZERO,
     };
     let stopping = shutdown.clone();
-    let server = Arc::new(AgentServer { agent, stopping: shutdown.clone() });
+    let chunks = ChunkServer::new(
+        Arc::clone(&agent.holdings),
+        Some(Arc::clone(&agent.engine) as Arc<dyn ChunkStage>),
+        agent.uplink.clone(),
+    );
+    let stopping_server = shutdown.clone();
+    let server =
+        Arc::new(AgentServer { agent, chunks, stopping: stopping_server });
     tokio::select! {
         () = serve(listener, limits, shutdown, server) => {}
         () = async {
--- a/crates/loader/src/drive.rs
+++ b/crates/loader/src/drive.rs
@@ -6,16 +6,17 @@
 
 use stairhinge::direct::LayerRange;
 use stairhinge::{Code, Digest, Error};
+use stairhinge_chunks::{
+    Held, VersionManifest, fetch, find_manifest, log_failure,
+};
 use stairhinge_shell::decisions::Decision;
 
 use crate::agent::Agent;
 use crate::engine::{EngineState, LoadOrder, LoadOutcome};
-use crate::fetch::{fetch, log_failure};
-use crate::find_manifest::find_manifest;
-use crate::holdings::Held;
-use crate::manifest::VersionManifest;
+use crate::fetch_owner::FetchOwner;
+use crate::first_report::first_report;
 use crate::peer_list::{Relist, list_peers, peers};
-use crate::peers::first_report;
+use crate::succession::{Wanted, is_open, weigh};
 use crate::turn::Turn;
 
 /// How long to wait before looking again.
@@ -24,19 +25,15 @@
 /// How often peers are asked for the ages of versions after a start.
 const AGE_ROUNDS: u32 = 30;
 
+/// How often versions are weighed against each other while there is a choice.
+const WEIGH: Duration = Duration::from_millis(250);
+
 /// How long a load may take before it is looked into.
 const LOAD_LIMIT: Duration = Duration::from_secs(8);
 
 /// How long chunks stay in memory for peers after a load.
 const SHARE: Duration = Duration::from_secs(6);
 
-/// The version that the engine is to serve.
-#[derive(Clone, Debug, Eq, PartialEq)]
-struct Wanted {
-    model: Arc<str>,
-    version: u64,
-}
-
 /// Keeps the engine at the version wanted.
 pub(crate) async fn drive(agent: Arc<Agent>) {
     let mut changes = agent.facts.changes();
@@ -51,7 +48,7 @@
     tokio::spawn(learn_ages(Arc::clone(&agent)));
     let mut shared: Option<Wanted> = None;
     loop {
-        let Some(wanted) = wanted(&agent) else {
+        let Some(newest) = wanted(&agent) else {
             list_peers(&agent).await;
             let waited = tokio::time::timeout(PAUSE * 5, changes.changed());
             let _ = waited.await;
@@ -66,6 +63,7 @@
             }
             continue;
         };
+        let wanted = weigh(&agent, newest).await;
         if serves(&engine, &wanted) {
             if shared.as_ref() != Some(&wanted) {
                 share_staged(&agent, &wanted).await;
@@ -80,11 +78,11 @@
         shared = None;
         let done = tokio::select! {
             done = change(&agent, &wanted) => done,
-            () = newer(&agent, &wanted) => Ok(()),
+            () = another(&agent, &wanted) => Ok(()),
         };
         agent.set_paused(false);
         if let Err(error) = done {
-            log_failure(&agent, "change", &error);
+            log_failure(&agent.facts, "change", &error);
             tokio::time::sleep(PAUSE).await;
         }
     }
@@ -112,17 +110,24 @@
     }
 }
 
-/// Ends when another version is wanted.
-async fn newer(agent: &Agent, current: &Wanted) {
+/// Ends when another version is to be taken.
+async fn another(agent: &Agent, current: &Wanted) {
     let mut changes = agent.facts.changes();
     loop {
-        if changes.changed().await.is_err() {
-            std::future::pending::<()>().await;
-        }
-        let other = wanted(agent).is_some_and(|w| w != *current);
-        if other {
+        let Some(newest) = wanted(agent) else {
+            let _ = changes.changed().await;
+            continue;
+        };
+        let open = is_open(agent, &newest);
+        if weigh(agent, newest).await != *current {
             return;
         }
+        let changed = changes.changed();
+        if open {
+            let _ = tokio::time::timeout(WEIGH, changed).await;
+        } else if changed.await.is_err() {
+            std::future::pending::<()>().await;
+        }
     }
 }
 
@@ -156,7 +161,10 @@
 
 /// Offers what lies staged at the engine to peers.
 async fn share_staged(agent: &Arc<Agent>, wanted: &Wanted) {
-    let manifest = find_manifest(agent, &wanted.model, wanted.version).await;
+    let owner = FetchOwner::new(Arc::clone(agent), None);
+    let manifest =
+        find_manifest(&agent.drawing, &owner, &wanted.model, wanted.version)
+            .await;
     let Ok(staged) = agent.engine.staged(&wanted.model).await else {
         return;
     };
@@ -181,11 +189,16 @@
     } else {
         relist.start(agent);
     }
-    let manifest = find_manifest(agent, &wanted.model, wanted.version).await;
+    let owner = FetchOwner::new(Arc::clone(agent), None);
+    let drawing = &agent.drawing;
+    let manifest =
+        find_manifest(drawing, &owner, &wanted.model, wanted.version).await;
     take_staged(agent, &manifest).await;
-    let turn = Turn::new(agent, &manifest);
+    let turn = Turn::of(agent, &manifest);
+    let owner =
+        FetchOwner::new(Arc::clone(agent), turn.pace(agent, &manifest));
     let fetched = tokio::select! {
-        fetched = fetch(agent, &manifest, &turn) => fetched,
+        fetched = fetch(drawing, &owner, &manifest) => fetched,
         never = take_out_in_time(agent, &manifest, &turn) => match never {},
     };
     if let Err(error) = fetched {
@@ -194,7 +207,7 @@
     }
     // One that has paused already has finished its work meanwhile.
     if !agent.is_paused() {
-        Turn::new(agent, &manifest).wait(agent).await;
+        turn.after_fetch(agent, &manifest).wait(agent).await;
     }
     load(agent, &manifest, turn.number()).await?;
     let settled = Arc::clone(agent);
@@ -246,7 +259,7 @@
     turn.wait_for_end(agent).await;
     loop {
         if let Err(error) = take_out(agent, manifest).await {
-            log_failure(agent, "take out", &error);
+            log_failure(&agent.facts, "take out", &error);
         }
         if agent.engine_state().await.is_ok_and(|s| s.version.is_none()) {
             return std::future::pending().await;
--- a/crates/loader/src/engine.rs
+++ b/crates/loader/src/engine.rs
@@ -6,6 +6,7 @@
 use futures::future::BoxFuture;
 use stairhinge::Error;
 use stairhinge::direct::LayerRange;
+use stairhinge_chunks::ChunkStage;
 
 /// What an engine says of itself.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -66,7 +67,7 @@
 }
 
 /// An engine that takes staged chunks and load orders from its own instance.
-pub trait StagedEngine: Send + Sync {
+pub trait StagedEngine: ChunkStage {
     /// Asks how it stands.
     fn state(&self) -> BoxFuture<'_, Result<EngineState, Error>>;
 
@@ -76,13 +77,6 @@
         model: &'a str,
     ) -> BoxFuture<'a, Result<Vec<u32>, Error>>;
 
-    /// Reads a staged chunk back.
-    fn read<'a>(
-        &'a self,
-        model: &'a str,
-        index: u32,
-    ) -> BoxFuture<'a, Result<Bytes, Error>>;
-
     /// Stages a chunk, over what lies there.
     fn write<'a>(
         &'a self,
--- /dev/null
+++ b/crates/loader/src/fetch_owner.rs
@@ -0,0 +1,105 @@
+//! An agent as one that draws chunks.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use stairhinge::weights::{FetchPace, Source};
+use stairhinge_chunks::{ChunkOwner, VersionManifest};
+
+use crate::agent::Agent;
+use crate::peer_list::{Relist, peers};
+
+/// How much sooner than it can be sent a chunk is asked of the origin, as a
+/// part of the time that it takes there. A little ahead, so that the origin's
+/// link is never idle: it may go down soon after a version is named.
+const ORIGIN_AHEAD: f64 = 0.7;
+
+/// One fetch of an agent.
+pub(crate) struct FetchOwner {
+    agent: Arc<Agent>,
+    pace: Option<FetchPace>,
+    relist: Mutex<Relist>,
+}
+
+impl FetchOwner {
+    /// Returns the owner of a fetch, at a pace or as fast as the link bears.
+    pub(crate) fn new(
+        agent: Arc<Agent>,
+        pace: Option<FetchPace>,
+    ) -> FetchOwner {
+        FetchOwner { agent, pace, relist: Mutex::default() }
+    }
+}
+
+impl ChunkOwner for FetchOwner {
+    fn peers(&self) -> Vec<(Arc<str>, SocketAddr)> {
+        peers(&self.agent)
+    }
+
+    fn caches(&self) -> Vec<SocketAddr> {
+        caches(&self.agent)
+    }
+
+    fn holders(&self, _: &VersionManifest) -> Vec<SocketAddr> {
+        Vec::new()
+    }
+
+    fn origin_pace(&self, chunk_bytes: u32) -> Duration {
+        let transfer = self.agent.live.get().transfer(chunk_bytes);
+        transfer.mul_f64(ORIGIN_AHEAD)
+    }
+
+    fn questions(&self, most: usize, missing: usize) -> usize {
+        let most = self.agent.link_share().questions(most);
+        let now = self.agent.facts.now();
+        let Some(pace) = self.pace else { return most };
+        most.min(missing.saturating_sub(pace.missing_at(now)))
+    }
+
+    fn kept<'a>(
+        &'a self,
+        manifest: &'a VersionManifest,
+        index: u32,
+        bytes: Bytes,
+    ) -> BoxFuture<'a, ()> {
+        Box::pin(async move {
+            // What cannot be staged now is staged before the load.
+            let staged =
+                self.agent.engine.write(&manifest.model, index, bytes);
+            let _ = staged.await;
+        })
+    }
+
+    fn moved(&self, _: &Source) {
+        self.agent.note_moved();
+    }
+
+    fn origin_failed(&self) {
+        self.agent.doubt_origin();
+    }
+
+    fn relist(&self) {
+        let relist = self.relist.lock();
+        relist.unwrap_or_else(PoisonError::into_inner).start(&self.agent);
+    }
+
+    fn link_parts(&self) -> (f64, f64) {
+        let share = *self.agent.link_share();
+        (share.part(), share.uplink())
+    }
+}
+
+/// Returns the entries of the hall that hold chunks for its agents.
+pub(crate) fn caches(agent: &Agent) -> Vec<SocketAddr> {
+    let hall = &agent.settings.hall;
+    let mut caches = Vec::new();
+    for entry in agent.listeners.first() {
+        if entry.hall == *hall {
+            caches.push(entry.addr);
+        }
+    }
+    caches
+}
--- /dev/null
+++ b/crates/loader/src/first_report.rs
@@ -0,0 +1,32 @@
+//! Asking a peer what it would tell an entry.
+
+use std::net::SocketAddr;
+
+use http_body_util::BodyExt as _;
+use hyper::Request;
+use stairhinge::{Code, Error};
+use stairhinge_chunks::STALL;
+use stairhinge_gateway::EngineReport;
+use stairhinge_shell::http::{Client, empty};
+
+/// Reads the first line of a peer's feed.
+///
+/// # Errors
+///
+/// [`Code::NoSource`] if it does not answer.
+pub(crate) async fn first_report(
+    client: &Client,
+    addr: SocketAddr,
+) -> Result<EngineReport, Error> {
+    let lost = |why: &dyn std::fmt::Display| Error::new(Code::NoSource, why);
+    let request = Request::get("/feed").body(empty()).map_err(|e| lost(&e))?;
+    let response =
+        client.send(addr, request, STALL).await.map_err(|e| lost(&e))?;
+    let mut body = response.into_body();
+    let frame = tokio::time::timeout(STALL, body.frame()).await;
+    let frame = frame.map_err(|e| lost(&e))?;
+    let frame = frame.ok_or_else(|| lost(&"no line"))?;
+    let data = frame.map_err(|e| lost(&e))?.into_data().unwrap_or_default();
+    let line = data.split(|b| *b == b'\n').next().unwrap_or_default();
+    serde_json::from_slice(line).map_err(|e| lost(&e))
+}
--- a/crates/loader/src/lib.rs
+++ b/crates/loader/src/lib.rs
@@ -1,8 +1,8 @@
 //! The agent of an engine that takes staged chunks and load orders.
 //!
 //! It stands beside one engine and not in any request's way. It draws the
-//! chunks of the version wanted from peers and the origin ([`fetch`]),
-//! stages them at the engine, sends them on to peers ([`serve`]), and orders
+//! chunks of the version wanted ([`stairhinge_chunks`]), stages them at the
+//! engine ([`fetch_owner`]), sends them on to peers ([`serve`]), and orders
 //! the load when its turn comes ([`drive`]). What it knows of the engine goes
 //! to the entries as a feed ([`watch_engine`], [`feed`]).
 
@@ -10,21 +10,18 @@
 mod drive;
 mod engine;
 mod feed;
-mod fetch;
-mod find_manifest;
-mod holdings;
+mod fetch_owner;
+mod first_report;
 mod listeners;
-mod manifest;
 mod peer_list;
-mod peers;
 mod read_routes;
 mod serve;
 mod settings;
+mod succession;
 mod turn;
 mod watch_engine;
 mod watch_link;
 
 pub use self::agent::run;
 pub use self::engine::{EngineState, LoadOrder, LoadOutcome, StagedEngine};
-pub use self::manifest::{VersionManifest, WeightOrigin};
 pub use self::settings::AgentSettings;
--- a/crates/loader/src/peer_list.rs
+++ b/crates/loader/src/peer_list.rs
@@ -3,24 +3,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use stairhinge::{Code, Error};
+use stairhinge_chunks::log_failure;
 use stairhinge_shell::directory::{Collection, Freshness, Record};
 use tokio::task::JoinHandle;
 
 use crate::agent::Agent;
-use crate::fetch::log_failure;
-
-/// Returns where the origin of weights is published to be.
-///
-/// # Errors
-///
-/// [`Code::NoSource`] if nowhere.
-pub(crate) fn origin_addr(agent: &Agent) -> Result<SocketAddr, Error> {
-    let view = agent.facts.view();
-    let origin = view.routes.as_ref().and_then(|r| r.origin());
-    let none = || Error::new(Code::NoSource, "no origin is published");
-    origin.map(|o| o.addr).ok_or_else(none)
-}
 
 /// Returns the other agents of the service with their data halls.
 pub(crate) fn peers(agent: &Agent) -> Vec<(Arc<str>, SocketAddr)> {
@@ -52,7 +39,7 @@
             }
             agent.facts.replace_replicas(replicas, true);
         }
-        Err(error) => log_failure(agent, "replica list", &error),
+        Err(error) => log_failure(&agent.facts, "replica list", &error),
     }
 }
 
--- a/crates/loader/src/read_routes.rs
+++ b/crates/loader/src/read_routes.rs
@@ -10,11 +10,11 @@
 use std::time::Duration;
 
 use stairhinge::{Code, Error, rank};
+use stairhinge_chunks::log_failure;
 use stairhinge_gateway::fetch_routes;
 use stairhinge_shell::directory::{Collection, Freshness};
 
 use crate::agent::Agent;
-use crate::fetch::log_failure;
 
 /// How often the routes are read while nothing is wrong with them.
 const EVERY: Duration = Duration::from_secs(60);
@@ -39,7 +39,7 @@
 pub(crate) async fn read_routes(agent: Arc<Agent>) {
     let mut pause = AGAIN;
     while let Err(error) = first(&agent).await {
-        log_failure(&agent, "routes", &error);
+        log_failure(&agent.facts, "routes", &error);
         let entry = agent.listeners.joined();
         let _ = tokio::time::timeout(pause, entry).await;
         pause = (pause * 2).min(LONGEST);
@@ -49,7 +49,7 @@
         let rest = EVERY.saturating_sub(DOUBTED);
         let _ = tokio::time::timeout(rest, agent.origin_doubted()).await;
         if let Err(error) = newer(&agent).await {
-            log_failure(&agent, "routes", &error);
+            log_failure(&agent.facts, "routes", &error);
         }
     }
 }
@@ -74,7 +74,7 @@
     match from_entry(agent).await {
         Ok(()) => Ok(()),
         Err(error) => {
-            log_failure(agent, "routes of an entry", &error);
+            log_failure(&agent.facts, "routes of an entry", &error);
             from_platform(agent, Freshness::Stale).await
         }
     }
--- a/crates/loader/src/turn.rs
+++ b/crates/loader/src/turn.rs
@@ -5,9 +5,10 @@
 
 use stairhinge::Time;
 use stairhinge::direct::Rollout;
+use stairhinge::weights::FetchPace;
 
 use crate::agent::Agent;
-use crate::manifest::VersionManifest;
+use stairhinge_chunks::VersionManifest;
 
 /// How much sooner than the bound the last replica gets nothing more.
 const MARGIN: Duration = Duration::from_millis(900);
@@ -27,16 +28,21 @@
 }
 
 impl Turn {
-    /// Works out the turn of this replica for a version, as of now.
-    pub(crate) fn new(agent: &Agent, manifest: &VersionManifest) -> Turn {
+    /// Works out the turn of this replica for a version, as of now; the
+    /// first turn comes no sooner than `transfer` after its naming.
+    pub(crate) fn new(
+        agent: &Agent,
+        model: &str,
+        version: u64,
+        transfer: Duration,
+    ) -> Turn {
         let view = agent.facts.view();
         let serves =
             agent.state.borrow().as_ref().is_some_and(|s| s.model.is_some());
         let held = agent.state.borrow().as_ref().and_then(|s| s.version);
-        let outdated = held.and_then(|version| {
-            view.targets.outdated_since(&manifest.model, version)
-        });
-        let named = view.targets.since(&manifest.model);
+        let outdated = held
+            .and_then(|version| view.targets.outdated_since(model, version));
+        let named = view.targets.named_at(model, version);
         let (true, Some(named), Some(outdated)) = (serves, named, outdated)
         else {
             return Turn { number: 0, pauses_at: None, ends_at: None };
@@ -48,12 +54,12 @@
                 members.push(Arc::from(replica.addr.to_string()));
             }
         }
-        let subject = format!("{}@{}", manifest.model, manifest.version);
+        let subject = format!("{model}@{version}");
         let me = agent.settings.engine.to_string();
         let rollout = Rollout::new(subject.as_bytes(), &members, &me);
         // The first ones finish their work while the last chunks come. Once
         // these are here, the turns are spread over what time is left.
-        let soonest = named.after(transfer(agent, manifest));
+        let soonest = named.after(transfer);
         let first = soonest.max(agent.facts.now());
         let bound = agent.live.get().version_bound().saturating_sub(MARGIN);
         let pauses_at = rollout.pauses_at(first, outdated.after(bound));
@@ -65,17 +71,46 @@
         }
     }
 
+    /// Works out the turn of this replica for a version, as of now.
+    pub(crate) fn of(agent: &Agent, manifest: &VersionManifest) -> Turn {
+        let transfer = transfer(agent, manifest);
+        Turn::new(agent, &manifest.model, manifest.version, transfer)
+    }
+
+    /// Returns when the replica gets nothing new, or `None` if it serves
+    /// nothing.
+    pub(crate) const fn pauses_at(&self) -> Option<Time> {
+        self.pauses_at
+    }
+
     /// Returns the turn, counted from 0.
     pub(crate) const fn number(&self) -> usize {
         self.number
     }
 
-    /// Pauses the replica once its turn has come and its fetch is about to
-    /// end: it finishes what it runs while the last chunks come.
-    pub(crate) fn consider(&self, agent: &Agent, ending: bool) {
-        let Some(pauses_at) = self.pauses_at else { return };
-        let due = agent.facts.now() >= pauses_at;
-        agent.set_paused(due && ending);
+    /// Returns the pace of a fetch that has to end with the turn, or `None`
+    /// if it should be as fast as the link bears.
+    pub(crate) fn pace(
+        &self,
+        agent: &Agent,
+        manifest: &VersionManifest,
+    ) -> Option<FetchPace> {
+        let pauses_at = self.pauses_at?;
+        let digests = manifest.digests.iter();
+        let missing = digests.filter(|d| !agent.holdings.holds(d)).count();
+        let now = agent.facts.now();
+        Some(FetchPace::new(missing, now, pauses_at))
+    }
+
+    /// Returns the turn once all chunks are here: the same, unless they came
+    /// after it was due. Then the turns are spread over what time is left.
+    pub(crate) fn after_fetch(
+        self,
+        agent: &Agent,
+        manifest: &VersionManifest,
+    ) -> Turn {
+        let due = self.pauses_at.is_some_and(|at| agent.facts.now() > at);
+        if due { Turn::of(agent, manifest) } else { self }
     }
 
     /// Waits until the version that the replica holds may begin nothing more.
--- a/crates/shell/src/decisions.rs
+++ b/crates/shell/src/decisions.rs
@@ -185,6 +185,12 @@
         reason: &'a str,
         /// Since the request's head arrived, in milliseconds.
         took_ms: u64,
+        /// Until the first event of a stream was passed on, in milliseconds.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        first_ms: Option<u64>,
+        /// The longest pause between two of its events, in milliseconds.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        pause_ms: Option<u64>,
     },
     /// The caller went before the end.
     Cancelled {
--- a/crates/shell/src/decisions_tests.rs
+++ b/crates/shell/src/decisions_tests.rs
@@ -13,6 +13,8 @@
     code: 3002,
     reason: "no room",
     took_ms: 81,
+    first_ms: None,
+    pause_ms: None,
 };
 
 #[test]
--- a/src/direct/route_table.rs
+++ b/src/direct/route_table.rs
@@ -199,6 +199,13 @@
         self.services.get(name)
     }
 
+    /// Returns the kind of engine that serves a model.
+    pub fn engine_of(&self, model: &str) -> Option<Engine> {
+        let mut services = self.services.values();
+        let found = services.find(|s| s.models.iter().any(|m| &**m == model));
+        found.and_then(|s| s.engine)
+    }
+
     /// Returns all services.
     pub fn services(&self) -> impl Iterator<Item = &Service> {
         self.services.values()
--- a/src/direct/version_target.rs
+++ b/src/direct/version_target.rs
@@ -100,6 +100,13 @@
         self.named.get(model)?.last().map(|n| n.since)
     }
 
+    /// Returns when a version of a model was named.
+    pub fn named_at(&self, model: &str, version: u64) -> Option<Time> {
+        let named = self.named.get(model)?;
+        let found = named.iter().find(|n| n.version == version);
+        found.map(|n| n.since)
+    }
+
     /// Returns since when a version has been outdated: when the first newer
     /// one was named. One that is named later gives it no more time.
     pub fn outdated_since(&self, model: &str, version: u64) -> Option<Time> {
--- a/src/weights.rs
+++ b/src/weights.rs
@@ -12,6 +12,7 @@
 mod bound;
 mod bucket;
 mod chunk_request;
+mod fetch_pace;
 mod link_share;
 mod manifest;
 mod manifest_source;
@@ -19,11 +20,13 @@
 mod puller;
 mod question_queue;
 mod store;
+mod succession;
 mod walk;
 
 pub use self::bound::{Bound, Link};
 pub use self::bucket::Bucket;
 pub use self::chunk_request::ChunkRequest;
+pub use self::fetch_pace::FetchPace;
 pub use self::link_share::LinkShare;
 pub use self::manifest::{Chunk, Manifest};
 pub use self::manifest_source::ManifestSource;
@@ -31,8 +34,12 @@
 pub use self::puller::Puller;
 pub use self::question_queue::QuestionQueue;
 pub use self::store::Store;
+pub use self::succession::{Prospect, choose_version};
 pub use self::walk::{Source, Walk};
 
+#[cfg(test)]
+mod cache_tests;
+
 #[cfg(test)]
 mod tests;
 
@@ -45,6 +52,9 @@
 #[cfg(test)]
 mod question_queue_tests;
 
+#[cfg(test)]
+mod succession_tests;
+
 #[cfg(test)]
 mod takeover_tests;
 
--- /dev/null
+++ b/src/weights/succession.rs
@@ -0,0 +1,69 @@
+//! Which of several named versions a replica takes next.
+//!
+//! The newest named version is what is wanted in the end. But while its
+//! chunks cannot come, because the origin is away or because it was named a
+//! moment ago, a version named before it may be within reach, and the one in
+//! force may be near the end of its time. Each replica therefore takes the
+//! newest version that can be here by its turn.
+
+use std::time::Duration;
+
+/// What is known of one version that a replica could take.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Prospect {
+    /// The version.
+    pub version: u64,
+    /// Chunks that have not come here.
+    pub missing: usize,
+    /// Chunks that have not come to the hall.
+    pub outside: usize,
+    /// Whether nothing more comes to the hall for now.
+    pub stuck: bool,
+    /// How long until the replica's turn to take it.
+    pub due: Duration,
+    /// How long it may still be served.
+    pub left: Duration,
+}
+
+impl Prospect {
+    /// A version has to serve at least this long to be worth a load, for
+    /// which a replica finishes its answers of one to three seconds.
+    pub const WORTH: Duration = Duration::from_millis(3_000);
+
+    /// Returns how long until all chunks are here, if they can come, where
+    /// the link takes `chunk` for each.
+    pub fn whole_in(&self, chunk: Duration) -> Option<Duration> {
+        if self.stuck && self.outside > 0 {
+            return None;
+        }
+        Some(chunk * self.missing.max(self.outside) as u32)
+    }
+
+    fn is_worth(&self, whole_in: Duration) -> bool {
+        self.left >= whole_in + Prospect::WORTH
+    }
+}
+
+/// Returns the version to take: the newest that will be here by its turn;
+/// else the one that is here soonest, or the newest if none can come.
+///
+/// `prospects` has the newest version first; `chunk` is how long the link
+/// takes for a chunk.
+pub fn choose_version(prospects: &[Prospect], chunk: Duration) -> Option<u64> {
+    let newest = prospects.first()?;
+    let mut soonest: Option<(Duration, u64)> = None;
+    for prospect in prospects {
+        let Some(whole_in) = prospect.whole_in(chunk) else { continue };
+        let last = prospect.version == newest.version;
+        if !last && !prospect.is_worth(whole_in) {
+            continue;
+        }
+        if whole_in <= prospect.due {
+            return Some(prospect.version);
+        }
+        if soonest.is_none_or(|(least, _)| whole_in < least) {
+            soonest = Some((whole_in, prospect.version));
+        }
+    }
+    Some(soonest.map_or(newest.version, |(_, version)| version))
+}
--- a/src/weights/walk.rs
+++ b/src/weights/walk.rs
@@ -41,6 +41,10 @@
     /// How many agents of the hall each one passes a chunk on to, if not the
     /// seed to all.
     fanout: Option<usize>,
+    /// Processes of the hall that hold chunks for its agents.
+    caches: Vec<Arc<str>>,
+    /// Processes of the hall that hold all of the version.
+    holders: Vec<Arc<str>>,
 }
 
 impl Walk {
@@ -90,9 +94,28 @@
             budget,
             turns: true,
             fanout: None,
+            caches: Vec::new(),
+            holders: Vec::new(),
         }
     }
 
+    /// Returns the walk in which caches of the hall are asked before anybody
+    /// else: their links are wider than those of agents, which need not pass
+    /// chunks on as long as one cache is left.
+    #[must_use]
+    pub fn with_caches(mut self, caches: Vec<Arc<str>>) -> Walk {
+        self.caches = caches;
+        self
+    }
+
+    /// Returns the walk in which those who hold the whole version are asked
+    /// before anybody outside the hall.
+    #[must_use]
+    pub fn with_holders(mut self, holders: Vec<Arc<str>>) -> Walk {
+        self.holders = holders;
+        self
+    }
+
     /// Returns the walk in which a chunk passes from its seed through a tree
     /// of the hall's agents, each of which sends it to `fanout` others.
     ///
@@ -124,7 +147,8 @@
     /// Returns the first source in rank for chunk `index` that is not
     /// suspect.
     ///
-    /// Peers of the hall come first, in turn from the chunk's seed. Where
+    /// Caches of the hall come first, then its peers, in turn from the
+    /// chunk's seed. Where
     /// this agent's own turn comes, it draws from a peer of its hall that is
     /// known to hold the chunk (it may have joined late), else from outside
     /// the hall. Where all else is suspect, the origin is the last resort.
@@ -134,6 +158,12 @@
         suspect: impl Fn(&Source) -> bool,
         holds: impl Fn(&Source) -> bool,
     ) -> Source {
+        for name in spread(&self.caches, index) {
+            let source = Source::Near(Arc::clone(name));
+            if !suspect(&source) {
+                return source;
+            }
+        }
         for name in self.ancestors(index) {
             let source = Source::Near(name);
             if !suspect(&source) {
@@ -180,6 +210,12 @@
                 return Some(source);
             }
         }
+        for name in spread(&self.holders, index) {
+            let source = Source::Near(Arc::clone(name));
+            if !suspect(&source) {
+                return Some(source);
+            }
+        }
         None
     }
 
@@ -292,3 +328,12 @@
         agents.iter().cycle().skip(start).take(agents.len())
     }
 }
+
+/// Returns all of some processes, beginning with another one for each chunk.
+fn spread(
+    names: &[Arc<str>],
+    index: usize,
+) -> impl Iterator<Item = &Arc<str>> {
+    let start = index % names.len().max(1);
+    names.iter().cycle().skip(start).take(names.len())
+}
