--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -2,6 +2,7 @@
 
 mod known;
 mod news;
+mod outcome;
 mod place;
 mod terms;
 
@@ -12,11 +13,10 @@
 use stairhinge::direct::balance::{Candidate, Pace, choose};
 use stairhinge::direct::{Contention, Replica};
 use stairhinge::rank;
-use stairhinge_shell::decisions::Decision;
 use stairhinge_shell::directory::{Facts, FactsView, Standing};
 use tokio::sync::oneshot;
 
-use self::known::{Known, Reported, SLOW};
+use self::known::{Known, Reported};
 pub(crate) use self::place::{Need, NoReplica, Place};
 use self::terms::Terms;
 use crate::report::EngineReport;
@@ -240,69 +240,6 @@
         reported.is_some_and(|r| !r.report.up)
     }
 
-    fn succeeded(&self, incarnation: &str) {
-        if let Some(known) = self.lock().known.get_mut(incarnation) {
-            known.health.succeed();
-        }
-    }
-
-    fn failed(&self, incarnation: &str) {
-        let now = self.facts.now();
-        let (failures, span) = {
-            let mut state = self.lock();
-            let Some(known) = state.known.get_mut(incarnation) else { return };
-            known.health.fail(now);
-            known.slow_at = Some(Instant::now());
-            (known.health.failures(), known.health.span())
-        };
-        self.facts.log().write(&Decision::ReplicaSuspect {
-            replica: incarnation,
-            failures,
-            for_ms: span.as_millis() as u64,
-        });
-    }
-
-    fn full(&self, incarnation: &str) {
-        if let Some(known) = self.lock().known.get_mut(incarnation) {
-            known.full_until = Some(Instant::now() + FULL);
-        }
-    }
-
-    fn misdirected(&self, incarnation: &str, version: Option<u64>) {
-        if let Some(known) = self.lock().known.get_mut(incarnation) {
-            known.misdirected = Some((version, Instant::now()));
-        }
-    }
-
-    fn begin(&self, incarnation: &str, tokens: u32, took: Duration) {
-        if let Some(known) = self.lock().known.get_mut(incarnation) {
-            if took > SLOW {
-                known.slow_at = Some(Instant::now());
-            }
-            let load = &mut known.load;
-            load.own_pending = load.own_pending.saturating_sub(1);
-            load.own_pending_tokens =
-                load.own_pending_tokens.saturating_sub(tokens);
-            load.own_running += 1;
-        }
-    }
-
-    fn release(&self, place: &Place) {
-        let incarnation = &place.replica.incarnation;
-        if let Some(known) = self.lock().known.get_mut(incarnation) {
-            let load = &mut known.load;
-            if place.began {
-                load.own_running = load.own_running.saturating_sub(1);
-            } else {
-                load.own_pending = load.own_pending.saturating_sub(1);
-                load.own_pending_tokens = load
-                    .own_pending_tokens
-                    .saturating_sub(place.prompt_tokens);
-            }
-        }
-        self.pump();
-    }
-
     /// Whether any replica could take the request if it had room.
     fn exists(&self, state: &State, view: &FactsView, need: &Need) -> bool {
         let now = self.facts.now();
--- a/crates/loader/src/drive.rs
+++ b/crates/loader/src/drive.rs
@@ -5,10 +5,8 @@
 use std::time::Duration;
 
 use stairhinge::direct::LayerRange;
-use stairhinge::{Code, Digest, Error};
-use stairhinge_chunks::{
-    Held, VersionManifest, fetch, find_manifest, log_failure,
-};
+use stairhinge::{Code, Error};
+use stairhinge_chunks::{VersionManifest, fetch, find_manifest, log_failure};
 use stairhinge_shell::decisions::Decision;
 
 use crate::agent::Agent;
@@ -16,6 +14,7 @@
 use crate::fetch_owner::FetchOwner;
 use crate::first_report::first_report;
 use crate::peer_list::{Relist, list_peers, peers};
+use crate::staging::{share_staged, take_staged, verify_staged};
 use crate::succession::{Wanted, is_open, weigh};
 use crate::turn::Turn;
 
@@ -159,28 +158,6 @@
         && engine.version == Some(wanted.version)
 }
 
-/// Offers what lies staged at the engine to peers.
-async fn share_staged(agent: &Arc<Agent>, wanted: &Wanted) {
-    let owner = FetchOwner::new(Arc::clone(agent), None);
-    let manifest =
-        find_manifest(&agent.drawing, &owner, &wanted.model, wanted.version)
-            .await;
-    let Ok(staged) = agent.engine.staged(&wanted.model).await else {
-        return;
-    };
-    for index in staged {
-        let Some(digest) = manifest.digests.get(index as usize) else {
-            continue;
-        };
-        if agent.holdings.holds(digest) {
-            continue;
-        }
-        // Verified when it is read for a peer.
-        let model = Arc::clone(&wanted.model);
-        agent.holdings.keep(*digest, Held::Staged(model, index));
-    }
-}
-
 /// Takes the engine to a version: fetch, wait for the turn, load.
 async fn change(agent: &Arc<Agent>, wanted: &Wanted) -> Result<(), Error> {
     let mut relist = Relist::default();
@@ -222,29 +199,6 @@
     Ok(())
 }
 
-/// Takes over good chunks that lie at the engine from before a restart.
-async fn take_staged(agent: &Agent, manifest: &VersionManifest) {
-    agent.holdings.forget_staged();
-    let model = &manifest.model;
-    let Ok(staged) = agent.engine.staged(model).await else { return };
-    for index in staged {
-        let Some(digest) = manifest.digests.get(index as usize) else {
-            continue;
-        };
-        if agent.holdings.holds(digest) {
-            continue;
-        }
-        let Ok(bytes) = agent.engine.read(model, index).await else {
-            continue;
-        };
-        if Digest::sha256(&bytes) != *digest {
-            // The stage holds another version: the rest will not fit either.
-            return;
-        }
-        agent.holdings.keep(*digest, Held::Bytes(bytes));
-    }
-}
-
 /// Takes the replica out once the time of the version that it holds is over:
 /// it is ordered to keep one layer of it only.
 ///
@@ -381,29 +335,3 @@
     state.version == Some(manifest.version)
         && state.model.as_ref() == Some(&manifest.model)
 }
-
-/// Reads every chunk back and writes those again that have turned bad.
-async fn verify_staged(
-    agent: &Agent,
-    manifest: &VersionManifest,
-) -> Result<(), Error> {
-    let model = &manifest.model;
-    for (i, digest) in manifest.digests.iter().enumerate() {
-        let index = i as u32;
-        let good = agent
-            .engine
-            .read(model, index)
-            .await
-            .is_ok_and(|bytes| Digest::sha256(&bytes) == *digest);
-        if good {
-            continue;
-        }
-        let Some(bytes) = agent.holdings.bytes(digest) else {
-            agent.holdings.drop_chunk(digest);
-            let why = format!("chunk {index} turned bad at the engine");
-            return Err(Error::new(Code::CorruptChunk, why));
-        };
-        agent.engine.write(model, index, bytes).await?;
-    }
-    Ok(())
-}
--- a/crates/loader/src/lib.rs
+++ b/crates/loader/src/lib.rs
@@ -17,6 +17,7 @@
 mod read_routes;
 mod serve;
 mod settings;
+mod staging;
 mod succession;
 mod turn;
 mod watch_engine;
--- a/src/weights/puller.rs
+++ b/src/weights/puller.rs
@@ -319,18 +319,6 @@
         &self.chunks
     }
 
-    /// Returns whether all missing chunks have reached peers of the hall, so
-    /// that they will be here in a moment.
-    pub fn is_ending(&self, now: Time) -> bool {
-        self.missing().all(|i| {
-            self.standing.iter().any(|(source, standing)| {
-                matches!(source, Source::Near(_))
-                    && standing.holds.contains(&i)
-                    && !self.suspect(source, now)
-            })
-        })
-    }
-
     /// Returns whether all chunks are here.
     pub fn done(&self) -> bool {
         self.held.iter().all(|h| *h)
--- a/src/weights/puller_tests.rs
+++ b/src/weights/puller_tests.rs
@@ -224,19 +224,3 @@
     assert_eq!(asked, 0, "while the hall sends");
     assert!(late > 0, "once nothing comes from the hall");
 }
-
-#[test]
-fn a_fetch_is_about_to_end_when_peers_of_the_hall_hold_the_rest() {
-    let (mut puller, peers) = greeted_puller(8);
-    let now = Time::from_millis(1_000);
-    assert!(!puller.is_ending(now), "nobody is known to hold anything");
-    let first_half = (0..8).map(|i| i < 4);
-    puller.learn(&peers[0], first_half);
-    let far = Source::Far(Arc::from("a1-0"));
-    puller.learn(&far, std::iter::repeat_n(true, 8));
-    assert!(!puller.is_ending(now), "the rest has not reached the hall");
-    puller.learn(&peers[1], (0..8).map(|i| i >= 4));
-    assert!(puller.is_ending(now));
-    puller.failed(&peers[1], now);
-    assert!(!puller.is_ending(now), "who holds it is out of reach");
-}
