--- a/src/direct.rs
+++ b/src/direct.rs
@@ -6,9 +6,11 @@
 //! path. [`RouteTable`] says which service takes a request and under which
 //! limits; [`balance`] which replica; [`next_step`] what follows after an
 //! attempt; [`RetryShare`] whether a further attempt may be made at all;
-//! [`Shortage`] when a refused caller comes back; [`EventSplitter`] where a stream may be cut and taken up again;
-//! [`Rollout`] when a replica changes to new weights; and [`ReaderChoice`]
-//! which entry reads the platform for the others.
+//! [`Shortage`] when a refused caller comes back; [`EventSplitter`] where a
+//! stream may be cut and taken up again; [`Contention`] how many entries
+//! choose among the same replicas; [`Rollout`] when a replica changes to new
+//! weights; and [`ReaderChoice`] which entry reads the platform for the
+//! others.
 
 pub mod balance;
 
