One link rate, one place for a fetch's pace, known replicas first

Read once more as a whole; no behaviour is meant to change.

- The check of link_mbps and the rate from it stood in the settings of entries and of agents: LinkMbps in the shell serves both.
- An agent looked up the caches of its hall again for each question; fetch knows them, so the pace is applied there, and a cache no longer takes a parameter that it does not use.
- A change of version made two owners and up to three readers of the list of replicas; one of each does.
- A replica that is known as it is was compared with all others before that was seen: with 3,400 listed, 11.6 million comparisons a reading (worked out).
- A tuple of a decline, a tenth of a span and a comment on the wrong rate of reports have names or the right figure.

--- a/crates/chunks/src/cache.rs
+++ b/crates/chunks/src/cache.rs
@@ -25,7 +25,7 @@
 use crate::fetch::fetch;
 use crate::find_manifest::find_manifest;
 use crate::manifest::VersionManifest;
-use crate::owner::{ChunkOwner, Drawing, log_failure};
+use crate::owner::{ChunkOwner, Drawing, Peer, log_failure};
 use crate::peers::{ANY, DRAW, STANDING, Standing};
 
 /// How long a version is drawn on though nobody asks for it: questions wait
@@ -47,6 +47,10 @@
 /// How often versions that nobody asks for are looked for.
 const LOOK: Duration = Duration::from_millis(250);
 
+/// How often a version looks whether the older one that it waits for is here:
+/// about as often as chunks come over an origin's link of 9.9 Mbit/s.
+const LOOK_CLOSELY: Duration = Duration::from_millis(25);
+
 /// The most versions that are held at a time: the one in force, the one that
 /// comes, and one that was named in between.
 const MOST_VERSIONS: usize = 3;
@@ -231,7 +235,7 @@
             if !ending {
                 return;
             }
-            tokio::time::sleep(LOOK / 10).await;
+            tokio::time::sleep(LOOK_CLOSELY).await;
         }
     }
 
@@ -278,7 +282,7 @@
 }
 
 impl ChunkOwner for CacheOwner<'_> {
-    fn peers(&self) -> Vec<(Arc<str>, SocketAddr)> {
+    fn peers(&self) -> Vec<Peer> {
         let me = self.cache.drawing.addr;
         let mut peers = Vec::new();
         for entry in self.cache.site.entries() {
@@ -304,7 +308,7 @@
         Duration::ZERO
     }
 
-    fn questions(&self, most: usize, _: usize) -> usize {
+    fn questions(&self, most: usize) -> usize {
         most
     }
 
--- a/crates/chunks/src/fetch.rs
+++ b/crates/chunks/src/fetch.rs
@@ -82,8 +82,12 @@
         for question in puller.poll(now) {
             ready.push(question);
         }
-        let missing = puller.missing().count();
-        let most = owner.questions(known.count(), missing);
+        let mut most = owner.questions(known.count());
+        // Without a cache others wait for what is drawn here.
+        if let Some(pace) = owner.pace().filter(|_| known.has_cache()) {
+            let missing = puller.missing().count();
+            most = most.min(missing.saturating_sub(pace.missing_at(now)));
+        }
         while let Some(question) = ready.next(asked.len(), most) {
             asked.push(put(drawing, owner, manifest, question));
         }
--- a/crates/chunks/src/lib.rs
+++ b/crates/chunks/src/lib.rs
@@ -24,5 +24,5 @@
 pub use self::find_manifest::find_manifest;
 pub use self::holdings::{Held, Holdings};
 pub use self::manifest::{VersionManifest, WeightOrigin};
-pub use self::owner::{ChunkOwner, ChunkStage, Drawing, log_failure};
+pub use self::owner::{ChunkOwner, ChunkStage, Drawing, Peer, log_failure};
 pub use self::peers::{Question, STALL, Standing, standing};
--- a/crates/chunks/src/owner.rs
+++ b/crates/chunks/src/owner.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use futures::future::BoxFuture;
-use stairhinge::weights::Source;
+use stairhinge::weights::{FetchPace, Source};
 use stairhinge::{Code, Error};
 use stairhinge_shell::decisions::Decision;
 use stairhinge_shell::directory::Facts;
@@ -48,13 +48,13 @@
 
 /// A process of the same kind that draws the same version, with its data
 /// hall.
-pub(crate) type Peer = (Arc<str>, SocketAddr);
+pub type Peer = (Arc<str>, SocketAddr);
 
 /// One who draws chunks.
 pub trait ChunkOwner: Send + Sync {
     /// Returns the other processes of its kind with their data halls, which
     /// share the work of drawing.
-    fn peers(&self) -> Vec<(Arc<str>, SocketAddr)>;
+    fn peers(&self) -> Vec<Peer>;
 
     /// Returns the processes of its hall that hold chunks for it, and are
     /// asked before any peer.
@@ -67,9 +67,14 @@
     /// Returns how long the origin's link is taken to be busy with a chunk.
     fn origin_pace(&self, chunk_bytes: u32) -> Duration;
 
-    /// Returns how many of `most` questions may be out now that `missing`
-    /// chunks have not come.
-    fn questions(&self, most: usize, missing: usize) -> usize;
+    /// Returns how many of `most` questions the link bears at a time.
+    fn questions(&self, most: usize) -> usize;
+
+    /// Returns the pace of the fetch, or `None` if it should be as fast as
+    /// the link bears.
+    fn pace(&self) -> Option<FetchPace> {
+        None
+    }
 
     /// Takes in a verified chunk that was kept.
     fn kept<'a>(
--- a/crates/chunks/src/sources.rs
+++ b/crates/chunks/src/sources.rs
@@ -53,6 +53,11 @@
         others.max(1) + 1
     }
 
+    /// Returns whether a cache of the hall holds chunks for this process.
+    pub(crate) fn has_cache(&self) -> bool {
+        !self.caches.is_empty()
+    }
+
     /// Returns the ranks of all of them for a version.
     pub(crate) fn walk(
         &self,
--- a/crates/gateway/src/dispatch/known.rs
+++ b/crates/gateway/src/dispatch/known.rs
@@ -38,6 +38,15 @@
     pub at: Instant,
 }
 
+/// A replica's word that it is another one than was meant, or has another
+/// version.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Misdirected {
+    /// The version that it was to have, if any was insisted on.
+    pub version: Option<u64>,
+    pub at: Instant,
+}
+
 /// What an entry knows of one replica.
 #[derive(Debug, Default)]
 pub(super) struct Known {
@@ -48,9 +57,8 @@
     pub slow_at: Option<Instant>,
     pub reported: Option<Reported>,
     pub full_until: Option<Instant>,
-    /// When it last said that it was another replica or had another version,
-    /// with the version that it was to have.
-    pub misdirected: Option<(Option<u64>, Instant)>,
+    /// What it last said not to be.
+    pub misdirected: Option<Misdirected>,
 }
 
 impl Known {
@@ -82,11 +90,13 @@
     /// known. A report of another version is newer; one of the same version
     /// tells that the address has passed to another replica.
     pub(super) fn is_misdirected(&self) -> bool {
-        let Some((version, at)) = self.misdirected else { return false };
+        let Some(said) = self.misdirected else { return false };
         let newer = self.reported.as_ref().is_some_and(|r| {
-            r.at > at && version.is_some() && r.report.version != version
+            r.at > said.at
+                && said.version.is_some()
+                && r.report.version != said.version
         });
-        !newer && at.elapsed() < MISDIRECTED_COUNTS
+        !newer && said.at.elapsed() < MISDIRECTED_COUNTS
     }
 
     fn was_slow(&self) -> bool {
--- a/crates/gateway/src/dispatch/outcome.rs
+++ b/crates/gateway/src/dispatch/outcome.rs
@@ -4,7 +4,7 @@
 
 use stairhinge_shell::decisions::Decision;
 
-use super::known::SLOW;
+use super::known::{Misdirected, SLOW};
 use super::{Dispatcher, FULL, Place};
 
 impl Dispatcher {
@@ -38,7 +38,8 @@
 
     pub(super) fn misdirected(&self, incarnation: &str, version: Option<u64>) {
         if let Some(known) = self.lock().known.get_mut(incarnation) {
-            known.misdirected = Some((version, Instant::now()));
+            let at = Instant::now();
+            known.misdirected = Some(Misdirected { version, at });
         }
     }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 use stairhinge::{Code, Error};
-use stairhinge_shell::Settings;
+use stairhinge_shell::{LinkMbps, Settings};
 
 /// The bound on retries over all entries together.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
@@ -40,7 +40,7 @@
     pub agent_port: u16,
     /// What the instance's link carries, in megabits a second.
     #[serde(default = "default_link_mbps")]
-    pub link_mbps: f64,
+    pub link_mbps: LinkMbps,
     /// How long a planned stop may take, in seconds.
     pub grace_s: u64,
     /// How long a leaving replica may get new requests, in milliseconds.
@@ -72,8 +72,8 @@
     pub connections: usize,
 }
 
-const fn default_link_mbps() -> f64 {
-    100.0
+const fn default_link_mbps() -> LinkMbps {
+    LinkMbps::new(100.0)
 }
 
 const fn default_routes_ms() -> u64 {
@@ -107,10 +107,7 @@
         if settings.grace_s == 0 {
             return Err(Error::range("grace_s", 0, "1 or more"));
         }
-        if settings.link_mbps.is_nan() || settings.link_mbps <= 0.0 {
-            let found = settings.link_mbps;
-            return Err(Error::range("link_mbps", found, "more than 0"));
-        }
+        settings.link_mbps.check()?;
         if !(0.0..=1.0).contains(&settings.retry.ratio) {
             let ratio = settings.retry.ratio;
             return Err(Error::range("retry.ratio", ratio, "0 to 1"));
@@ -135,7 +132,7 @@
     /// agents of a hall wait for what three entries send.
     pub const fn chunk_rate(&self) -> u64 {
         const PART: f64 = 0.8;
-        (self.link_mbps * 1e6 / 8.0 * PART) as u64
+        self.link_mbps.bytes_per_s(PART)
     }
 
     /// Returns how long a planned stop may take.
--- a/crates/loader/src/drive.rs
+++ b/crates/loader/src/drive.rs
@@ -6,14 +6,16 @@
 
 use stairhinge::direct::LayerRange;
 use stairhinge::{Code, Error};
-use stairhinge_chunks::{VersionManifest, fetch, find_manifest, log_failure};
+use stairhinge_chunks::{
+    ChunkOwner as _, VersionManifest, fetch, find_manifest, log_failure,
+};
 use stairhinge_shell::decisions::Decision;
 
 use crate::agent::Agent;
 use crate::engine::{EngineState, LoadOrder, LoadOutcome};
 use crate::fetch_owner::FetchOwner;
 use crate::first_report::first_report;
-use crate::peer_list::{Relist, list_peers, peers};
+use crate::peer_list::{list_peers, peers};
 use crate::staging::{share_staged, take_staged, verify_staged};
 use crate::succession::{Wanted, is_open, weigh};
 use crate::turn::Turn;
@@ -160,20 +162,18 @@
 
 /// Takes the engine to a version: fetch, wait for the turn, load.
 async fn change(agent: &Arc<Agent>, wanted: &Wanted) -> Result<(), Error> {
-    let mut relist = Relist::default();
+    let mut owner = FetchOwner::new(Arc::clone(agent));
     if peers(agent).is_empty() {
         list_peers(agent).await;
     } else {
-        relist.start(agent);
+        owner.relist();
     }
-    let owner = FetchOwner::new(Arc::clone(agent), None);
     let drawing = &agent.drawing;
     let manifest =
         find_manifest(drawing, &owner, &wanted.model, wanted.version).await;
     take_staged(agent, &manifest).await;
     let turn = Turn::of(agent, &manifest);
-    let owner =
-        FetchOwner::new(Arc::clone(agent), turn.pace(agent, &manifest));
+    owner.set_pace(turn.pace(agent, &manifest));
     let fetched = tokio::select! {
         fetched = fetch(drawing, &owner, &manifest) => fetched,
         never = take_out_in_time(agent, &manifest, &turn) => match never {},
--- a/crates/loader/src/fetch_owner.rs
+++ b/crates/loader/src/fetch_owner.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use stairhinge::weights::{FetchPace, Source};
-use stairhinge_chunks::{ChunkOwner, VersionManifest};
+use stairhinge_chunks::{ChunkOwner, Peer, VersionManifest};
 
 use crate::agent::Agent;
 use crate::peer_list::{Relist, peers};
@@ -25,17 +25,19 @@
 }
 
 impl FetchOwner {
-    /// Returns the owner of a fetch, at a pace or as fast as the link bears.
-    pub(crate) fn new(
-        agent: Arc<Agent>,
-        pace: Option<FetchPace>,
-    ) -> FetchOwner {
-        FetchOwner { agent, pace, relist: Mutex::default() }
+    /// Returns the owner of a fetch that is as fast as the link bears.
+    pub(crate) fn new(agent: Arc<Agent>) -> FetchOwner {
+        FetchOwner { agent, pace: None, relist: Mutex::default() }
+    }
+
+    /// Spreads the fetch from now on.
+    pub(crate) fn set_pace(&mut self, pace: Option<FetchPace>) {
+        self.pace = pace;
     }
 }
 
 impl ChunkOwner for FetchOwner {
-    fn peers(&self) -> Vec<(Arc<str>, SocketAddr)> {
+    fn peers(&self) -> Vec<Peer> {
         peers(&self.agent)
     }
 
@@ -52,15 +54,12 @@
         transfer.mul_f64(ORIGIN_AHEAD)
     }
 
-    fn questions(&self, most: usize, missing: usize) -> usize {
-        let most = self.agent.link_share().questions(most);
-        let now = self.agent.facts.now();
-        let Some(pace) = self.pace else { return most };
-        // Without a cache the others wait for what this agent draws.
-        if caches(&self.agent).is_empty() {
-            return most;
-        }
-        most.min(missing.saturating_sub(pace.missing_at(now)))
+    fn questions(&self, most: usize) -> usize {
+        self.agent.link_share().questions(most)
+    }
+
+    fn pace(&self) -> Option<FetchPace> {
+        self.pace
     }
 
     fn kept<'a>(
--- a/crates/loader/src/settings.rs
+++ b/crates/loader/src/settings.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 use stairhinge::{Code, Error};
-use stairhinge_shell::Settings;
+use stairhinge_shell::{LinkMbps, Settings};
 
 /// The settings of an agent beside an engine.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -29,7 +29,7 @@
     /// a cut, in milliseconds.
     pub contact_ms: u64,
     /// What the instance's link carries, in megabits a second.
-    pub link_mbps: f64,
+    pub link_mbps: LinkMbps,
     /// How often the engine is asked, in milliseconds.
     #[serde(default = "default_poll_ms")]
     pub poll_ms: u64,
@@ -45,10 +45,7 @@
     fn parse(text: &str) -> Result<AgentSettings, Error> {
         let settings: AgentSettings = serde_saphyr::from_str(text)
             .map_err(|e| Error::new(Code::BadSettings, e))?;
-        if settings.link_mbps.is_nan() || settings.link_mbps <= 0.0 {
-            let found = settings.link_mbps;
-            return Err(Error::range("link_mbps", found, "more than 0"));
-        }
+        settings.link_mbps.check()?;
         if settings.poll_ms == 0 {
             return Err(Error::range("poll_ms", 0, "1 or more"));
         }
@@ -71,15 +68,13 @@
     /// is for answers, which would else queue behind them.
     pub const fn chunk_rate(&self) -> u64 {
         const PART: f64 = 0.95;
-        (self.link_mbps * 1e6 / 8.0 * PART) as u64
+        self.link_mbps.bytes_per_s(PART)
     }
 
     /// Returns how long the instance's link takes for some bytes; that of
     /// the origin is taken to carry as much.
     pub fn transfer(&self, bytes: u32) -> Duration {
-        Duration::from_secs_f64(
-            f64::from(bytes) * 8.0 / (self.link_mbps * 1e6),
-        )
+        self.link_mbps.transfer(bytes)
     }
 
     /// Returns how often the engine is asked.
--- a/crates/loader/src/staging.rs
+++ b/crates/loader/src/staging.rs
@@ -14,7 +14,7 @@
 
 /// Offers what lies staged at the engine to peers.
 pub(crate) async fn share_staged(agent: &Arc<Agent>, wanted: &Wanted) {
-    let owner = FetchOwner::new(Arc::clone(agent), None);
+    let owner = FetchOwner::new(Arc::clone(agent));
     let manifest =
         find_manifest(&agent.drawing, &owner, &wanted.model, wanted.version)
             .await;
--- a/crates/shell/src/directory/facts.rs
+++ b/crates/shell/src/directory/facts.rs
@@ -289,6 +289,14 @@
 
     fn learn_replica(&self, replica: Replica) {
         let replica = Arc::new(replica);
+        let known = self
+            .view()
+            .replicas
+            .get(&replica.incarnation)
+            .is_some_and(|(r, s)| *r == replica && *s == Standing::Listed);
+        if known {
+            return;
+        }
         let view = self.view();
         let others = || view.replicas.values().map(|(other, _)| other);
         if others().any(|other| replica.is_replaced_by(other)) {
@@ -301,14 +309,6 @@
         for incarnation in replaced {
             self.remove(&incarnation, true);
         }
-        let known = self
-            .view()
-            .replicas
-            .get(&replica.incarnation)
-            .is_some_and(|(r, s)| *r == replica && *s == Standing::Listed);
-        if known {
-            return;
-        }
         self.log.write(&Decision::ReplicaListed {
             replica: &replica.incarnation,
             addr: replica.addr,
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod packed;
 pub mod settings;
 
+mod link;
 mod live_settings;
 mod logs;
 mod metrics;
@@ -25,6 +26,7 @@
 mod shutdown;
 mod slot;
 
+pub use self::link::LinkMbps;
 pub use self::live_settings::{LiveSettings, Settings};
 pub use self::logs::{start as start_logs, to_report};
 pub use self::metrics::Metrics;
--- a/src/direct/contention.rs
+++ b/src/direct/contention.rs
@@ -14,8 +14,8 @@
 }
 
 impl Contention {
-    /// What is left of older reports with each new one. With 20 replicas that
-    /// report ten times a second it halves within two seconds.
+    /// What is left of older reports with each new one: half after 346, which
+    /// 20 replicas that report 25 times a second make in 0.7 s.
     const KEPT: f64 = 0.998;
 
     /// The most entries that are counted on: a share too small to measure
