--- a/crates/gateway/src/cache_site.rs
+++ b/crates/gateway/src/cache_site.rs
@@ -16,7 +16,7 @@
 
 impl CacheSite for FeedSite {
     fn entries(&self) -> Vec<HallEntry> {
-        self.dispatcher.entries()
+        self.dispatcher.entries().to_vec()
     }
 
     fn holders(&self, model: &str, version: u64) -> Vec<SocketAddr> {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -1,46 +1,38 @@
 //! Picking a replica for each request, and waiting for one with room.
 
+mod find;
+mod hall;
 mod known;
 mod news;
 mod outcome;
 mod place;
+mod queue;
 mod terms;
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::{Duration, Instant};
 
-use stairhinge::direct::balance::{Candidate, Pace, choose};
-use stairhinge::direct::{Contention, Replica};
-use stairhinge::rank;
-use stairhinge_shell::directory::{Facts, FactsView, Standing};
-use tokio::sync::oneshot;
+use stairhinge::direct::{Contention, HallEntry};
+use stairhinge_shell::directory::Facts;
 
+use self::find::layers;
 use self::known::{Known, Reported};
 pub(crate) use self::place::{Need, NoReplica, Place};
-use self::terms::Terms;
+pub(crate) use self::queue::Found;
+use self::queue::Queue;
 use crate::report::EngineReport;
 
-#[derive(Debug)]
-struct Waiter {
-    need: Need,
-    order: u64,
-    found: oneshot::Sender<Place>,
-}
-
-/// Replicas that could take a request.
-#[derive(Debug, Default)]
-struct Offered {
-    candidates: Vec<Candidate>,
-    replicas: Vec<(Arc<Replica>, Terms)>,
-}
-
 #[derive(Debug, Default)]
 struct State {
     known: HashMap<Arc<str>, Known>,
-    waiting: Vec<Waiter>,
-    next: u64,
+    waiting: Queue,
     contention: Contention,
+    /// The entries that agents of the own hall tell of.
+    entries: Arc<Vec<HallEntry>>,
+    /// The leading ones of the own hall, the first to place in front.
+    ranked: Arc<Vec<SocketAddr>>,
 }
 
 /// How far the dispatcher looks back and ahead.
@@ -50,13 +42,6 @@
     pub version: Duration,
 }
 
-/// How long prompts that wait at a replica may take to be read, as a part of
-/// the request's objective. The other half is for the request's own prompt
-/// and the pass under way, 0.12 s at an engine of which half the time goes
-/// into reading. Without a bound replicas got 20 requests within 0.25 s and
-/// began them after 0.8 s.
-const BACKLOG_PART: f64 = 0.5;
-
 /// How long a replica that had no room is spared.
 const FULL: Duration = Duration::from_millis(60);
 
@@ -105,38 +90,37 @@
         need: Need,
         until: Instant,
     ) -> Result<Place, NoReplica> {
-        let mut receiver = {
-            let mut state = self.lock();
-            let view = self.facts.view();
-            let ahead = state.waiting.iter().any(|w| {
-                w.need.service == need.service
-                    && w.need.priority <= need.priority
-                    && !w.found.is_closed()
-            });
-            if !ahead && let Some(place) = self.find(&mut state, &view, &need)
-            {
-                return Ok(place);
-            }
-            if !self.exists(&state, &view, &need) {
-                return Err(NoReplica::None);
-            }
-            let (found, receiver) = oneshot::channel();
-            let order = state.next;
-            state.next += 1;
-            state.waiting.push(Waiter { need, order, found });
-            receiver
-        };
-        match tokio::time::timeout_at(until.into(), &mut receiver).await {
-            Ok(Ok(place)) => Ok(place),
-            Ok(Err(_)) => Err(NoReplica::None),
-            Err(_) => {
-                receiver.close();
-                // One may have come in the same moment.
-                receiver.try_recv().map_err(|_| NoReplica::Full)
+        let wait = until.saturating_duration_since(Instant::now());
+        match self.request(need, !wait.is_zero()) {
+            Found::Place(place) => Ok(place),
+            Found::Nothing => Err(NoReplica::None),
+            Found::Full => Err(NoReplica::Full),
+            Found::Waits(found) => {
+                found.within(wait).await.ok_or(NoReplica::Full)
             }
         }
     }
 
+    /// Returns a place at a replica; where there is no room now, it waits for
+    /// some if the caller does.
+    pub(crate) fn request(&self, need: Need, waits: bool) -> Found {
+        let mut state = self.lock();
+        let view = self.facts.view();
+        let ahead = state.waiting.goes_before(&need);
+        if !ahead
+            && let Some(place) = self.find(&mut state, &view, &need, None)
+        {
+            return Found::Place(place);
+        }
+        if !self.exists(&state, &view, &need) {
+            return Found::Nothing;
+        }
+        if !waits {
+            return Found::Full;
+        }
+        Found::Waits(state.waiting.join(need))
+    }
+
     /// Returns how many replicas of a service are listed, and how many of
     /// them could take a request if they had room.
     pub(crate) fn count(&self, need: &Need) -> (usize, usize) {
@@ -154,27 +138,25 @@
         (listed, suitable)
     }
 
-    /// Gives waiting requests the room that there is now.
-    pub(crate) fn pump(&self) {
+    /// Gives waiting requests the room that there is now, at one replica if
+    /// that alone has changed.
+    pub(crate) fn pump(&self, only: Option<&Arc<str>>) {
         let mut state = self.lock();
         if state.waiting.is_empty() {
             return;
         }
         let view = self.facts.view();
-        let mut waiting = std::mem::take(&mut state.waiting);
-        waiting.retain(|w| !w.found.is_closed());
-        waiting.sort_by_key(|w| (w.need.priority, w.order));
         let mut given = Vec::new();
-        for waiter in waiting {
-            match self.find(&mut state, &view, &waiter.need) {
-                Some(place) => given.push((waiter.found, place)),
-                None => state.waiting.push(waiter),
+        for waiter in state.waiting.take() {
+            match self.find(&mut state, &view, &waiter.need, only) {
+                Some(place) => given.push((waiter, place)),
+                None => state.waiting.keep(waiter),
             }
         }
         drop(state);
-        for (found, place) in given {
+        for (waiter, place) in given {
             // A place whose waiter has just gone is given back by its drop.
-            let _ = found.send(place);
+            let _ = waiter.found.send(place);
         }
     }
 
@@ -186,6 +168,8 @@
     ) {
         let mut state = self.lock();
         let known = state.known.entry(Arc::clone(incarnation)).or_default();
+        let tells_entries =
+            report.entries.is_some() || report.leading.is_some();
         if let Some(last) = &mut known.reported {
             report.keep_from(&mut last.report);
         }
@@ -194,8 +178,11 @@
         known.load = known.load.reported(report.queued, report.running);
         known.reported = Some(Reported { report, at: Instant::now() });
         state.contention.note(own, all);
+        if tells_entries {
+            self.rank_entries(&mut state);
+        }
         drop(state);
-        self.pump();
+        self.pump(Some(incarnation));
     }
 
     /// Takes note that a replica's last report still holds.
@@ -213,6 +200,7 @@
         if let Some(known) = state.known.get_mut(incarnation) {
             known.reported = None;
             known.load = known.load.unreported();
+            self.rank_entries(&mut state);
         }
     }
 
@@ -240,112 +228,7 @@
         reported.is_some_and(|r| !r.report.up)
     }
 
-    /// Whether any replica could take the request if it had room.
-    fn exists(&self, state: &State, view: &FactsView, need: &Need) -> bool {
-        let now = self.facts.now();
-        let layers = layers(view, need);
-        view.of_service(&need.service).any(|(replica, _)| {
-            self.terms(state, view, need, replica, layers, now).is_some()
-        })
-    }
-
-    fn find(
-        &self,
-        state: &mut State,
-        view: &FactsView,
-        need: &Need,
-    ) -> Option<Place> {
-        let now = self.facts.now();
-        let engine = view.engine(&need.service);
-        let layers = layers(view, need);
-        let contention = state.contention.entries();
-        let mut sound = Offered::default();
-        let mut suspect = Offered::default();
-        let listed = view
-            .of_service(&need.service)
-            .any(|(_, standing)| *standing == Standing::Listed);
-        for (replica, standing) in view.of_service(&need.service) {
-            if listed && *standing == Standing::Doubtful {
-                continue;
-            }
-            let terms = self.terms(state, view, need, replica, layers, now);
-            let Some(terms) = terms else { continue };
-            let known = state
-                .known
-                .entry(Arc::clone(&replica.incarnation))
-                .or_default();
-            if known.full_until.is_some_and(|at| at > Instant::now()) {
-                continue;
-            }
-            let fit = known.health.fit(now);
-            let offset = *known
-                .offset
-                .get_or_insert_with(|| self.offset(&replica.incarnation));
-            let pace = engine.map_or_else(
-                || Pace::plain(replica.slots),
-                |engine| Pace {
-                    entries: contention,
-                    ..engine.pace(replica.slots)
-                },
-            );
-            let candidate = Candidate {
-                load: known.load,
-                pace,
-                near: replica.hall == self.hall,
-                queue: queue_room(replica.slots, engine.is_some()),
-                offset,
-                delay_ms: known.delay_ms(),
-                slowdown: known.slowdown(),
-                most_ms: BACKLOG_PART * need.objective.as_millis() as f64,
-            };
-            let offered = if fit { &mut sound } else { &mut suspect };
-            offered.candidates.push(candidate);
-            offered.replicas.push((Arc::clone(replica), terms));
-        }
-        // Where all have failed of late, one of them is better than none.
-        let offered =
-            if sound.candidates.is_empty() { suspect } else { sound };
-        let chosen = choose(&offered.candidates)?;
-        let (replica, terms) = offered.replicas.into_iter().nth(chosen)?;
-        let known =
-            state.known.entry(Arc::clone(&replica.incarnation)).or_default();
-        known.load.own_pending += 1;
-        known.load.own_pending_tokens += need.prompt_tokens;
-        let reported = known.reported.as_ref();
-        Some(Place {
-            version: terms.version.or(need.version),
-            begin_by: terms.begin_by,
-            load: known.load.total(),
-            delay_ms: known.delay_ms() as u64,
-            report_age: reported.map(|r| r.at.elapsed()),
-            prompt_tokens: need.prompt_tokens,
-            given: Instant::now(),
-            began: false,
-            replica,
-            dispatcher: Weak::clone(&self.this),
-        })
-    }
-
-    /// Returns this entry's leaning towards a replica, from 0 to 1.
-    fn offset(&self, incarnation: &str) -> f64 {
-        let score = rank::score(self.instance.as_bytes(), incarnation);
-        score as f64 / u64::MAX as f64
-    }
-
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// Returns how many layers the model has that a request needs.
-fn layers(view: &FactsView, need: &Need) -> u32 {
-    view.engine(&need.service).map_or(0, |engine| engine.layers)
-}
-
-/// Returns how many requests beyond its slots a replica may get.
-///
-/// An engine's slot is free again after a whole generation, so no request
-/// waits for one there; a plain service's work is short.
-const fn queue_room(slots: u32, engine: bool) -> u32 {
-    if engine { 0 } else { slots }
-}
--- /dev/null
+++ b/crates/gateway/src/dispatch/find.rs
@@ -0,0 +1,167 @@
+//! Finding the replica for one request.
+
+use std::sync::{Arc, Weak};
+use std::time::Instant;
+
+use stairhinge::direct::Replica;
+use stairhinge::direct::balance::{Candidate, Pace, choose};
+use stairhinge::rank;
+use stairhinge_shell::directory::{FactsView, Standing};
+
+use super::terms::Terms;
+use super::{Dispatcher, Need, Place, State};
+use crate::placing::Chooser;
+
+/// How long prompts that wait at a replica may take to be read, as a part of
+/// the request's objective. The other half is for the request's own prompt
+/// and the pass under way, 0.12 s at an engine of which half the time goes
+/// into reading. Without a bound replicas got 20 requests within 0.25 s and
+/// began them after 0.8 s.
+const BACKLOG_PART: f64 = 0.5;
+
+/// Replicas that could take a request.
+#[derive(Debug, Default)]
+struct Offered {
+    candidates: Vec<Candidate>,
+    replicas: Vec<(Arc<Replica>, Terms)>,
+}
+
+impl Dispatcher {
+    /// Whether any replica could take the request if it had room.
+    pub(super) fn exists(
+        &self,
+        state: &State,
+        view: &FactsView,
+        need: &Need,
+    ) -> bool {
+        let now = self.facts.now();
+        let layers = layers(view, need);
+        view.of_service(&need.service).any(|(replica, _)| {
+            self.terms(state, view, need, replica, layers, now).is_some()
+        })
+    }
+
+    /// Takes a place for a request at the best replica, or at `only` if it
+    /// will do.
+    pub(super) fn find(
+        &self,
+        state: &mut State,
+        view: &FactsView,
+        need: &Need,
+        only: Option<&Arc<str>>,
+    ) -> Option<Place> {
+        if let Some(only) = only
+            && !self.may_fill(state, view, need, only)
+        {
+            return None;
+        }
+        let now = self.facts.now();
+        let engine = view.engine(&need.service);
+        let layers = layers(view, need);
+        let contention = state.contention.entries();
+        let mut sound = Offered::default();
+        let mut suspect = Offered::default();
+        let listed = view
+            .of_service(&need.service)
+            .any(|(_, standing)| *standing == Standing::Listed);
+        for (replica, standing) in view.of_service(&need.service) {
+            if listed && *standing == Standing::Doubtful
+                || only.is_some_and(|only| *only != replica.incarnation)
+            {
+                continue;
+            }
+            let terms = self.terms(state, view, need, replica, layers, now);
+            let Some(terms) = terms else { continue };
+            let known = state
+                .known
+                .entry(Arc::clone(&replica.incarnation))
+                .or_default();
+            if known.full_until.is_some_and(|at| at > Instant::now()) {
+                continue;
+            }
+            let fit = known.health.fit(now);
+            let offset = *known
+                .offset
+                .get_or_insert_with(|| self.offset(&replica.incarnation));
+            let pace = engine.map_or_else(
+                || Pace::plain(replica.slots),
+                |engine| Pace {
+                    entries: contention,
+                    ..engine.pace(replica.slots)
+                },
+            );
+            let candidate = Candidate {
+                load: known.load,
+                pace,
+                near: replica.hall == self.hall,
+                queue: queue_room(replica.slots, engine.is_some()),
+                offset,
+                delay_ms: known.delay_ms(),
+                slowdown: known.slowdown(),
+                most_ms: BACKLOG_PART * need.objective.as_millis() as f64,
+            };
+            let offered = if fit { &mut sound } else { &mut suspect };
+            offered.candidates.push(candidate);
+            offered.replicas.push((Arc::clone(replica), terms));
+        }
+        // Where all have failed of late, one of them is better than none.
+        let offered =
+            if sound.candidates.is_empty() { suspect } else { sound };
+        let chosen = choose(&offered.candidates)?;
+        let (replica, terms) = offered.replicas.into_iter().nth(chosen)?;
+        let known =
+            state.known.entry(Arc::clone(&replica.incarnation)).or_default();
+        known.load.own_pending += 1;
+        known.load.own_pending_tokens += need.prompt_tokens;
+        let reported = known.reported.as_ref();
+        Some(Place {
+            version: terms.version.or(need.version),
+            begin_by: terms.begin_by,
+            load: known.load.total(),
+            delay_ms: known.delay_ms() as u64,
+            report_age: reported.map(|r| r.at.elapsed()),
+            prompt_tokens: need.prompt_tokens,
+            chooser: Chooser::Alone,
+            lease: None,
+            given: Instant::now(),
+            began: false,
+            replica,
+            dispatcher: Weak::clone(&self.this),
+        })
+    }
+
+    /// Returns this entry's leaning towards a replica, from 0 to 1.
+    fn offset(&self, incarnation: &str) -> f64 {
+        let score = rank::score(self.instance.as_bytes(), incarnation);
+        score as f64 / u64::MAX as f64
+    }
+
+    /// Whether a replica that has changed may be one for a request that
+    /// waits: of its service, and sound. One that has failed of late is
+    /// looked at beside all others only.
+    fn may_fill(
+        &self,
+        state: &State,
+        view: &FactsView,
+        need: &Need,
+        only: &Arc<str>,
+    ) -> bool {
+        let listed = view.replicas.get(only);
+        let known = state.known.get(only);
+        listed.is_some_and(|(r, _)| r.service == need.service)
+            && known.is_none_or(|k| k.health.fit(self.facts.now()))
+    }
+}
+
+/// Returns how many layers the model has that a request needs.
+pub(super) fn layers(view: &FactsView, need: &Need) -> u32 {
+    view.engine(&need.service).map_or(0, |engine| engine.layers)
+}
+
+/// Returns how many requests beyond its slots a replica may get.
+///
+/// An engine's slot is free again after a whole generation, so no request
+/// waits for one there; a plain service's work is short.
+const fn queue_room(slots: u32, engine: bool) -> u32 {
+    if engine { 0 } else { slots }
+}
--- /dev/null
+++ b/crates/gateway/src/dispatch/hall.rs
@@ -0,0 +1,129 @@
+//! What an entry knows of its hall's other entries, and places that one of
+//! them has given.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Weak};
+use std::time::{Duration, Instant};
+
+use stairhinge::direct::{HallEntry, ReplicaState};
+use stairhinge::placing::{Placed, ranked};
+use stairhinge_shell::directory::{FactsView, Standing};
+
+use super::{Dispatcher, Need, Place, State};
+use crate::placing::{Chooser, Lease};
+
+impl Dispatcher {
+    /// Returns the entries that the agents of the own hall know of.
+    pub(crate) fn entries(&self) -> Arc<Vec<HallEntry>> {
+        Arc::clone(&self.lock().entries)
+    }
+
+    /// Returns the leading entries of the hall, the first to place in front.
+    pub(crate) fn ranked(&self) -> Arc<Vec<SocketAddr>> {
+        Arc::clone(&self.lock().ranked)
+    }
+
+    /// Works out who the entries are after agents have told of others.
+    pub(super) fn rank_entries(&self, state: &mut State) {
+        let mut entries: Vec<HallEntry> = Vec::new();
+        let mut leading: Vec<SocketAddr> = Vec::new();
+        for known in state.known.values() {
+            let Some(reported) = &known.reported else { continue };
+            entries.extend(reported.report.entries.iter().flatten().cloned());
+            leading.extend(reported.report.leading.iter().flatten());
+        }
+        entries.sort_unstable();
+        entries.dedup();
+        state.ranked = Arc::new(ranked(leading));
+        state.entries = Arc::new(entries);
+    }
+
+    /// Whether enough of the hall is known to place for others: half of the
+    /// engines that are listed there tell of themselves.
+    pub(crate) fn hears_hall(&self) -> bool {
+        let view = self.facts.view();
+        let state = self.lock();
+        let mut listed = 0;
+        let mut heard = 0;
+        for (replica, standing) in view.replicas.values() {
+            let near = replica.hall == self.hall;
+            let sound = *standing == Standing::Listed;
+            if !near || !sound || view.engine(&replica.service).is_none() {
+                continue;
+            }
+            listed += 1;
+            let known = state.known.get(&replica.incarnation);
+            let reported = known.and_then(|k| k.reported.as_ref());
+            let hears = reported.is_some_and(|r| r.counts());
+            heard += usize::from(hears);
+        }
+        heard * 2 >= listed
+    }
+
+    /// Returns how many requests recent reports show at each replica.
+    pub(crate) fn reported_totals(&self) -> HashMap<Arc<str>, u32> {
+        let state = self.lock();
+        let mut totals = HashMap::new();
+        for (incarnation, known) in &state.known {
+            let Some(reported) = &known.reported else { continue };
+            if reported.counts() {
+                let total = reported.report.total();
+                totals.insert(Arc::clone(incarnation), total);
+            }
+        }
+        totals
+    }
+
+    /// Takes a place that the placer has given, or returns `None` if by what
+    /// this entry knows the replica must not be used.
+    pub(crate) fn adopt(
+        &self,
+        placed: Placed,
+        need: &Need,
+        lease: Lease,
+        placer: SocketAddr,
+    ) -> Option<Place> {
+        let view = self.facts.view();
+        let (replica, _) = view.replicas.get(&placed.replica)?;
+        if replica.state == ReplicaState::Draining {
+            return None;
+        }
+        let now = self.facts.now();
+        let told =
+            placed.begin_in_ms.map(|ms| now.after(Duration::from_millis(ms)));
+        let mut begin_by = told;
+        if let Some(since) = outdated(&view, need, placed.version) {
+            let own = self.begin_by(since, false, now)?;
+            begin_by = Some(told.map_or(own, |told| told.min(own)));
+        }
+        let mut state = self.lock();
+        let incarnation = Arc::clone(&replica.incarnation);
+        let load = &mut state.known.entry(incarnation).or_default().load;
+        load.own_pending += 1;
+        load.own_pending_tokens += need.prompt_tokens;
+        Some(Place {
+            replica: Arc::clone(replica),
+            version: placed.version,
+            begin_by,
+            load: placed.load,
+            delay_ms: placed.delay_ms,
+            report_age: placed.report_age_ms.map(Duration::from_millis),
+            chooser: Chooser::Placer(placer),
+            lease: Some(lease),
+            prompt_tokens: need.prompt_tokens,
+            given: Instant::now(),
+            began: false,
+            dispatcher: Weak::clone(&self.this),
+        })
+    }
+}
+
+/// Returns since when a version is outdated by what this entry knows.
+fn outdated(
+    view: &FactsView,
+    need: &Need,
+    version: Option<u64>,
+) -> Option<stairhinge::Time> {
+    view.targets.outdated_since(need.model.as_ref()?, version?)
+}
--- a/crates/gateway/src/dispatch/known.rs
+++ b/crates/gateway/src/dispatch/known.rs
@@ -5,6 +5,7 @@
 use stairhinge::direct::balance::Load;
 use stairhinge::routing::Health;
 
+use super::terms::REPORT_COUNTS;
 use crate::report::EngineReport;
 
 /// An attempt that begins later than this makes its replica a slow one.
@@ -38,6 +39,13 @@
     pub at: Instant,
 }
 
+impl Reported {
+    /// Whether it is recent enough to count.
+    pub(super) fn counts(&self) -> bool {
+        self.at.elapsed() < REPORT_COUNTS
+    }
+}
+
 /// A replica's word that it is another one than was meant, or has another
 /// version.
 #[derive(Clone, Copy, Debug)]
--- a/crates/gateway/src/dispatch/news.rs
+++ b/crates/gateway/src/dispatch/news.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use stairhinge::direct::HallEntry;
 use stairhinge_shell::directory::{News, TargetAge};
 
 use super::Dispatcher;
@@ -27,21 +26,6 @@
         told.max_by_key(|news| news.revision).cloned()
     }
 
-    /// Returns the entries that the agents of the own hall know of.
-    pub(crate) fn entries(&self) -> Vec<HallEntry> {
-        let state = self.lock();
-        let mut entries: Vec<HallEntry> = Vec::new();
-        for known in state.known.values() {
-            let Some(reported) = &known.reported else { continue };
-            for entry in reported.report.entries.iter().flatten() {
-                if !entries.contains(entry) {
-                    entries.push(entry.clone());
-                }
-            }
-        }
-        entries
-    }
-
     /// Returns the replicas of the own hall that serve a version, by the
     /// reports of their agents.
     pub(crate) fn serving(
--- a/crates/gateway/src/dispatch/outcome.rs
+++ b/crates/gateway/src/dispatch/outcome.rs
@@ -74,6 +74,6 @@
                     .saturating_sub(place.prompt_tokens);
             }
         }
-        self.pump();
+        self.pump(Some(incarnation));
     }
 }
--- a/crates/gateway/src/dispatch/place.rs
+++ b/crates/gateway/src/dispatch/place.rs
@@ -5,8 +5,10 @@
 
 use stairhinge::Time;
 use stairhinge::direct::Replica;
+use stairhinge::placing::Outcome;
 
 use super::Dispatcher;
+use crate::placing::{Chooser, Lease};
 
 /// What a request needs of a replica.
 #[derive(Clone, Debug)]
@@ -50,6 +52,10 @@
     /// How much longer than usual the way there takes, in milliseconds.
     pub delay_ms: u64,
     pub report_age: Option<Duration>,
+    /// Who chose the replica.
+    pub chooser: Chooser,
+    /// What a placer is told of the place's use, if one gave it.
+    pub(super) lease: Option<Lease>,
     pub(super) prompt_tokens: u32,
     pub(super) given: Instant,
     pub(super) began: bool,
@@ -59,45 +65,39 @@
 impl Place {
     /// Notes that the replica has begun to answer.
     pub(crate) fn begin(&mut self) {
+        self.begin_after(self.given.elapsed());
+    }
+
+    /// Notes that the replica has begun to answer so long after the place
+    /// was given.
+    pub(crate) fn begin_after(&mut self, took: Duration) {
         if std::mem::replace(&mut self.began, true) {
             return;
         }
-        if let Some(dispatcher) = self.dispatcher.upgrade() {
-            let took = self.given.elapsed();
-            dispatcher.begin(
-                &self.replica.incarnation,
-                self.prompt_tokens,
-                took,
-            );
+        if let Some(lease) = &self.lease {
+            lease.began(took);
         }
-    }
-
-    /// Notes that the replica answered.
-    pub(crate) fn succeeded(&self) {
         if let Some(dispatcher) = self.dispatcher.upgrade() {
-            dispatcher.succeeded(&self.replica.incarnation);
+            let tokens = self.prompt_tokens;
+            dispatcher.begin(&self.replica.incarnation, tokens, took);
         }
     }
 
-    /// Notes that the replica failed.
-    pub(crate) fn failed(&self) {
-        if let Some(dispatcher) = self.dispatcher.upgrade() {
-            dispatcher.failed(&self.replica.incarnation);
+    /// Notes what the request brought, as far as it tells of the replica.
+    pub(crate) fn note(&mut self, outcome: Outcome) {
+        if let Some(lease) = &mut self.lease {
+            lease.note(outcome);
         }
-    }
-
-    /// Notes that the replica said it was not the one meant, or had another
-    /// version.
-    pub(crate) fn misdirected(&self) {
-        if let Some(dispatcher) = self.dispatcher.upgrade() {
-            dispatcher.misdirected(&self.replica.incarnation, self.version);
-        }
-    }
-
-    /// Notes that the replica said it had no room.
-    pub(crate) fn full(&self) {
-        if let Some(dispatcher) = self.dispatcher.upgrade() {
-            dispatcher.full(&self.replica.incarnation);
+        let Some(dispatcher) = self.dispatcher.upgrade() else { return };
+        let incarnation = &self.replica.incarnation;
+        match outcome {
+            Outcome::Unknown => {}
+            Outcome::Succeeded => dispatcher.succeeded(incarnation),
+            Outcome::Failed => dispatcher.failed(incarnation),
+            Outcome::Full => dispatcher.full(incarnation),
+            Outcome::Misdirected => {
+                dispatcher.misdirected(incarnation, self.version);
+            }
         }
     }
 }
--- a/crates/gateway/src/dispatch/terms.rs
+++ b/crates/gateway/src/dispatch/terms.rs
@@ -22,7 +22,7 @@
 const SLOW_MARGIN: Duration = Duration::from_millis(3_000);
 
 /// How long a report counts.
-const REPORT_COUNTS: Duration = Duration::from_millis(1_500);
+pub(super) const REPORT_COUNTS: Duration = Duration::from_millis(1_500);
 
 /// On which terms a replica may take a request.
 #[derive(Clone, Copy, Debug, Default)]
@@ -56,9 +56,8 @@
         let Some(model) = &need.model else {
             return Some(Terms::default());
         };
-        let reported = known
-            .and_then(|k| k.reported.as_ref())
-            .filter(|r| r.at.elapsed() < REPORT_COUNTS);
+        let reported =
+            known.and_then(|k| k.reported.as_ref()).filter(|r| r.counts());
         if reported.is_some_and(|r| !r.report.up || r.report.loading) {
             return None;
         }
@@ -88,7 +87,12 @@
 
     /// Returns until when a request may begin on a version outdated since
     /// `since`, or `None` if nothing more may be sent to it.
-    fn begin_by(&self, since: Time, slow: bool, now: Time) -> Option<Time> {
+    pub(super) fn begin_by(
+        &self,
+        since: Time,
+        slow: bool,
+        now: Time,
+    ) -> Option<Time> {
         let margin = if slow { SLOW_MARGIN } else { VERSION_MARGIN };
         let bound = self.bounds.version;
         if now >= since.after(bound.saturating_sub(margin)) {
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -19,11 +19,12 @@
 use crate::cache_site::FeedSite;
 use crate::dialect::Dialect;
 use crate::dispatch::{DispatchBounds, Dispatcher};
-use crate::feed::follow_agents;
+use crate::feed::{FeedListener, follow_agents};
 use crate::forward::Forwarder;
 use crate::hall_reader::HallReaders;
 use crate::metrics::{EntryMetrics, ServeMetrics};
 use crate::news::{HandOver, NewsDesk};
+use crate::placing::HallPlacing;
 use crate::ready::Ready;
 use crate::settings::EntrySettings;
 
@@ -83,12 +84,12 @@
             shutdown.clone(),
         ));
     }
-    tokio::spawn(follow_agents(
-        Arc::clone(&facts),
-        Arc::clone(&dispatcher),
-        port,
-        settings.peers,
-    ));
+    let feeds = FeedListener {
+        addr: settings.peers,
+        agent_port: port,
+        hall_placing: settings.hall_placing,
+    };
+    tokio::spawn(follow_agents(Arc::clone(&dispatcher), feeds));
     if let Some((addr, readers)) = settings.peers.zip(readers) {
         let desk = NewsDesk {
             readers,
@@ -106,10 +107,13 @@
     if let Some(watch) = watch {
         tokio::spawn(live.clone().follow(watch, log.clone()));
     }
+    let placing = placing(&settings, &dispatcher).await?;
+    tokio::spawn(Arc::clone(&placing).run());
     let forwarder = Arc::new(Forwarder::new(
         live.clone(),
         Arc::clone(&facts),
         Arc::clone(&dispatcher),
+        placing,
         dialect,
         Arc::clone(&metrics),
         shutdown.clone(),
@@ -145,6 +149,21 @@
         .map_err(|e| Error::new(Code::CannotBind, format_args!("{addr}: {e}")))
 }
 
+/// Returns how the entry's requests get their places.
+async fn placing(
+    settings: &EntrySettings,
+    dispatcher: &Arc<Dispatcher>,
+) -> Result<Arc<HallPlacing>, Error> {
+    let dispatcher = Arc::clone(dispatcher);
+    let placing = match settings.peers {
+        Some(own) if settings.hall_placing => {
+            HallPlacing::bind(dispatcher, own).await?
+        }
+        _ => HallPlacing::alone(dispatcher),
+    };
+    Ok(Arc::new(placing))
+}
+
 fn limits(settings: &EntrySettings) -> Limits {
     let idle = Duration::from_millis(settings.idle_ms);
     let linger = BALANCER.min(settings.grace() / 2);
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -2,7 +2,8 @@
 //!
 //! The agent beside each engine asks it often, which costs nothing there,
 //! and tells every entry that listens. An entry keeps one connection to each
-//! agent, on which lines come as things change.
+//! agent of its hall, on which lines come as things change; those that lead
+//! the hall also listen to the agents elsewhere.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -16,8 +17,8 @@
 use hyper::client::conn::http1;
 use stairhinge::Code;
 use stairhinge::direct::Replica;
+use stairhinge::placing::Seat;
 use stairhinge_shell::decisions::Decision;
-use stairhinge_shell::directory::Facts;
 use stairhinge_shell::http::headers;
 use tokio::task::JoinHandle;
 
@@ -34,59 +35,110 @@
 /// The longest line of a feed, in bytes.
 const MOST_LINE: usize = 16 << 10;
 
-/// Keeps a feed open to the agent of each listed engine; `own` is where
-/// others of the hall can ask this entry.
+/// How often an entry looks whether its part in the hall has changed.
+const LOOK: Duration = Duration::from_millis(250);
+
+/// A feed that should be open.
+#[derive(Clone)]
+struct Wanted {
+    replica: Arc<Replica>,
+    /// Whether mere load is told as it changes.
+    often: bool,
+}
+
+/// An open feed.
+struct Open {
+    often: bool,
+    task: JoinHandle<()>,
+}
+
+/// An entry as a listener.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FeedListener {
+    /// Where others of the hall can ask it.
+    pub addr: Option<SocketAddr>,
+    /// The port of agents.
+    pub agent_port: u16,
+    /// Whether one entry places for the hall; else each hears all.
+    pub hall_placing: bool,
+}
+
+/// Keeps a feed open to the agents that an entry should listen to.
 pub(crate) async fn follow_agents(
-    facts: Arc<Facts>,
     dispatcher: Arc<Dispatcher>,
-    agent_port: u16,
-    own: Option<SocketAddr>,
+    listener: FeedListener,
 ) {
-    let mut changes = facts.changes();
-    let mut open: HashMap<Arc<str>, JoinHandle<()>> = HashMap::new();
+    let mut changes = dispatcher.facts().changes();
+    let mut open: HashMap<Arc<str>, Open> = HashMap::new();
     loop {
-        let engines = engines(&facts);
-        open.retain(|incarnation, task| {
-            let listed = engines.contains_key(incarnation);
-            if !listed {
-                task.abort();
+        let wanted = wanted(&dispatcher, listener);
+        open.retain(|incarnation, feed| {
+            let stays =
+                wanted.get(incarnation).is_some_and(|w| w.often == feed.often);
+            if !stays {
+                feed.task.abort();
             }
-            listed
+            stays
         });
-        for (incarnation, replica) in engines {
+        for (incarnation, feed) in wanted {
             open.entry(incarnation).or_insert_with(|| {
-                let addr = SocketAddr::new(replica.addr.ip(), agent_port);
                 let dispatcher = Arc::clone(&dispatcher);
-                tokio::spawn(follow_one(replica, addr, dispatcher, own))
+                let often = feed.often;
+                let task =
+                    tokio::spawn(follow_one(feed, dispatcher, listener));
+                Open { often, task }
             });
         }
-        dispatcher.pump();
-        if changes.changed().await.is_err() {
+        dispatcher.pump(None);
+        // A part that has changed shows in no fact.
+        let changed = tokio::time::timeout(LOOK, changes.changed()).await;
+        if matches!(changed, Ok(Err(_))) {
             return;
         }
     }
 }
 
-fn engines(facts: &Facts) -> HashMap<Arc<str>, Arc<Replica>> {
-    let view = facts.view();
-    let mut engines = HashMap::new();
-    let Some(routes) = &view.routes else { return engines };
+/// Returns the feeds that an entry should have open, by incarnation. Where
+/// its hall has no engine, those of all other halls.
+fn wanted(
+    dispatcher: &Dispatcher,
+    listener: FeedListener,
+) -> HashMap<Arc<str>, Wanted> {
+    let view = dispatcher.facts().view();
+    let seat = match listener.addr {
+        Some(own) if listener.hall_placing => {
+            Seat::of(own, &dispatcher.ranked())
+        }
+        _ => Seat::Placer,
+    };
+    let mut near = HashMap::new();
+    let mut far = HashMap::new();
+    let Some(routes) = &view.routes else { return near };
     for (replica, _) in view.replicas.values() {
         let service = routes.service(&replica.service);
-        if service.is_some_and(|s| s.engine.is_some()) {
-            let incarnation = Arc::clone(&replica.incarnation);
-            engines.insert(incarnation, Arc::clone(replica));
+        if service.is_none_or(|s| s.engine.is_none()) {
+            continue;
         }
+        let is_near = &*replica.hall == dispatcher.hall();
+        let feeds = if is_near { &mut near } else { &mut far };
+        let often = is_near && seat == Seat::Placer;
+        let incarnation = Arc::clone(&replica.incarnation);
+        let replica = Arc::clone(replica);
+        feeds.insert(incarnation, Wanted { replica, often });
+    }
+    if near.is_empty() || seat.hears_all() {
+        near.extend(far);
     }
-    engines
+    near
 }
 
 async fn follow_one(
-    replica: Arc<Replica>,
-    addr: SocketAddr,
+    feed: Wanted,
     dispatcher: Arc<Dispatcher>,
-    own: Option<SocketAddr>,
+    listener: FeedListener,
 ) {
+    let ip = feed.replica.addr.ip();
+    let addr = SocketAddr::new(ip, listener.agent_port);
     let name = format!("agent {addr}");
     let mut lost: Option<Instant> = None;
     loop {
@@ -98,7 +150,7 @@
             });
         };
         let ended =
-            read(&replica, addr, &dispatcher, own, &mut on_first).await;
+            read(&feed, addr, &dispatcher, listener.addr, &mut on_first).await;
         if lost.is_none() {
             lost = Some(Instant::now());
             let reason = match ended {
@@ -111,7 +163,7 @@
                 reason: &reason,
             });
         }
-        dispatcher.unreport(&replica.incarnation);
+        dispatcher.unreport(&feed.replica.incarnation);
         tokio::time::sleep(PAUSE).await;
     }
 }
@@ -119,7 +171,7 @@
 type ReadResult = Result<(), Box<dyn std::error::Error + Send + Sync>>;
 
 async fn read(
-    replica: &Replica,
+    feed: &Wanted,
     addr: SocketAddr,
     dispatcher: &Dispatcher,
     own: Option<SocketAddr>,
@@ -132,6 +184,9 @@
     let mut request = Request::get("/feed")
         .header(hyper::header::HOST, addr.to_string())
         .header(headers::HALL, dispatcher.hall());
+    if !feed.often {
+        request = request.header(headers::SELDOM, "1");
+    }
     if let Some(peers) = own {
         request = request.header(headers::READER, peers.to_string());
     }
@@ -141,6 +196,7 @@
     if !response.status().is_success() {
         return Err(format!("answers {}", response.status()).into());
     }
+    let incarnation = &feed.replica.incarnation;
     let mut body = response.into_body();
     let mut buffer = BytesMut::new();
     loop {
@@ -159,13 +215,13 @@
                 }
                 newest = Some(report);
             } else {
-                dispatcher.confirm(&replica.incarnation);
+                dispatcher.confirm(incarnation);
             }
         }
         if let Some(report) = newest {
             on_first();
             dispatcher.learn(&report);
-            dispatcher.report(&replica.incarnation, report);
+            dispatcher.report(incarnation, report);
         }
         if buffer.len() > MOST_LINE {
             return Err("line too long".into());
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -20,6 +20,7 @@
 use stairhinge::direct::{
     AttemptResult, NextStep, Repeat, RetryShare, Shortage, next_step,
 };
+use stairhinge::placing::Outcome;
 use stairhinge::{Code, Error};
 use stairhinge_shell::directory::Facts;
 use stairhinge_shell::http::{Body, Failed, Handler, full, read};
@@ -32,6 +33,7 @@
 use crate::dispatch::{Dispatcher, Need, NoReplica, Place};
 use crate::hop_headers::{promises, strip};
 use crate::metrics::EntryMetrics;
+use crate::placing::HallPlacing;
 use crate::pool::Pool;
 use crate::relay::{Relay, Upstream, relay};
 use crate::request_context::RequestContext;
@@ -49,6 +51,7 @@
     settings: LiveSettings<EntrySettings>,
     pub facts: Arc<Facts>,
     pub dispatcher: Arc<Dispatcher>,
+    pub placing: Arc<HallPlacing>,
     dialect: Arc<dyn Dialect>,
     pub metrics: Arc<EntryMetrics>,
     pub pool: Pool,
@@ -89,6 +92,7 @@
         settings: LiveSettings<EntrySettings>,
         facts: Arc<Facts>,
         dispatcher: Arc<Dispatcher>,
+        placing: Arc<HallPlacing>,
         dialect: Arc<dyn Dialect>,
         metrics: Arc<EntryMetrics>,
         shutdown: Shutdown,
@@ -97,6 +101,7 @@
             settings,
             facts,
             dispatcher,
+            placing,
             dialect,
             metrics,
             pool: Pool::default(),
@@ -112,6 +117,9 @@
         let (running, waiting) = self.dispatcher.load();
         self.metrics.running.set(running as i64);
         self.metrics.waiting.set(waiting as i64);
+        let (given, taken_back) = self.placing.given();
+        self.metrics.given.set(given as i64);
+        self.metrics.taken_back.set(taken_back as i64);
         let view = self.facts.view();
         self.metrics.replicas.set(view.replicas.len() as i64);
         if let Some(routes) = &view.routes {
@@ -250,7 +258,8 @@
         let from = Instant::now();
         let until =
             context.deadline.min(from + context.route.objective() / WAIT_PART);
-        let found = self.dispatcher.place(need.clone(), until).await;
+        let left = context.left();
+        let found = self.placing.place(need.clone(), until, left).await;
         self.metrics.waited(from.elapsed().as_secs_f64());
         if found.is_err() {
             self.log_no_replica(context, need, from);
@@ -276,7 +285,7 @@
         context: &Arc<RequestContext>,
         answered: Answered,
     ) -> Result<Response<Body>, Missed> {
-        let Answered { mut head, upstream } = answered;
+        let Answered { mut head, mut upstream } = answered;
         let status = head.status;
         if head.headers.contains_key(CONTENT_ENCODING) {
             let why = "an encoding that nobody asked for";
@@ -284,7 +293,7 @@
         }
         self.metrics.answered(context.started.elapsed().as_secs_f64());
         if context.route.streaming && status.is_success() {
-            upstream.place.succeeded();
+            upstream.place.note(Outcome::Succeeded);
             let kept = head.headers.clone();
             strip(&mut head.headers);
             head.headers.remove(CONTENT_LENGTH);
@@ -296,10 +305,10 @@
             );
             return Ok(Response::from_parts(head, relay(state)));
         }
-        let Upstream { body, connection, place, .. } = upstream;
+        let Upstream { body, connection, mut place, .. } = upstream;
         let most = self.settings.get().body_bytes;
         let bytes = read(body, most, context.left()).await.map_err(|e| {
-            place.failed();
+            place.note(Outcome::Failed);
             Missed::new(AttemptResult::Silent, e)
         })?;
         self.pool.put(connection, &head.headers);
@@ -310,7 +319,7 @@
                 return Err(Missed::new(AttemptResult::Silent, why));
             }
         } else {
-            place.succeeded();
+            place.note(Outcome::Succeeded);
         }
         if promises(status.as_u16()) {
             // It may have run, and this status would say that it did not.
--- a/crates/gateway/src/forward/log.rs
+++ b/crates/gateway/src/forward/log.rs
@@ -57,6 +57,8 @@
         left: Duration,
     ) {
         self.metrics.attempts.inc();
+        let own_choice = place.chooser.own_choice();
+        self.metrics.chosen(own_choice.unwrap_or("the placer of the hall"));
         self.facts.log().write(&Decision::Sent {
             request: &context.caller.id,
             replica: &place.replica.incarnation,
@@ -64,6 +66,8 @@
             load: place.load,
             delay_ms: place.delay_ms,
             report_age_ms: place.report_age.map(|a| a.as_millis() as u64),
+            placer: place.chooser.placer(),
+            own_choice,
             revision: context.revision,
             version: place.version,
             left_ms: left.as_millis() as u64,
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -10,6 +10,7 @@
 use hyper::header::CONTENT_LENGTH;
 use hyper::http::response;
 use stairhinge::direct::{AttemptResult, Repeat};
+use stairhinge::placing::Outcome;
 
 use super::{Answered, Forwarder, Missed};
 use crate::dialect::{Attempt, Judgement};
@@ -37,7 +38,7 @@
         let incarnation = &replica.incarnation;
         let got = self.pool.get(incarnation, replica.addr, never).await;
         let mut connection = got.map_err(|e| {
-            place.failed();
+            place.note(Outcome::Failed);
             Missed::new(AttemptResult::Unsent, e)
         })?;
         let left = context.left();
@@ -54,11 +55,11 @@
         let response = match tokio::time::timeout(patience, sent).await {
             Ok(Ok(response)) => response,
             Ok(Err(error)) => {
-                place.failed();
+                place.note(Outcome::Failed);
                 return Err(Missed::new(AttemptResult::Silent, error));
             }
             Err(_) => {
-                place.failed();
+                place.note(Outcome::Failed);
                 let why = format!("no answer in {} ms", patience.as_millis());
                 return Err(Missed::new(AttemptResult::Silent, why));
             }
@@ -71,13 +72,13 @@
                 Ok(Answered { head, upstream })
             }
             Judgement::Declined => {
-                place.full();
+                place.note(Outcome::Full);
                 self.reuse(connection, head, body).await;
                 let why = "the replica did not run it";
                 Err(Missed::new(AttemptResult::Declined, why))
             }
             Judgement::Misdirected => {
-                place.misdirected();
+                place.note(Outcome::Misdirected);
                 self.reuse(connection, head, body).await;
                 let why = "the replica is another one, or has another version";
                 Err(Missed::new(AttemptResult::Declined, why))
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,8 @@
 //! version themselves, so that it may send to them directly.
 //!
 //! A caller's request is matched to a route ([`forward`]), waits its turn
-//! for a replica ([`dispatch`]), is sent on a kept connection ([`pool`]), and
+//! for a replica ([`dispatch`]), which one entry of the hall chooses for all
+//! ([`placing`]), is sent on a kept connection ([`pool`]), and
 //! its answer is passed on ([`relay`]). What a process believes of replicas
 //! comes from the platform ([`stairhinge_shell::directory`]) and, newer, from
 //! the agents beside them ([`feed`]). One entry reads the platform for the
@@ -23,6 +24,7 @@
 mod metrics;
 mod news;
 mod pauses;
+mod placing;
 mod pool;
 mod ready;
 mod relay;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -20,11 +20,18 @@
     code: u16,
 }
 
+/// Who chose a replica.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ChoiceLabels {
+    by: &'static str,
+}
+
 /// The metrics of one entry.
 #[derive(Debug)]
 pub(crate) struct EntryMetrics {
     registry: Registry,
     answers: Family<EndLabels, Counter>,
+    choices: Family<ChoiceLabels, Counter>,
     first_byte: Histogram,
     waited: Histogram,
     pub attempts: Counter,
@@ -35,6 +42,8 @@
     pub waiting: Gauge,
     pub revision: Gauge,
     pub replicas: Gauge,
+    pub given: Gauge,
+    pub taken_back: Gauge,
 }
 
 impl EntryMetrics {
@@ -44,6 +53,7 @@
         let mut metrics = EntryMetrics {
             registry: Registry::with_prefix("stairhinge_entry"),
             answers: Family::default(),
+            choices: Family::default(),
             first_byte: seconds(),
             waited: seconds(),
             attempts: Counter::default(),
@@ -54,6 +64,8 @@
             waiting: Gauge::default(),
             revision: Gauge::default(),
             replicas: Gauge::default(),
+            given: Gauge::default(),
+            taken_back: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -88,6 +100,16 @@
         r.register("routes_revision", "Revision of the routes", revision);
         let replicas = self.replicas.clone();
         r.register("replicas", "Replicas listed", replicas);
+        let choices = self.choices.clone();
+        r.register("choices", "Replicas chosen, by whom", choices);
+        let given = self.given.clone();
+        r.register("places_given", "Places that others have", given);
+        let taken_back = self.taken_back.clone();
+        r.register(
+            "places_taken_back",
+            "Places of others whose end was not told, since the start",
+            taken_back,
+        );
     }
 
     /// Counts a final answer.
@@ -95,6 +117,11 @@
         self.answers.get_or_create(&EndLabels { status, code }).inc();
     }
 
+    /// Counts who chose a replica: the placer, or why the entry did.
+    pub(crate) fn chosen(&self, by: &'static str) {
+        self.choices.get_or_create(&ChoiceLabels { by }).inc();
+    }
+
     /// Notes how long a request waited for a replica, in seconds.
     pub(crate) fn waited(&self, seconds: f64) {
         self.waited.observe(seconds);
--- /dev/null
+++ b/crates/gateway/src/placing/chooser.rs
@@ -0,0 +1,45 @@
+//! Who chose a request's replica, for the log.
+
+use std::net::SocketAddr;
+
+/// Who chose a request's replica, and why.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Chooser {
+    /// The placer of the hall.
+    Placer(SocketAddr),
+    /// The entry itself, which is the placer.
+    IsPlacer,
+    /// The entry itself: entries do not reach one another.
+    Alone,
+    /// The entry itself: it knows of no placer that is well.
+    NoPlacer,
+    /// The entry itself: the placer did not answer in time.
+    Silent,
+    /// The entry itself: the placer knew too little of the hall.
+    Unready,
+    /// The entry itself: it may not use the replica that the placer chose.
+    Unknown,
+}
+
+impl Chooser {
+    /// Returns the placer, if it was another entry.
+    pub(crate) const fn placer(self) -> Option<SocketAddr> {
+        match self {
+            Chooser::Placer(addr) => Some(addr),
+            _ => None,
+        }
+    }
+
+    /// Returns why the entry chose by itself, if it did.
+    pub(crate) const fn own_choice(self) -> Option<&'static str> {
+        match self {
+            Chooser::Placer(_) => None,
+            Chooser::IsPlacer => Some("places for the hall"),
+            Chooser::Alone => Some("reaches no other entry"),
+            Chooser::NoPlacer => Some("knows no placer"),
+            Chooser::Silent => Some("the placer is silent"),
+            Chooser::Unready => Some("the placer is not ready"),
+            Chooser::Unknown => Some("may not use the placer's choice"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/placing/lease.rs
@@ -0,0 +1,51 @@
+//! A place that the placer of the hall has given.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use stairhinge::placing::{Message, Outcome, PlaceEvent};
+
+use super::wire::Wire;
+
+/// A place that another entry has given; dropping it gives the place back.
+#[derive(Debug)]
+pub(crate) struct Lease {
+    wire: Arc<Wire>,
+    placer: SocketAddr,
+    number: u64,
+    outcome: Outcome,
+}
+
+impl Lease {
+    /// Returns the place that a question brought.
+    pub(super) const fn new(
+        wire: Arc<Wire>,
+        placer: SocketAddr,
+        number: u64,
+    ) -> Lease {
+        Lease { wire, placer, number, outcome: Outcome::Unknown }
+    }
+
+    /// Tells the placer that the replica has begun.
+    pub(crate) fn began(&self, took: Duration) {
+        let took_ms = u32::try_from(took.as_millis()).unwrap_or(u32::MAX);
+        self.tell(PlaceEvent::Began { took_ms });
+    }
+
+    /// Notes what the placer is to know of the replica at the end.
+    pub(crate) const fn note(&mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+
+    fn tell(&self, event: PlaceEvent) {
+        let message = Message::Event { number: self.number, event };
+        self.wire.send(self.placer, &message);
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        self.tell(PlaceEvent::Ended { outcome: self.outcome });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/placing/placer.rs
@@ -0,0 +1,156 @@
+//! Answering other entries' questions.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use stairhinge::placing::{
+    Lack, Message, Outcome, PlaceEvent, PlaceKey, PlaceTable, Placed,
+    Question, Verdict,
+};
+
+use super::wire::Wire;
+use crate::dispatch::{Dispatcher, Found, Need, Place};
+
+/// The places that other entries have from this one.
+#[derive(Default)]
+pub(super) struct Given {
+    table: Mutex<PlaceTable<Place>>,
+}
+
+impl Given {
+    /// Answers a question, at once or once there is room.
+    pub(super) fn answer(
+        self: &Arc<Self>,
+        dispatcher: &Arc<Dispatcher>,
+        wire: &Arc<Wire>,
+        from: SocketAddr,
+        question: Question,
+        ready: bool,
+    ) {
+        let key = PlaceKey { asker: from, number: question.number };
+        if self.lock().get_mut(&key).is_some() {
+            // The answer to a doubled question would be taken for one that
+            // came too late, and its place would be given back.
+            return;
+        }
+        let say = |verdict| {
+            let number = key.number;
+            wire.send(from, &Message::Answer { number, verdict });
+        };
+        if !ready {
+            return say(Verdict::Unready);
+        }
+        let wait = Duration::from_millis(u64::from(question.wait_ms));
+        let left = Duration::from_millis(u64::from(question.left_ms));
+        match dispatcher.request(need(question), !wait.is_zero()) {
+            Found::Place(place) => {
+                if let Some(placed) = self.give(dispatcher, key, place, left) {
+                    say(placed);
+                }
+            }
+            Found::Nothing => say(Verdict::Refused(Lack::Replica)),
+            Found::Full => say(Verdict::Refused(Lack::Room)),
+            Found::Waits(found) => {
+                say(Verdict::Queued);
+                let given = Arc::clone(self);
+                let dispatcher = Arc::clone(dispatcher);
+                let wire = Arc::clone(wire);
+                tokio::spawn(async move {
+                    let place = found.within(wait).await;
+                    let verdict = match place {
+                        Some(place) => {
+                            given.give(&dispatcher, key, place, left)
+                        }
+                        None => Some(Verdict::Refused(Lack::Room)),
+                    };
+                    let number = key.number;
+                    let Some(verdict) = verdict else { return };
+                    wire.send(from, &Message::Answer { number, verdict });
+                });
+            }
+        }
+    }
+
+    /// Notes a place as given, for `left` at most, and returns the answer;
+    /// none if the question has had one.
+    fn give(
+        &self,
+        dispatcher: &Dispatcher,
+        key: PlaceKey,
+        place: Place,
+        left: Duration,
+    ) -> Option<Verdict> {
+        let now = dispatcher.facts().now();
+        let begin_by = place.begin_by.map(|at| at.since(now));
+        let placed = Placed {
+            replica: Arc::clone(&place.replica.incarnation),
+            version: place.version,
+            begin_in_ms: begin_by.map(|span| span.as_millis() as u64),
+            load: place.load,
+            delay_ms: place.delay_ms,
+            report_age_ms: place.report_age.map(|a| a.as_millis() as u64),
+        };
+        let doubled = self.lock().give(key, place, now, left);
+        doubled.is_none().then_some(Verdict::Placed(placed))
+    }
+
+    /// Takes in how a place was used.
+    pub(super) fn take(
+        &self,
+        from: SocketAddr,
+        number: u64,
+        event: PlaceEvent,
+    ) {
+        let key = PlaceKey { asker: from, number };
+        match event {
+            PlaceEvent::Began { took_ms } => {
+                let took = Duration::from_millis(u64::from(took_ms));
+                if let Some(place) = self.lock().get_mut(&key) {
+                    place.begin_after(took);
+                }
+            }
+            PlaceEvent::Ended { outcome } => {
+                let ended = self.lock().end(&key);
+                let Some(mut place) = ended else { return };
+                if outcome != Outcome::Unknown {
+                    place.note(outcome);
+                }
+            }
+        }
+    }
+
+    /// Takes back what is over without a word.
+    pub(super) fn look(&self, dispatcher: &Dispatcher) {
+        let now = dispatcher.facts().now();
+        let totals = dispatcher.reported_totals();
+        let mut table = self.lock();
+        let expired = table.expire(now);
+        let name = |place: &Place| Arc::clone(&place.replica.incarnation);
+        let unseen = table.reconcile(now, name, &totals);
+        drop(table);
+        drop((expired, unseen));
+    }
+
+    /// Returns how many places are out, and how many were taken back without
+    /// a word of their end.
+    pub(super) fn counts(&self) -> (usize, u64) {
+        self.lock().counts()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, PlaceTable<Place>> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn need(question: Question) -> Need {
+    Need {
+        service: question.service,
+        model: question.model,
+        version: question.version,
+        tried: question.tried,
+        priority: question.priority,
+        prompt_tokens: question.prompt_tokens,
+        objective: Duration::from_millis(u64::from(question.objective_ms)),
+    }
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,6 +14,7 @@
 use hyper::header::HeaderMap;
 use stairhinge::Code;
 use stairhinge::direct::{EventSplitter, Repeat};
+use stairhinge::placing::Outcome;
 use stairhinge_shell::decisions::Decision;
 use stairhinge_shell::http::{Body, BodyError};
 
@@ -186,8 +187,8 @@
     async fn resume(&mut self, reason: String) -> Result<(), BodyError> {
         let mut reason = reason;
         loop {
-            if let Some(upstream) = self.upstream.take() {
-                upstream.place.failed();
+            if let Some(mut upstream) = self.upstream.take() {
+                upstream.place.note(Outcome::Failed);
             }
             self.splitter = EventSplitter::new();
             let may = self.context.route.repeat == Repeat::Resume
@@ -216,8 +217,9 @@
             prompt_tokens: self.context.caller.prompt_tokens,
             objective: self.context.route.objective(),
         };
-        let until = Instant::now() + RESUME_WAIT.min(self.context.left());
-        let found = self.forwarder.dispatcher.place(need, until).await;
+        let left = self.context.left();
+        let until = Instant::now() + RESUME_WAIT.min(left);
+        let found = self.forwarder.placing.place(need, until, left).await;
         let place = found.map_err(|e| format!("no other replica: {e:?}"))?;
         let replica = Arc::clone(&place.replica.incarnation);
         self.tried.push(Arc::clone(&replica));
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -1,5 +1,6 @@
 //! What an agent tells of the engine beside it.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -38,6 +39,10 @@
     /// told to entries of its own hall, when it changes.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub entries: Option<Vec<HallEntry>>,
+    /// The leading ones of the entries that listen, of the agent's hall; told
+    /// with `entries`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub leading: Option<Vec<SocketAddr>>,
 }
 
 impl EngineReport {
@@ -55,6 +60,9 @@
         if self.entries.is_none() {
             self.entries = earlier.entries.take();
         }
+        if self.leading.is_none() {
+            self.leading = earlier.leading.take();
+        }
         if self.news.is_none() {
             self.news = earlier.news.take();
         }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -36,6 +36,9 @@
     /// Where other entries ask this one for newer routes, if anywhere.
     #[serde(default)]
     pub peers: Option<SocketAddr>,
+    /// Whether one entry of the hall chooses replicas for all of them.
+    #[serde(default = "default_hall_placing")]
+    pub hall_placing: bool,
     /// The port of agents on the instances of replicas.
     pub agent_port: u16,
     /// What the instance's link carries, in megabits a second.
@@ -72,6 +75,10 @@
     pub connections: usize,
 }
 
+const fn default_hall_placing() -> bool {
+    true
+}
+
 const fn default_link_mbps() -> LinkMbps {
     LinkMbps::new(100.0)
 }
--- a/crates/loader/src/feed.rs
+++ b/crates/loader/src/feed.rs
@@ -1,11 +1,12 @@
 //! Telling entries of the engine beside this agent.
 //!
-//! Each entry that listens gets a line whenever the engine's state changes.
-//! Entries of other halls listen over poor links and prefer replicas of their
-//! own hall, so they hear of mere load less often; whether the replica
-//! serves, and what, all hear at once. An empty line says that nothing has
-//! changed.
+//! An entry that places requests for the agent's hall gets a line whenever the
+//! engine's state changes. The others choose by themselves only while no
+//! entry places for them, or listen over poor links between halls, so they
+//! hear of mere load less often; whether the replica serves, and what, all
+//! hear at once. An empty line says that nothing has changed.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -29,8 +30,9 @@
 /// How often a feed says something though nothing has changed.
 const BEAT: Duration = Duration::from_millis(500);
 
-/// The least span between two lines about load to an entry elsewhere.
-const FAR_GAP: Duration = Duration::from_millis(400);
+/// The least span between two lines about load to an entry that does not
+/// place requests for the hall.
+const SELDOM_GAP: Duration = Duration::from_millis(400);
 
 /// Returns the answer that keeps an entry informed.
 pub(crate) fn feed(
@@ -40,15 +42,17 @@
 ) -> Response<Body> {
     let hall = request.headers().get(headers::HALL);
     let far = hall.is_some_and(|h| h != &*agent.settings.hall);
+    let seldom = far || request.headers().contains_key(headers::SELDOM);
     let listeners = &agent.listeners;
     let listening = listener(request).map(|entry| listeners.listen(entry));
     let state = Feed {
-        near: (!far).then(|| listeners.clone()),
+        hall: (!far).then(|| Arc::clone(&agent.settings.hall)),
+        listeners: listeners.clone(),
         _listening: listening,
         facts: Arc::clone(&agent.facts),
         reports: agent.report.subscribe(),
         stopping: stopping.clone(),
-        gap: if far { FAR_GAP } else { Duration::ZERO },
+        gap: if seldom { SELDOM_GAP } else { Duration::ZERO },
         told: None,
     };
     let items = futures::stream::unfold(state, |mut state| async {
@@ -74,7 +78,14 @@
     /// The news, and of the versions named whether their age was known.
     news: Option<News>,
     targets: Vec<(Arc<str>, u64, bool)>,
+    others: Others,
+}
+
+/// The other entries that an entry of the agent's hall is told of.
+#[derive(Clone, Default, PartialEq)]
+struct Others {
     entries: Vec<HallEntry>,
+    leading: Vec<SocketAddr>,
 }
 
 impl Told {
@@ -85,8 +96,9 @@
 }
 
 struct Feed {
-    /// Who else listens, for an entry of the own hall.
-    near: Option<Listeners>,
+    /// The agent's hall, for an entry of it.
+    hall: Option<Arc<str>>,
+    listeners: Listeners,
     _listening: Option<Listening>,
     facts: Arc<Facts>,
     reports: watch::Receiver<EngineReport>,
@@ -105,7 +117,7 @@
                 }
                 () = tokio::time::sleep_until(told.at + BEAT) => {
                     let same = told.targets == targets(&self.facts)
-                        && told.entries == entries(self.near.as_ref());
+                        && told.others == others(self.hall.as_deref(), &self.listeners);
                     if same {
                         told.at = Instant::now();
                         return Some(Bytes::from_static(b"\n"));
@@ -115,18 +127,19 @@
             }
         }
         let mut report = self.reports.borrow_and_update().clone();
-        let entries = entries(self.near.as_ref());
+        let others = others(self.hall.as_deref(), &self.listeners);
         let now = Told {
             news: report.news.clone(),
             report: report.clone(),
             at: Instant::now(),
             targets: targets(&self.facts),
-            entries,
+            others,
         };
         let told = self.told.as_ref();
         // What seldom changes is told only then: most lines are about load.
-        let same = told.is_some_and(|told| told.entries == now.entries);
-        report.entries = (!same).then(|| now.entries.clone());
+        let same = told.is_some_and(|told| told.others == now.others);
+        report.entries = (!same).then(|| now.others.entries.clone());
+        report.leading = (!same).then(|| now.others.leading.clone());
         let same = told.is_some_and(|told| told.has_news_of(&now));
         report.news = (!same).then(|| News {
             targets: self.facts.target_ages(),
@@ -139,8 +152,11 @@
     }
 }
 
-fn entries(near: Option<&Listeners>) -> Vec<HallEntry> {
-    near.map(Listeners::first).unwrap_or_default()
+/// Returns the entries that one of the agent's `hall` is told of; those of
+/// other halls hear of none.
+fn others(hall: Option<&str>, listeners: &Listeners) -> Others {
+    let Some(hall) = hall else { return Others::default() };
+    Others { entries: listeners.first(), leading: listeners.leading(hall) }
 }
 
 fn targets(facts: &Facts) -> Vec<(Arc<str>, u64, bool)> {
--- a/crates/loader/src/listeners.rs
+++ b/crates/loader/src/listeners.rs
@@ -4,9 +4,11 @@
 //! can tell it of the others.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 
 use stairhinge::direct::HallEntry;
+use stairhinge::placing::ranked;
 use tokio::sync::Notify;
 
 /// The entries of a hall that others are told of: those that may read the
@@ -44,6 +46,11 @@
         feeds.keys().filter(|entry| &*entry.hall == hall).cloned().collect()
     }
 
+    /// Returns the leading ones of a hall's entries that listen now.
+    pub(crate) fn leading(&self, hall: &str) -> Vec<SocketAddr> {
+        ranked(self.of_hall(hall).into_iter().map(|entry| entry.addr))
+    }
+
     /// Ends when the next entry begins to listen.
     pub(crate) async fn joined(&self) {
         self.joined.notified().await;
--- a/crates/loader/src/watch_engine.rs
+++ b/crates/loader/src/watch_engine.rs
@@ -70,5 +70,6 @@
         news: Some(agent.news()),
         // Added as they are sent, to those who may know.
         entries: None,
+        leading: None,
     }
 }
--- a/crates/shell/src/decisions.rs
+++ b/crates/shell/src/decisions.rs
@@ -127,6 +127,12 @@
         delay_ms: u64,
         /// The age of the replica's report, in milliseconds.
         report_age_ms: Option<u64>,
+        /// The entry that chose the replica, if it was another one.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        placer: Option<SocketAddr>,
+        /// Why the entry chose by itself, if it did.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        own_choice: Option<&'static str>,
         /// The revision of the routes that decided.
         revision: u64,
         /// The version asked for, if any.
--- a/crates/shell/src/decisions_tests.rs
+++ b/crates/shell/src/decisions_tests.rs
@@ -73,6 +73,8 @@
             load: 3,
             delay_ms: 0,
             report_age_ms: None,
+            placer: None,
+            own_choice: Some("knows no placer"),
             revision: 1,
             version: Some(2),
             left_ms: 900,
--- a/crates/shell/src/http/headers.rs
+++ b/crates/shell/src/http/headers.rs
@@ -18,6 +18,9 @@
 pub const HALL: &str = "stairhinge-hall";
 /// Where an entry that listens to an agent answers others of its hall.
 pub const READER: &str = "stairhinge-reader";
+/// Says that an entry that listens to an agent need not hear of mere load at
+/// once.
+pub const SELDOM: &str = "stairhinge-seldom";
 /// The attempt, from entry to agent.
 pub const ATTEMPT: &str = "stairhinge-attempt";
 /// The agent's incarnation that an attempt is meant for.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 * [`routing`] is the choice between backend servers.
 * [`direct`] is serving from entries straight to replicas: routes, keys,
   retries, streams that are taken up elsewhere, turns of a rollout.
+* [`placing`] is how one entry of a hall picks replicas for all of them.
 * [`event`] is the time line over all processes.
 * [`explanation`] is why a request ended as it did, from logs alone.
 
@@ -60,6 +61,7 @@
 pub mod document;
 pub mod event;
 pub mod explanation;
+pub mod placing;
 pub mod rank;
 pub mod request;
 pub mod routing;
--- /dev/null
+++ b/src/placing.rs
@@ -0,0 +1,33 @@
+//! Placing the requests of a data hall with one view of it.
+//!
+//! Where each of a hall's entries picks replicas by itself, all of them pick
+//! by reports that do not show yet what the others have just sent, and one
+//! free place is given several times; the more entries, the more often. So
+//! one entry of the hall, its *placer*, picks for all: an entry keeps the
+//! request and its bytes, asks the placer for a place ([`Question`],
+//! [`Verdict`]) and tells it when the replica has begun and when the request
+//! has ended ([`PlaceEvent`]).
+//!
+//! Nothing is agreed upon and nothing is kept over a restart. [`ranked`] and
+//! [`Seat`] say who places, by an order that all entries see alike;
+//! [`PlacerChoice`] whom an entry asks and how long it waits; [`PlaceTable`]
+//! holds what a placer has given until it is over. Two placers at a time, or
+//! none, cost quality and never safety: a replica refuses what does not fit,
+//! and an entry whose placer is silent picks by itself.
+
+mod message;
+mod place_table;
+mod placer_choice;
+mod seat;
+
+pub use self::message::{
+    Lack, Message, Outcome, PlaceEvent, Placed, Question, Verdict,
+};
+pub use self::place_table::{PlaceKey, PlaceTable};
+pub use self::placer_choice::{Placer, PlacerChoice};
+pub use self::seat::{Seat, ranked};
+
+#[cfg(test)]
+mod load_tests;
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/placing/message.rs
@@ -0,0 +1,135 @@
+//! What entries and the placer of their hall tell one another.
+//!
+//! Each message is one datagram of JSON. One that is lost, late or doubled
+//! costs at most a choice without the placer: a place is known by the
+//! asker's address and number, is given back by [`PlaceEvent::Ended`], and
+//! expires with its request's time where that is lost.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// One datagram.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Message {
+    /// An entry asks for a place.
+    Ask(Question),
+    /// The placer answers a question.
+    Answer {
+        /// The question's number.
+        number: u64,
+        /// What was decided.
+        verdict: Verdict,
+    },
+    /// An entry tells how a place was used.
+    Event {
+        /// The number of the question that brought the place.
+        number: u64,
+        /// What happened.
+        event: PlaceEvent,
+    },
+}
+
+/// What a request needs of a replica.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Question {
+    /// Chosen by the asker, which uses it once.
+    pub number: u64,
+    /// The service.
+    pub service: Arc<str>,
+    /// The model, where the service has an engine.
+    pub model: Option<Arc<str>>,
+    /// The only version that will do.
+    pub version: Option<u64>,
+    /// Replicas that it has been sent to.
+    pub tried: Vec<Arc<str>>,
+    /// 0 is the most urgent.
+    pub priority: u8,
+    /// Tokens of its prompt.
+    pub prompt_tokens: u32,
+    /// Within which its first token is to come, in milliseconds.
+    pub objective_ms: u32,
+    /// How long the question may wait for room, in milliseconds.
+    pub wait_ms: u32,
+    /// What is left of the request's time, in milliseconds: nobody uses a
+    /// place for longer.
+    pub left_ms: u32,
+}
+
+/// The placer's answer.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Verdict {
+    /// A place was found.
+    Placed(Placed),
+    /// No replica has room; the question waits, and a second answer follows.
+    Queued,
+    /// There is no place.
+    Refused(Lack),
+    /// The placer does not know enough of its hall to place.
+    Unready,
+}
+
+/// A place at a replica.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Placed {
+    /// The replica's incarnation.
+    pub replica: Arc<str>,
+    /// The version to insist on, if any.
+    pub version: Option<u64>,
+    /// Within which the replica has to have begun, in milliseconds, if its
+    /// version's time is ending.
+    pub begin_in_ms: Option<u64>,
+    /// Requests known at the replica, this one among them.
+    pub load: u32,
+    /// How much longer than usual the way there takes, in milliseconds.
+    pub delay_ms: u64,
+    /// The age of the replica's report, in milliseconds.
+    pub report_age_ms: Option<u64>,
+}
+
+/// Why there is no place.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Lack {
+    /// No replica serves what is needed.
+    Replica,
+    /// None had room in time.
+    Room,
+}
+
+/// How a place was used.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PlaceEvent {
+    /// The replica has begun to answer, so long after the place was given.
+    Began {
+        /// In milliseconds.
+        took_ms: u32,
+    },
+    /// The place is free again.
+    Ended {
+        /// What the request brought.
+        outcome: Outcome,
+    },
+}
+
+/// What a request at a place brought, as far as it tells of the replica.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// Nothing that speaks for or against it.
+    #[default]
+    Unknown,
+    /// A sound answer.
+    Succeeded,
+    /// A failure.
+    Failed,
+    /// It said that it had no room.
+    Full,
+    /// It said that it was not the one meant, or had another version.
+    Misdirected,
+}
