--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -113,10 +113,14 @@
     };
     let mut near = HashMap::new();
     let mut far = HashMap::new();
-    let Some(routes) = &view.routes else { return near };
     for (replica, _) in view.replicas.values() {
-        let service = routes.service(&replica.service);
-        if service.is_none_or(|s| s.engine.is_none()) {
+        // Without routes any replica may be an engine: its agent tells of
+        // neighbours from which the routes are to be had.
+        let routes = view.routes.as_ref();
+        let service = routes.map(|r| r.service(&replica.service));
+        let plain =
+            service.is_some_and(|s| s.is_none_or(|s| s.engine.is_none()));
+        if plain {
             continue;
         }
         let is_near = &*replica.hall == dispatcher.hall();
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -40,8 +40,9 @@
 use crate::settings::EntrySettings;
 
 /// How long a request may wait for a replica with room, as a part of its
-/// objective.
-const WAIT_PART: u32 = 5;
+/// objective: its caller can still come back and be in time. A replica's slot
+/// gets free in a hall of 24 engines each 6 ms.
+const WAIT_PART: u32 = 8;
 
 /// A time limit that nobody named.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(60);
--- a/crates/gateway/src/hall_reader.rs
+++ b/crates/gateway/src/hall_reader.rs
@@ -8,11 +8,12 @@
 use futures::future::BoxFuture;
 use hyper::Request;
 use hyper::header::CONTENT_TYPE;
+use rand::RngExt as _;
 use stairhinge::direct::{HallEntry, ReaderChoice};
 use stairhinge::{Code, Error};
 use stairhinge_shell::decisions::Decision;
 use stairhinge_shell::directory::{
-    Facts, HallReader, ReaderAnswer, SharedAnswer, SharedQuestion,
+    Facts, HallNews, HallReader, ReaderAnswer, SharedAnswer, SharedQuestion,
 };
 use stairhinge_shell::http::{Client, full, read};
 
@@ -22,6 +23,11 @@
 /// The path at which an entry answers others of its hall.
 pub(crate) const PUBLISHED: &str = "/published";
 
+/// Of so many times that an entry would wait for another's news it reads the
+/// platform once: that may turn the readers of a hall away and serve the
+/// others. In a hall of 30 entries two or three read in each round of 1 s.
+const READ_ANYWAY: u32 = 12;
+
 /// The largest answer, in bytes.
 const MOST_ANSWER: usize = 16 << 20;
 
@@ -60,7 +66,7 @@
         &self,
         entry: SocketAddr,
         question: &SharedQuestion,
-    ) -> Result<SharedAnswer, Error> {
+    ) -> Result<SharedAnswer, Unheard> {
         let wait = Duration::from_millis(question.wait_ms);
         // An answer that takes twice as long as it waits at most has lost
         // its way.
@@ -71,35 +77,60 @@
             .header(CONTENT_TYPE, "application/json")
             .body(full(json))
             .map_err(|e| Error::new(Code::Internal, e))?;
-        let lost = |why: String| Error::new(Code::PeerLost, why);
+        let lost =
+            |why: String| Unheard::Lost(Error::new(Code::PeerLost, why));
+        let old = |why: String| Unheard::Old(Error::new(Code::PeerLost, why));
         let response = self
             .client
             .send(entry, request, within)
             .await
             .map_err(|e| lost(e.to_string()))?;
         if !response.status().is_success() {
-            return Err(lost(format!("answers {}", response.status())));
+            return Err(old(format!("answers {}", response.status())));
         }
         let bytes = read(response.into_body(), MOST_ANSWER, within).await?;
         let answer: SharedAnswer = serde_json::from_slice(&bytes)
             .map_err(|e| Error::new(Code::MalformedJson, e))?;
         if answer.age_ms > question.most_age_ms {
             let (age, most) = (answer.age_ms, question.most_age_ms);
-            return Err(lost(format!(
+            return Err(old(format!(
                 "its news are {age} ms old, over {most}"
             )));
         }
         if question.after.is_some_and(|after| after > answer.at) {
-            return Err(lost(format!("it is behind, at {}", answer.at)));
+            return Err(old(format!("it is behind, at {}", answer.at)));
         }
         Ok(answer)
     }
 
-    fn failed(&self, entry: SocketAddr, error: &Error) {
+    /// Asks one entry, and notes how it stands.
+    async fn hear(
+        &self,
+        entry: SocketAddr,
+        question: &SharedQuestion,
+    ) -> Option<ReaderAnswer> {
+        match self.ask_entry(entry, question).await {
+            Ok(shared) => {
+                self.answered(entry);
+                Some(ReaderAnswer { entry, shared })
+            }
+            Err(unheard) => {
+                self.failed(entry, &unheard);
+                None
+            }
+        }
+    }
+
+    fn failed(&self, entry: SocketAddr, unheard: &Unheard) {
         let now = self.facts.now();
-        if !self.choice().failed(entry, now) {
+        let was_well = match unheard {
+            Unheard::Lost(_) => self.choice().failed(entry, now),
+            Unheard::Old(_) => self.choice().had_old_news(entry, now),
+        };
+        if !was_well {
             return;
         }
+        let (Unheard::Lost(error) | Unheard::Old(error)) = unheard;
         self.facts.log().write(&Decision::DependencyLost {
             dependency: &format!("hall reader {entry}"),
             code: error.code().number(),
@@ -121,28 +152,48 @@
     }
 }
 
+/// Why an entry told nothing of use.
+enum Unheard {
+    /// It did not answer.
+    Lost(Error),
+    /// It answered, and knows nothing new enough.
+    Old(Error),
+}
+
+impl From<Error> for Unheard {
+    fn from(error: Error) -> Unheard {
+        Unheard::Lost(error)
+    }
+}
+
 impl HallReader for HallReaders {
-    fn ask(
-        &self,
-        question: SharedQuestion,
-    ) -> BoxFuture<'_, Option<ReaderAnswer>> {
+    fn ask(&self, question: SharedQuestion) -> BoxFuture<'_, HallNews> {
         Box::pin(async move {
             for _ in 0..ReaderChoice::MOST_ASKED {
                 let entries = self.dispatcher.entries();
                 let now = self.facts.now();
-                let entry = self.choice().choose(&entries, now)?;
-                match self.ask_entry(entry, &question).await {
-                    Ok(shared) => {
-                        self.answered(entry);
-                        return Some(ReaderAnswer { entry, shared });
-                    }
-                    Err(error) => self.failed(entry, &error),
+                let entry = self.choice().choose(&entries, now);
+                let Some(entry) = entry else { break };
+                if let Some(answer) = self.hear(entry, &question).await {
+                    return HallNews::Told(answer);
                 }
             }
-            None
+            let awaited = self.choice().awaited(&self.dispatcher.entries());
+            let Some(entry) = awaited else { return HallNews::Nobody };
+            if rand::rng().random_ratio(1, READ_ANYWAY) {
+                return HallNews::Nobody;
+            }
+            match self.hear(entry, &question).await {
+                Some(answer) => HallNews::Told(answer),
+                None => HallNews::Awaited,
+            }
         })
     }
 
+    fn leads(&self) -> bool {
+        self.choice().leads(&self.dispatcher.entries())
+    }
+
     fn fetch_routes(
         &self,
         entry: SocketAddr,
--- a/crates/shell/src/directory.rs
+++ b/crates/shell/src/directory.rs
@@ -22,7 +22,7 @@
 };
 pub use self::share::Share;
 pub use self::shared_messages::{
-    HallReader, ReaderAnswer, SharedAnswer, SharedQuestion, SharedReplicas,
-    SharedRoutes,
+    HallNews, HallReader, ReaderAnswer, SharedAnswer, SharedQuestion,
+    SharedReplicas, SharedRoutes,
 };
 pub use self::sharing::Sharing;
--- a/crates/shell/src/directory/follow.rs
+++ b/crates/shell/src/directory/follow.rs
@@ -1,5 +1,7 @@
 //! Keeping up with what is published.
 
+mod start;
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -7,8 +9,9 @@
 use stairhinge::{Code, Error, Time};
 
 use super::{
-    Change, Collection, Directory, Facts, Freshness, ReaderAnswer, Record,
-    Share, SharedAnswer, SharedQuestion, SharedRoutes, Sharing, Watched,
+    Change, Collection, Directory, Facts, Freshness, HallNews, ReaderAnswer,
+    Record, Share, SharedAnswer, SharedQuestion, SharedRoutes, Sharing,
+    Watched,
 };
 use crate::Shutdown;
 use crate::decisions::Decision;
@@ -34,6 +37,10 @@
 /// The least span between two questions to the reader of the hall.
 const SHARED_PACE: Duration = Duration::from_millis(20);
 
+/// The least span between two questions while the reader has only old news.
+/// Those wait at it for up to an eighth of the bound that they serve.
+const AWAITED_PACE: Duration = Duration::from_millis(200);
+
 /// Changes in one answer from which on routes come in quick succession.
 const BURST: usize = 2;
 
@@ -67,6 +74,16 @@
     }
 }
 
+/// What asking the hall brought.
+enum Asked {
+    /// What is published, which is taken in.
+    Told,
+    /// Nothing yet, and the platform is left to others.
+    Awaited,
+    /// Nothing: the platform is to be read.
+    Nobody,
+}
+
 struct Follower {
     directory: Arc<dyn Directory>,
     facts: Arc<Facts>,
@@ -84,12 +101,20 @@
 
 impl Follower {
     async fn run(&mut self) {
+        self.hold_back().await;
         loop {
             let called = Instant::now();
-            if self.ask_hall().await {
-                self.succeeded();
-                self.rest(called, SHARED_PACE).await;
-                continue;
+            match self.ask_hall().await {
+                Asked::Told => {
+                    self.succeeded();
+                    self.rest(called, SHARED_PACE).await;
+                    continue;
+                }
+                Asked::Awaited => {
+                    self.rest(called, AWAITED_PACE).await;
+                    continue;
+                }
+                Asked::Nobody => {}
             }
             match self.step().await {
                 Ok(()) => self.succeeded(),
@@ -111,10 +136,11 @@
         }
     }
 
-    /// Asks the reader of the hall; returns whether it brought what is
-    /// published.
-    async fn ask_hall(&mut self) -> bool {
-        let Some(sharing) = self.follow.sharing.clone() else { return false };
+    /// Asks the reader of the hall for what is published.
+    async fn ask_hall(&mut self) -> Asked {
+        let Some(sharing) = self.follow.sharing.clone() else {
+            return Asked::Nobody;
+        };
         let called = self.facts.now();
         let question = SharedQuestion {
             collection: self.follow.collection,
@@ -124,16 +150,19 @@
             wait_ms: sharing.wait().as_millis() as u64,
             most_age_ms: sharing.most_age().as_millis() as u64,
         };
-        let answer = sharing.reader.ask(question).await;
-        let Some(answer) = answer else { return false };
+        let answer = match sharing.reader.ask(question).await {
+            HallNews::Told(answer) => answer,
+            HallNews::Awaited => return Asked::Awaited,
+            HallNews::Nobody => return Asked::Nobody,
+        };
         let taken = self.take_routes(&answer, &sharing).await.and_then(|()| {
             self.take_shared(answer.shared, called, &sharing.share)
         });
         match taken {
-            Ok(()) => true,
+            Ok(()) => Asked::Told,
             Err(error) => {
                 self.facts.refuse(&error);
-                false
+                Asked::Nobody
             }
         }
     }
--- a/crates/shell/src/directory/shared_messages.rs
+++ b/crates/shell/src/directory/shared_messages.rs
@@ -92,13 +92,25 @@
     pub shared: SharedAnswer,
 }
 
+/// What asking the others of the hall brought.
+#[derive(Clone, Debug)]
+pub enum HallNews {
+    /// A fresh answer.
+    Told(ReaderAnswer),
+    /// Nothing yet: another process reads for this one, and has to be asked
+    /// again.
+    Awaited,
+    /// Nothing: the platform is to be read.
+    Nobody,
+}
+
 /// Asks another process of the hall for what it has read.
 pub trait HallReader: Send + Sync {
-    /// Returns a fresh answer, or `None` if the platform is to be read.
-    fn ask(
-        &self,
-        question: SharedQuestion,
-    ) -> BoxFuture<'_, Option<ReaderAnswer>>;
+    /// Returns what another process knows.
+    fn ask(&self, question: SharedQuestion) -> BoxFuture<'_, HallNews>;
+
+    /// Returns whether this process is one that others ask.
+    fn leads(&self) -> bool;
 
     /// Returns the document of the routes that an entry has in force.
     ///
--- a/crates/shell/tests/follow.rs
+++ b/crates/shell/tests/follow.rs
@@ -2,7 +2,7 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,9 +11,9 @@
 use stairhinge::direct::{RouteTable, RouteTableParts};
 use stairhinge_shell::decisions::DecisionLog;
 use stairhinge_shell::directory::{
-    Change, Collection, Directory, Facts, Follow, Freshness, HallReader,
-    Listing, ReaderAnswer, Record, Share, SharedAnswer, SharedQuestion,
-    SharedRoutes, Sharing, Watched, follow,
+    Change, Collection, Directory, Facts, Follow, Freshness, HallNews,
+    HallReader, Listing, ReaderAnswer, Record, Share, SharedAnswer,
+    SharedQuestion, SharedRoutes, Sharing, Watched, follow,
 };
 use stairhinge_shell::{Shutdown, Stopper};
 use tokio::sync::watch;
@@ -43,11 +43,12 @@
 struct Nobody;
 
 impl HallReader for Nobody {
-    fn ask(
-        &self,
-        _question: SharedQuestion,
-    ) -> BoxFuture<'_, Option<ReaderAnswer>> {
-        Box::pin(async { None })
+    fn ask(&self, _question: SharedQuestion) -> BoxFuture<'_, HallNews> {
+        Box::pin(async { HallNews::Nobody })
+    }
+
+    fn leads(&self) -> bool {
+        true
     }
 
     fn fetch_routes(
@@ -180,13 +181,16 @@
 struct Behind;
 
 impl HallReader for Behind {
-    fn ask(
-        &self,
-        question: SharedQuestion,
-    ) -> BoxFuture<'_, Option<ReaderAnswer>> {
+    fn leads(&self) -> bool {
+        true
+    }
+
+    fn ask(&self, question: SharedQuestion) -> BoxFuture<'_, HallNews> {
         Box::pin(async move {
             // Asked only by those who know something.
-            question.after?;
+            if question.after.is_none() {
+                return HallNews::Nobody;
+            }
             let shared = SharedAnswer {
                 at: 1_000,
                 age_ms: 0,
@@ -196,7 +200,7 @@
                 targets: Vec::new(),
                 replicas: None,
             };
-            Some(ReaderAnswer { entry: BEHIND, shared })
+            HallNews::Told(ReaderAnswer { entry: BEHIND, shared })
         })
     }
 
@@ -228,3 +232,58 @@
     let longest = platform.longest_wait.load(Ordering::Relaxed);
     assert!((1..=300).contains(&longest), "{longest} ms");
 }
+
+/// A reader that has old news for a while.
+struct Slow {
+    asked: AtomicU32,
+}
+
+impl HallReader for Slow {
+    fn leads(&self) -> bool {
+        false
+    }
+
+    fn ask(&self, _question: SharedQuestion) -> BoxFuture<'_, HallNews> {
+        let asked = self.asked.fetch_add(1, Ordering::Relaxed);
+        let news = if (1..4).contains(&asked) {
+            HallNews::Awaited
+        } else {
+            let shared = SharedAnswer {
+                at: 7,
+                age_ms: 0,
+                failed_ms: None,
+                revision: 0,
+                routes: None,
+                targets: Vec::new(),
+                replicas: None,
+            };
+            HallNews::Told(ReaderAnswer { entry: BEHIND, shared })
+        };
+        // It takes as long as a question does that waits for news.
+        Box::pin(async move {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            news
+        })
+    }
+
+    fn fetch_routes(
+        &self,
+        _entry: SocketAddr,
+        _within: Duration,
+    ) -> BoxFuture<'_, Result<Bytes, Error>> {
+        unreachable!("no routes were told of")
+    }
+}
+
+#[tokio::test]
+async fn who_awaits_others_leaves_the_platform_to_them() {
+    let routes = Routes::start();
+    let reader = Arc::new(Slow { asked: AtomicU32::new(0) });
+    let shared = Arc::clone(&reader) as Arc<dyn HallReader>;
+    let (_facts, _stopper) = share_reading(&routes, shared);
+    until("asked again and again", || {
+        reader.asked.load(Ordering::Relaxed) > 5
+    })
+    .await;
+    assert_eq!(routes.calls.load(Ordering::Relaxed), 0);
+}
--- a/src/direct/reader_choice.rs
+++ b/src/direct/reader_choice.rs
@@ -37,6 +37,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Failure {
     count: u32,
+    /// Whether it did answer, though with nothing new enough.
+    alive: bool,
     since: Time,
     until: Time,
 }
@@ -47,6 +49,13 @@
     /// that the bounds do not have more often.
     pub const MOST_ASKED: usize = 2;
 
+    /// How many entries of a hall read the platform themselves where those
+    /// before them have only old news. The others wait for them: if all do
+    /// it, 150 entries read whole documents over the links between regions at
+    /// the moment at which the platform is back, and the last have them 5 s
+    /// later.
+    pub const READERS: usize = 3;
+
     /// How long a reader is left out after its first failure.
     pub const FIRST_REST: Duration = Duration::from_secs(2);
 
@@ -96,9 +105,11 @@
     pub fn failed(&mut self, entry: SocketAddr, now: Time) -> bool {
         let failure = self.failures.entry(entry).or_insert(Failure {
             count: 0,
+            alive: false,
             since: now,
             until: now,
         });
+        failure.alive = false;
         let doubled = 1 << failure.count.min(8);
         let rest = (ReaderChoice::FIRST_REST * doubled)
             .min(ReaderChoice::LONGEST_REST);
@@ -107,6 +118,45 @@
         failure.count == 1
     }
 
+    /// Notes that an entry answered, but knows nothing new enough; returns
+    /// whether it had been well until now. It is asked again soon, however
+    /// often that happens: it says so as soon as it has news.
+    pub fn had_old_news(&mut self, entry: SocketAddr, now: Time) -> bool {
+        let failure = self.failures.entry(entry).or_insert(Failure {
+            count: 0,
+            alive: true,
+            since: now,
+            until: now,
+        });
+        let was_well = failure.count == 0;
+        failure.count = 1;
+        failure.alive = true;
+        failure.until = now.after(ReaderChoice::FIRST_REST);
+        was_well
+    }
+
+    /// Returns whether this entry is one of those of its hall that read the
+    /// platform where nobody before them has news. It is not while it knows
+    /// of no entry.
+    pub fn leads(&self, entries: &[HallEntry]) -> bool {
+        let near = entries.iter().filter(|e| e.hall == self.own.hall);
+        let before = near.clone().filter(|e| e.addr < self.own.addr).count();
+        near.count() > 0 && before < ReaderChoice::READERS
+    }
+
+    /// Returns the entry whose news are waited for in place of reading the
+    /// platform: the first in rank that is alive, unless this entry leads.
+    pub fn awaited(&self, entries: &[HallEntry]) -> Option<SocketAddr> {
+        if self.leads(entries) {
+            return None;
+        }
+        let near = entries.iter().filter(|e| e.hall == self.own.hall);
+        let before = near.filter(|e| e.addr < self.own.addr);
+        let alive = before
+            .filter(|e| self.failures.get(&e.addr).is_some_and(|f| f.alive));
+        alive.map(|e| e.addr).min()
+    }
+
     /// Notes that an entry answered with news; returns for how long it had
     /// failed before, if it had.
     pub fn answered(
--- a/src/direct/sharing_tests.rs
+++ b/src/direct/sharing_tests.rs
@@ -194,3 +194,38 @@
     assert!(choice.failed(entry(1), at(6_000)));
     assert_eq!(choice.choose(&entries, at(8_000)), Some(entry(1)));
 }
+
+#[test]
+fn who_does_not_lead_waits_for_a_reader_with_old_news() {
+    let entries = [1, 2, 3, 4, 5].map(near);
+    let mut last = ReaderChoice::new(near(5));
+    let mut third = ReaderChoice::new(near(3));
+    for choice in [&mut last, &mut third] {
+        assert!(choice.had_old_news(entry(1), at(0)));
+        assert!(choice.had_old_news(entry(2), at(0)));
+        assert_eq!(choice.choose(&entries, at(0)), None);
+    }
+    assert_eq!(last.awaited(&entries), Some(entry(1)));
+    assert_eq!(third.awaited(&entries), None);
+    assert!(third.leads(&entries) && !last.leads(&entries));
+    // Asked again soon, after however long a time without the platform.
+    for round in 1..10 {
+        let now = at(round * 2_000);
+        assert_eq!(last.choose(&entries, now), Some(entry(1)));
+        assert!(!last.had_old_news(entry(1), now));
+        assert!(!last.had_old_news(entry(2), now));
+    }
+    // One that is dead is not waited for.
+    last.failed(entry(1), at(20_000));
+    assert_eq!(last.awaited(&entries), Some(entry(2)));
+    last.failed(entry(2), at(20_000));
+    assert_eq!(last.awaited(&entries), None);
+}
+
+#[test]
+fn an_entry_that_knows_of_no_other_does_not_lead_yet() {
+    let choice = ReaderChoice::new(near(5));
+    assert!(!choice.leads(&[]));
+    assert!(!choice.leads(&[far(1, "south")]));
+    assert!(choice.leads(&[near(1), near(5)]));
+}
