--- a/crates/gateway/src/hall_reader.rs
+++ b/crates/gateway/src/hall_reader.rs
@@ -23,10 +23,15 @@
 /// The path at which an entry answers others of its hall.
 pub(crate) const PUBLISHED: &str = "/published";
 
+/// The pause before an entry with old news is asked again; the question has
+/// waited there for up to an eighth of the bound that it serves.
+const ASK_AGAIN: Duration = Duration::from_millis(100);
+
 /// Of so many times that an entry would wait for another's news it reads the
 /// platform once: that may turn the readers of a hall away and serve the
-/// others. In a hall of 30 entries two or three read in each round of 1 s.
-const READ_ANYWAY: u32 = 12;
+/// others. A round of waiting takes about 0.7 s and a call that is not
+/// answered 2.8 s, so of a hall's 40 entries four are reading at any moment.
+const READ_ANYWAY: u32 = 40;
 
 /// The largest answer, in bytes.
 const MOST_ANSWER: usize = 16 << 20;
@@ -190,6 +195,20 @@
         })
     }
 
+    fn news(&self, question: SharedQuestion) -> BoxFuture<'_, ReaderAnswer> {
+        Box::pin(async move {
+            loop {
+                let alive = self.choice().alive(&self.dispatcher.entries());
+                if let Some(entry) = alive
+                    && let Some(answer) = self.hear(entry, &question).await
+                {
+                    return answer;
+                }
+                tokio::time::sleep(ASK_AGAIN).await;
+            }
+        })
+    }
+
     fn leads(&self) -> bool {
         self.choice().leads(&self.dispatcher.entries())
     }
--- a/crates/loader/src/read_routes.rs
+++ b/crates/loader/src/read_routes.rs
@@ -7,18 +7,24 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use rand::RngExt as _;
+use stairhinge::direct::FirstReading;
 use stairhinge::{Code, Error, rank};
 use stairhinge_chunks::log_failure;
 use stairhinge_gateway::fetch_routes;
 use stairhinge_shell::directory::{Collection, Freshness};
 
 use crate::agent::Agent;
+use crate::peer_list::Relist;
 
 /// How often the routes are read while nothing is wrong with them.
 const EVERY: Duration = Duration::from_secs(60);
 
+/// How often entries are asked that have no routes themselves yet.
+const LOOK: Duration = Duration::from_millis(150);
+
 /// The least span between two readings of routes that are in doubt.
 const DOUBTED: Duration = Duration::from_secs(4);
 
@@ -37,12 +43,8 @@
 /// origin cannot be reached and there are newer ones, in which it may stand
 /// elsewhere.
 pub(crate) async fn read_routes(agent: Arc<Agent>) {
-    let mut pause = AGAIN;
-    while let Err(error) = first(&agent).await {
-        log_failure(&agent.facts, "routes", &error);
-        let entry = agent.listeners.joined();
-        let _ = tokio::time::timeout(pause, entry).await;
-        pause = (pause * 2).min(LONGEST);
+    if !ask_entries(&agent).await {
+        read_first(&agent).await;
     }
     loop {
         tokio::time::sleep(DOUBTED).await;
@@ -54,6 +56,38 @@
     }
 }
 
+/// Asks entries for the first routes, and returns whether one had them.
+async fn ask_entries(agent: &Arc<Agent>) -> bool {
+    let reading = FirstReading::new(rand::rng().random());
+    let begun = Instant::now();
+    // The list is small, and it says how many read the routes.
+    let mut relist = Relist::default();
+    relist.start(agent);
+    let listed = || agent.facts.view().replicas.len();
+    while begun.elapsed() < reading.of_agent(listed()) {
+        if near_entry(agent).is_some() {
+            match from_entry(agent).await {
+                Ok(()) => return true,
+                Err(error) => log_failure(&agent.facts, "entry", &error),
+            }
+        }
+        let entry = agent.listeners.joined();
+        let _ = tokio::time::timeout(LOOK, entry).await;
+    }
+    false
+}
+
+/// Reads the first routes from whoever has them.
+async fn read_first(agent: &Agent) {
+    let mut pause = AGAIN;
+    while let Err(error) = first(agent).await {
+        log_failure(&agent.facts, "routes", &error);
+        let entry = agent.listeners.joined();
+        let _ = tokio::time::timeout(pause, entry).await;
+        pause = (pause * 2).min(LONGEST);
+    }
+}
+
 /// Reads the first routes, from an entry if one listens already.
 async fn first(agent: &Agent) -> Result<(), Error> {
     match near_entry(agent) {
--- a/crates/shell/src/directory/follow.rs
+++ b/crates/shell/src/directory/follow.rs
@@ -116,7 +116,7 @@
                 }
                 Asked::Nobody => {}
             }
-            match self.step().await {
+            match self.read().await {
                 Ok(()) => self.succeeded(),
                 Err(error) => {
                     self.fail(&error);
@@ -136,29 +136,46 @@
         }
     }
 
-    /// Asks the reader of the hall for what is published.
-    async fn ask_hall(&mut self) -> Asked {
+    /// Reads the platform, and asks those of the hall that had old news
+    /// beside it: a platform that is silent holds a call up for seconds, and
+    /// another process may reach it sooner.
+    async fn read(&mut self) -> Result<(), Error> {
         let Some(sharing) = self.follow.sharing.clone() else {
-            return Asked::Nobody;
+            return self.step().await;
         };
         let called = self.facts.now();
-        let question = SharedQuestion {
+        let news = sharing.reader.news(self.question(&sharing));
+        let answer = tokio::select! {
+            read = self.step() => return read,
+            answer = news => answer,
+        };
+        self.take(answer, called, &sharing).await
+    }
+
+    fn question(&self, sharing: &Sharing) -> SharedQuestion {
+        SharedQuestion {
             collection: self.follow.collection,
             after: self.at,
             revision: self.facts.revision(),
             targets: self.facts.target_ages().len(),
             wait_ms: sharing.wait().as_millis() as u64,
             most_age_ms: sharing.most_age().as_millis() as u64,
+        }
+    }
+
+    /// Asks the reader of the hall for what is published.
+    async fn ask_hall(&mut self) -> Asked {
+        let Some(sharing) = self.follow.sharing.clone() else {
+            return Asked::Nobody;
         };
+        let called = self.facts.now();
+        let question = self.question(&sharing);
         let answer = match sharing.reader.ask(question).await {
             HallNews::Told(answer) => answer,
             HallNews::Awaited => return Asked::Awaited,
             HallNews::Nobody => return Asked::Nobody,
         };
-        let taken = self.take_routes(&answer, &sharing).await.and_then(|()| {
-            self.take_shared(answer.shared, called, &sharing.share)
-        });
-        match taken {
+        match self.take(answer, called, &sharing).await {
             Ok(()) => Asked::Told,
             Err(error) => {
                 self.facts.refuse(&error);
@@ -167,6 +184,18 @@
         }
     }
 
+    /// Takes in what another process answered, and the routes that it leads
+    /// to.
+    async fn take(
+        &mut self,
+        answer: ReaderAnswer,
+        called: Time,
+        sharing: &Sharing,
+    ) -> Result<(), Error> {
+        self.take_routes(&answer, sharing).await?;
+        self.take_shared(answer.shared, called, &sharing.share)
+    }
+
     /// Takes in what the reader of the hall answered.
     fn take_shared(
         &mut self,
--- a/crates/shell/tests/follow.rs
+++ b/crates/shell/tests/follow.rs
@@ -47,6 +47,10 @@
         Box::pin(async { HallNews::Nobody })
     }
 
+    fn news(&self, _question: SharedQuestion) -> BoxFuture<'_, ReaderAnswer> {
+        Box::pin(std::future::pending())
+    }
+
     fn leads(&self) -> bool {
         true
     }
@@ -111,7 +115,7 @@
 /// Follows the routes as an entry that asks another one first, within a bound
 /// of 900 ms.
 fn share_reading(
-    platform: &Arc<Routes>,
+    directory: Arc<dyn Directory>,
     reader: Arc<dyn HallReader>,
 ) -> (Arc<Facts>, Stopper) {
     let log = DecisionLog::new(DecisionLog::MOST_BYTES);
@@ -127,7 +131,6 @@
         burst_pace: Duration::from_millis(300),
         sharing: Some(Sharing { share, reader, bound }),
     };
-    let directory = Arc::clone(platform) as Arc<dyn Directory>;
     tokio::spawn(follow(directory, Arc::clone(&facts), plan, shutdown));
     (facts, stopper)
 }
@@ -181,6 +184,10 @@
 struct Behind;
 
 impl HallReader for Behind {
+    fn news(&self, _question: SharedQuestion) -> BoxFuture<'_, ReaderAnswer> {
+        Box::pin(std::future::pending())
+    }
+
     fn leads(&self) -> bool {
         true
     }
@@ -217,7 +224,8 @@
 #[tokio::test]
 async fn old_routes_of_a_reader_that_is_ahead_skip_no_revision() {
     let platform = Routes::start();
-    let (facts, _stopper) = share_reading(&platform, Arc::new(Behind));
+    let (facts, _stopper) =
+        share_reading(Arc::clone(&platform) as _, Arc::new(Behind));
     until("the first routes", || facts.revision() == 1).await;
     platform.newest.send_modify(|n| *n += 1);
     until("the next routes", || facts.revision() == 2).await;
@@ -226,7 +234,8 @@
 #[tokio::test]
 async fn who_shares_reading_never_waits_long_at_the_platform() {
     let platform = Routes::start();
-    let (_facts, _stopper) = share_reading(&platform, Arc::new(Nobody));
+    let (_facts, _stopper) =
+        share_reading(Arc::clone(&platform) as _, Arc::new(Nobody));
     let calls = || platform.calls.load(Ordering::Relaxed);
     until("some watches", || calls() > 3).await;
     let longest = platform.longest_wait.load(Ordering::Relaxed);
@@ -239,6 +248,10 @@
 }
 
 impl HallReader for Slow {
+    fn news(&self, _question: SharedQuestion) -> BoxFuture<'_, ReaderAnswer> {
+        Box::pin(std::future::pending())
+    }
+
     fn leads(&self) -> bool {
         false
     }
@@ -280,10 +293,80 @@
     let routes = Routes::start();
     let reader = Arc::new(Slow { asked: AtomicU32::new(0) });
     let shared = Arc::clone(&reader) as Arc<dyn HallReader>;
-    let (_facts, _stopper) = share_reading(&routes, shared);
+    let (_facts, _stopper) = share_reading(Arc::clone(&routes) as _, shared);
     until("asked again and again", || {
         reader.asked.load(Ordering::Relaxed) > 5
     })
     .await;
     assert_eq!(routes.calls.load(Ordering::Relaxed), 0);
 }
+
+/// A platform that answers nothing.
+struct Silent;
+
+impl Directory for Silent {
+    fn list(
+        &self,
+        _collection: Collection,
+        _freshness: Freshness,
+    ) -> BoxFuture<'_, Result<Listing, Error>> {
+        Box::pin(std::future::pending())
+    }
+
+    fn parse_routes(&self, document: Bytes) -> Result<Record, Error> {
+        let text = std::str::from_utf8(&document).unwrap();
+        Ok(record(text.parse().unwrap()))
+    }
+
+    fn watch(
+        &self,
+        _collection: Collection,
+        _after: u64,
+        _wait: Duration,
+    ) -> BoxFuture<'_, Result<Watched, Error>> {
+        Box::pin(std::future::pending())
+    }
+}
+
+/// Readers that had old news when they were first asked.
+struct Later;
+
+impl HallReader for Later {
+    fn ask(&self, _question: SharedQuestion) -> BoxFuture<'_, HallNews> {
+        Box::pin(async { HallNews::Nobody })
+    }
+
+    fn news(&self, _question: SharedQuestion) -> BoxFuture<'_, ReaderAnswer> {
+        let shared = SharedAnswer {
+            at: 9,
+            age_ms: 0,
+            failed_ms: None,
+            revision: 1,
+            routes: Some(SharedRoutes::Fetch),
+            targets: Vec::new(),
+            replicas: None,
+        };
+        Box::pin(async {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            ReaderAnswer { entry: BEHIND, shared }
+        })
+    }
+
+    fn leads(&self) -> bool {
+        true
+    }
+
+    fn fetch_routes(
+        &self,
+        _entry: SocketAddr,
+        _within: Duration,
+    ) -> BoxFuture<'_, Result<Bytes, Error>> {
+        Box::pin(async { Ok(Bytes::from_static(b"1")) })
+    }
+}
+
+#[tokio::test]
+async fn a_silent_platform_keeps_nobody_from_news_of_others() {
+    let (facts, _stopper) = share_reading(Arc::new(Silent), Arc::new(Later));
+    until("news", || facts.revision() == 1).await;
+}
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -9,8 +9,8 @@
 //! [`Shortage`] when a refused caller comes back; [`EventSplitter`] where a
 //! stream may be cut and taken up again; [`Contention`] how many entries
 //! choose among the same replicas; [`Rollout`] when a replica changes to new
-//! weights; and [`ReaderChoice`] which entry reads the platform for the
-//! others.
+//! weights; [`ReaderChoice`] which entry reads the platform for the others;
+//! and [`FirstReading`] how long one that has just started waits for them.
 
 pub mod balance;
 
@@ -18,6 +18,7 @@
 mod come_back;
 mod contention;
 mod event_splitter;
+mod first_reading;
 mod layers;
 mod published_replicas;
 mod reader_choice;
@@ -32,6 +33,7 @@
 pub use self::come_back::Shortage;
 pub use self::contention::Contention;
 pub use self::event_splitter::{Event, EventSplitter};
+pub use self::first_reading::FirstReading;
 pub use self::layers::LayerRange;
 pub use self::published_replicas::{PublishedReplicas, ReplicaChanges};
 pub use self::reader_choice::{HallEntry, ReaderChoice};
@@ -47,6 +49,8 @@
 #[cfg(test)]
 mod come_back_tests;
 #[cfg(test)]
+mod first_reading_tests;
+#[cfg(test)]
 mod overload_tests;
 #[cfg(test)]
 mod sharing_tests;
--- a/src/direct/reader_choice.rs
+++ b/src/direct/reader_choice.rs
@@ -75,9 +75,7 @@
         entries: &[HallEntry],
         now: Time,
     ) -> Option<SocketAddr> {
-        let near = entries.iter().filter(|e| e.hall == self.own.hall);
-        let near: Vec<SocketAddr> = near.map(|e| e.addr).collect();
-        let reader = self.first_well(near, now);
+        let reader = self.first_well(near(entries, &self.own.hall), now);
         reader.or_else(|| self.first_well(first_of_halls(entries), now))
     }
 
@@ -139,9 +137,9 @@
     /// platform where nobody before them has news. It is not while it knows
     /// of no entry.
     pub fn leads(&self, entries: &[HallEntry]) -> bool {
-        let near = entries.iter().filter(|e| e.hall == self.own.hall);
-        let before = near.clone().filter(|e| e.addr < self.own.addr).count();
-        near.count() > 0 && before < ReaderChoice::READERS
+        let near = near(entries, &self.own.hall);
+        let before = near.iter().filter(|addr| **addr < self.own.addr);
+        !near.is_empty() && before.count() < ReaderChoice::READERS
     }
 
     /// Returns the entry whose news are waited for in place of reading the
@@ -150,11 +148,22 @@
         if self.leads(entries) {
             return None;
         }
-        let near = entries.iter().filter(|e| e.hall == self.own.hall);
-        let before = near.filter(|e| e.addr < self.own.addr);
-        let alive = before
-            .filter(|e| self.failures.get(&e.addr).is_some_and(|f| f.alive));
-        alive.map(|e| e.addr).min()
+        self.first_alive(near(entries, &self.own.hall))
+    }
+
+    /// Returns the entry that is asked again beside a reading of the platform
+    /// that may be in vain: it answered when it had old news.
+    pub fn alive(&self, entries: &[HallEntry]) -> Option<SocketAddr> {
+        let near = self.first_alive(near(entries, &self.own.hall));
+        near.or_else(|| self.first_alive(first_of_halls(entries)))
+    }
+
+    fn first_alive(&self, entries: Vec<SocketAddr>) -> Option<SocketAddr> {
+        let before = entries.into_iter().filter(|a| *a < self.own.addr);
+        let alive = before.filter(|addr| {
+            self.failures.get(addr).is_some_and(|failure| failure.alive)
+        });
+        alive.min()
     }
 
     /// Notes that an entry answered with news; returns for how long it had
@@ -169,6 +178,12 @@
     }
 }
 
+/// Returns the entries of a hall.
+fn near(entries: &[HallEntry], hall: &str) -> Vec<SocketAddr> {
+    let near = entries.iter().filter(|e| &*e.hall == hall);
+    near.map(|e| e.addr).collect()
+}
+
 /// Returns the first in rank of each hall.
 fn first_of_halls(entries: &[HallEntry]) -> Vec<SocketAddr> {
     let mut first: BTreeMap<&str, SocketAddr> = BTreeMap::new();
--- a/src/direct/sharing_tests.rs
+++ b/src/direct/sharing_tests.rs
@@ -207,6 +207,7 @@
     }
     assert_eq!(last.awaited(&entries), Some(entry(1)));
     assert_eq!(third.awaited(&entries), None);
+    assert_eq!(third.alive(&entries), Some(entry(1)));
     assert!(third.leads(&entries) && !last.leads(&entries));
     // Asked again soon, after however long a time without the platform.
     for round in 1..10 {
