--- a/crates/gateway/src/hall_reader.rs
+++ b/crates/gateway/src/hall_reader.rs
@@ -96,15 +96,19 @@
         let bytes = read(response.into_body(), MOST_ANSWER, within).await?;
         let answer: SharedAnswer = serde_json::from_slice(&bytes)
             .map_err(|e| Error::new(Code::MalformedJson, e))?;
-        if answer.age_ms > question.most_age_ms {
+        if question.after.is_some_and(|after| after > answer.at) {
+            return Err(old(format!("it is behind, at {}", answer.at)));
+        }
+        // Newer routes are worth taking however old the rest is: they only
+        // go forward.
+        if answer.age_ms > question.most_age_ms
+            && !answer.has_newer_routes(question)
+        {
             let (age, most) = (answer.age_ms, question.most_age_ms);
             return Err(old(format!(
                 "its news are {age} ms old, over {most}"
             )));
         }
-        if question.after.is_some_and(|after| after > answer.at) {
-            return Err(old(format!("it is behind, at {}", answer.at)));
-        }
         Ok(answer)
     }
 
--- a/crates/shell/src/directory/share.rs
+++ b/crates/shell/src/directory/share.rs
@@ -140,8 +140,9 @@
             let left = most_age.checked_sub(self.age(collection));
             let answers = match left {
                 Some(_) => self.has_news(question),
-                // It has just lost the platform: the asker should know.
-                None => fresh_at_first,
+                // It has just lost the platform: the asker should know. Newer
+                // routes from elsewhere are news all the same.
+                None => fresh_at_first || self.has_newer_routes(question),
             };
             if answers || Instant::now() >= until {
                 return self.compose(question);
@@ -161,10 +162,15 @@
         synced.map_or(Duration::MAX, |at| self.facts.now().since(at))
     }
 
+    fn has_newer_routes(&self, question: &SharedQuestion) -> bool {
+        question.collection != Collection::Replicas
+            && self.facts.revision() > question.revision
+    }
+
     fn has_news(&self, question: &SharedQuestion) -> bool {
         if question.collection != Collection::Replicas {
             let named = self.facts.target_ages().len();
-            let newer = self.facts.revision() > question.revision;
+            let newer = self.has_newer_routes(question);
             return newer || named > question.targets;
         }
         let state = self.lock();
--- a/crates/shell/src/directory/shared_messages.rs
+++ b/crates/shell/src/directory/shared_messages.rs
@@ -52,6 +52,13 @@
     pub replicas: Option<SharedReplicas>,
 }
 
+impl SharedAnswer {
+    /// Returns whether it leads to newer routes than the asker knew.
+    pub fn has_newer_routes(&self, question: &SharedQuestion) -> bool {
+        self.routes.is_some() && self.revision > question.revision
+    }
+}
+
 /// Newer routes in an answer.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/shell/tests/share.rs
+++ b/crates/shell/tests/share.rs
@@ -94,6 +94,23 @@
     assert!(asked.elapsed() >= Duration::from_millis(200));
 }
 
+#[tokio::test]
+async fn newer_routes_are_told_at_once_by_one_without_the_platform() {
+    let share = share();
+    learn(share.facts(), 1);
+    share.reach(Collection::Declarations, 1, share.facts().now());
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    // From a neighbour, long after the platform was last heard.
+    learn(share.facts(), 2);
+    let mut waits = question(1);
+    waits.wait_ms = 2_000;
+    waits.most_age_ms = 20;
+    let asked = Instant::now();
+    let answer = share.answer(&waits).await.unwrap();
+    assert!(asked.elapsed() < Duration::from_millis(1_000), "it held them");
+    assert!(answer.has_newer_routes(&waits) && answer.age_ms > 20);
+}
+
 #[test]
 fn what_is_not_packed_whole_or_too_much_is_refused() {
     let packed = pack(&[7; 10_000]);
