--- a/crates/shell/src/directory/share.rs
+++ b/crates/shell/src/directory/share.rs
@@ -194,6 +194,10 @@
             replicas: None,
         };
         if question.collection == Collection::Replicas {
+            if answer.age_ms > question.most_age_ms {
+                // The asker takes nothing so old, and a whole list is large.
+                return Some(answer);
+            }
             let changes = state.published.since(question.after)?;
             answer.replicas = Some(SharedReplicas::new(changes));
             return Some(answer);
--- a/crates/shell/tests/share.rs
+++ b/crates/shell/tests/share.rs
@@ -111,6 +111,22 @@
     assert!(answer.has_newer_routes(&waits) && answer.age_ms > 20);
 }
 
+#[tokio::test]
+async fn a_list_that_is_too_old_to_be_taken_is_not_sent() {
+    let share = share();
+    share.reach(Collection::Replicas, 1, share.facts().now());
+    let mut asks = question(0);
+    asks.collection = Collection::Replicas;
+    asks.wait_ms = 10;
+    asks.most_age_ms = 1_000;
+    let fresh = share.answer(&asks).await.unwrap();
+    assert!(fresh.replicas.is_some(), "whole, to one that knows nothing");
+    tokio::time::sleep(Duration::from_millis(40)).await;
+    asks.most_age_ms = 20;
+    let old = share.answer(&asks).await.unwrap();
+    assert!(old.replicas.is_none() && old.age_ms > 20);
+}
+
 #[test]
 fn what_is_not_packed_whole_or_too_much_is_refused() {
     let packed = pack(&[7; 10_000]);
