Leaving replicas are read by all whose readers have old news

The list's changes are small, so only routes are waited for, and only in halls of five entries and more; one round in 20 reads anyway (40 before).

--- a/crates/gateway/src/hall_reader.rs
+++ b/crates/gateway/src/hall_reader.rs
@@ -13,7 +13,8 @@
 use stairhinge::{Code, Error};
 use stairhinge_shell::decisions::Decision;
 use stairhinge_shell::directory::{
-    Facts, HallNews, HallReader, ReaderAnswer, SharedAnswer, SharedQuestion,
+    Collection, Facts, HallNews, HallReader, ReaderAnswer, SharedAnswer,
+    SharedQuestion,
 };
 use stairhinge_shell::http::{Client, full, read};
 
@@ -30,8 +31,8 @@
 /// Of so many times that an entry would wait for another's news it reads the
 /// platform once: that may turn the readers of a hall away and serve the
 /// others. A round of waiting takes about 0.7 s and a call that is not
-/// answered 2.8 s, so of a hall's 40 entries four are reading at any moment.
-const READ_ANYWAY: u32 = 40;
+/// answered 2.8 s, so of a hall's 40 entries eight are reading at any moment.
+const READ_ANYWAY: u32 = 20;
 
 /// The largest answer, in bytes.
 const MOST_ANSWER: usize = 16 << 20;
@@ -187,7 +188,14 @@
                     return HallNews::Told(answer);
                 }
             }
-            let awaited = self.choice().awaited(&self.dispatcher.entries());
+            if question.collection == Collection::Replicas {
+                // Its changes are small, and a leaving replica must be known
+                // in time whatever has become of the readers.
+                return HallNews::Nobody;
+            }
+            let leading = self.dispatcher.ranked().len();
+            let entries = self.dispatcher.entries();
+            let awaited = self.choice().awaited(&entries, leading);
             let Some(entry) = awaited else { return HallNews::Nobody };
             if rand::rng().random_ratio(1, READ_ANYWAY) {
                 return HallNews::Nobody;
--- a/src/direct/reader_choice.rs
+++ b/src/direct/reader_choice.rs
@@ -15,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Time;
+use crate::placing::LEADING;
 
 /// An entry that answers others.
 #[derive(
@@ -143,9 +144,15 @@
     }
 
     /// Returns the entry whose news are waited for in place of reading the
-    /// platform: the first in rank that is alive, unless this entry leads.
-    pub fn awaited(&self, entries: &[HallEntry]) -> Option<SocketAddr> {
-        if self.leads(entries) {
+    /// platform: the first in rank that is alive. There is none if this entry
+    /// leads, or if its hall has so few entries, `leading` of them, that all
+    /// may read.
+    pub fn awaited(
+        &self,
+        entries: &[HallEntry],
+        leading: usize,
+    ) -> Option<SocketAddr> {
+        if self.leads(entries) || leading < LEADING {
             return None;
         }
         self.first_alive(near(entries, &self.own.hall))
--- a/src/direct/sharing_tests.rs
+++ b/src/direct/sharing_tests.rs
@@ -205,10 +205,12 @@
         assert!(choice.had_old_news(entry(2), at(0)));
         assert_eq!(choice.choose(&entries, at(0)), None);
     }
-    assert_eq!(last.awaited(&entries), Some(entry(1)));
-    assert_eq!(third.awaited(&entries), None);
+    assert_eq!(last.awaited(&entries, 5), Some(entry(1)));
+    assert_eq!(third.awaited(&entries, 5), None);
     assert_eq!(third.alive(&entries), Some(entry(1)));
     assert!(third.leads(&entries) && !last.leads(&entries));
+    // Where a hall has few entries all read.
+    assert_eq!(last.awaited(&entries, 4), None);
     // Asked again soon, after however long a time without the platform.
     for round in 1..10 {
         let now = at(round * 2_000);
@@ -218,9 +220,9 @@
     }
     // One that is dead is not waited for.
     last.failed(entry(1), at(20_000));
-    assert_eq!(last.awaited(&entries), Some(entry(2)));
+    assert_eq!(last.awaited(&entries, 5), Some(entry(2)));
     last.failed(entry(2), at(20_000));
-    assert_eq!(last.awaited(&entries), None);
+    assert_eq!(last.awaited(&entries, 5), None);
 }
 
 #[test]
--- a/src/placing.rs
+++ b/src/placing.rs
@@ -25,7 +25,7 @@
 };
 pub use self::place_table::{PlaceKey, PlaceTable};
 pub use self::placer_choice::{Placer, PlacerChoice};
-pub use self::seat::{Seat, ranked};
+pub use self::seat::{LEADING, Seat, ranked};
 
 #[cfg(test)]
 mod load_tests;
--- a/src/placing/seat.rs
+++ b/src/placing/seat.rs
@@ -17,7 +17,7 @@
 
 /// How many entries of a hall have a part for others: three that may read
 /// the platform and hold chunks, and two that place.
-const LEADING: usize = 5;
+pub const LEADING: usize = 5;
 
 /// How many entries of a hall are ready to place. One does; the second is
 /// asked while the first is silent, and hears all that the first hears.
