--- a/crates/loader/src/agent.rs
+++ b/crates/loader/src/agent.rs
@@ -197,10 +197,12 @@
         Arc::clone(&facts),
         Follow {
             collection: Collection::Targets,
-            // Entries tell of new versions too, and each call has a price: of
-            // 200 agents, 20 a second with a third of this wait. It is the
-            // longest that the platform allows.
-            wait: Duration::from_millis(30_000),
+            // Entries tell of new versions too, and each call has a price.
+            // Longer than the history that the platform keeps, 20 s, and a
+            // version would be found by a list, which tells its naming's time
+            // no better than since the last answer: replicas then leave their
+            // version as if its bound were over.
+            wait: Duration::from_millis(10_000),
             pace: Duration::from_millis(100),
             doubt: Duration::from_millis(4_000),
             burst_pace: Duration::ZERO,
