One type of need, lack and test hall; a pump looks at one replica

A report of one replica went over all replicas of the service for each request that waits; it looks at that one now. The long find is three functions. Entries are ranked again only when an agent that told of some is lost.

Log: a placer that answers again is logged with how long it was silent (0 was written); a stream that finds no other replica says why in words, not as debug output. The bytes of a question change, between entries of one version only.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -15,11 +15,12 @@
 use std::time::{Duration, Instant};
 
 use stairhinge::direct::{Contention, HallEntry};
+use stairhinge::placing::{Lack, Need};
 use stairhinge_shell::directory::Facts;
 
 use self::find::layers;
 use self::known::{Known, Reported};
-pub(crate) use self::place::{Need, NoReplica, Place};
+pub(crate) use self::place::Place;
 pub(crate) use self::queue::Found;
 use self::queue::Queue;
 use crate::report::EngineReport;
@@ -89,15 +90,12 @@
         &self,
         need: Need,
         until: Instant,
-    ) -> Result<Place, NoReplica> {
+    ) -> Result<Place, Lack> {
         let wait = until.saturating_duration_since(Instant::now());
         match self.request(need, !wait.is_zero()) {
             Found::Place(place) => Ok(place),
-            Found::Nothing => Err(NoReplica::None),
-            Found::Full => Err(NoReplica::Full),
-            Found::Waits(found) => {
-                found.within(wait).await.ok_or(NoReplica::Full)
-            }
+            Found::Nothing(lack) => Err(lack),
+            Found::Waits(found) => found.within(wait).await.ok_or(Lack::Room),
         }
     }
 
@@ -113,10 +111,10 @@
             return Found::Place(place);
         }
         if !self.exists(&state, &view, &need) {
-            return Found::Nothing;
+            return Found::Nothing(Lack::Replica);
         }
         if !waits {
-            return Found::Full;
+            return Found::Nothing(Lack::Room);
         }
         Found::Waits(state.waiting.join(need))
     }
@@ -198,9 +196,12 @@
     pub(crate) fn unreport(&self, incarnation: &Arc<str>) {
         let mut state = self.lock();
         if let Some(known) = state.known.get_mut(incarnation) {
-            known.reported = None;
+            let told = known.reported.take();
             known.load = known.load.unreported();
-            self.rank_entries(&mut state);
+            // Tried again and again while an agent is away.
+            if told.is_some() {
+                self.rank_entries(&mut state);
+            }
         }
     }
 
--- a/crates/gateway/src/dispatch/find.rs
+++ b/crates/gateway/src/dispatch/find.rs
@@ -5,11 +5,12 @@
 
 use stairhinge::direct::Replica;
 use stairhinge::direct::balance::{Candidate, Pace, choose};
+use stairhinge::placing::Need;
 use stairhinge::rank;
 use stairhinge_shell::directory::{FactsView, Standing};
 
 use super::terms::Terms;
-use super::{Dispatcher, Need, Place, State};
+use super::{Dispatcher, Place, State};
 use crate::placing::Chooser;
 
 /// How long prompts that wait at a replica may take to be read, as a part of
@@ -50,63 +51,16 @@
         need: &Need,
         only: Option<&Arc<str>>,
     ) -> Option<Place> {
-        if let Some(only) = only
-            && !self.may_fill(state, view, need, only)
-        {
-            return None;
-        }
-        let now = self.facts.now();
-        let engine = view.engine(&need.service);
-        let layers = layers(view, need);
-        let contention = state.contention.entries();
-        let mut sound = Offered::default();
-        let mut suspect = Offered::default();
-        let listed = view
-            .of_service(&need.service)
-            .any(|(_, standing)| *standing == Standing::Listed);
-        for (replica, standing) in view.of_service(&need.service) {
-            if listed && *standing == Standing::Doubtful
-                || only.is_some_and(|only| *only != replica.incarnation)
-            {
-                continue;
+        let offered = match only {
+            Some(only) if self.may_fill(state, view, need, only) => {
+                self.offers(state, view, need, view.replicas.get(only))
             }
-            let terms = self.terms(state, view, need, replica, layers, now);
-            let Some(terms) = terms else { continue };
-            let known = state
-                .known
-                .entry(Arc::clone(&replica.incarnation))
-                .or_default();
-            if known.full_until.is_some_and(|at| at > Instant::now()) {
-                continue;
+            Some(_) => return None,
+            None => {
+                let all = view.of_service(&need.service);
+                self.offers(state, view, need, all)
             }
-            let fit = known.health.fit(now);
-            let offset = *known
-                .offset
-                .get_or_insert_with(|| self.offset(&replica.incarnation));
-            let pace = engine.map_or_else(
-                || Pace::plain(replica.slots),
-                |engine| Pace {
-                    entries: contention,
-                    ..engine.pace(replica.slots)
-                },
-            );
-            let candidate = Candidate {
-                load: known.load,
-                pace,
-                near: replica.hall == self.hall,
-                queue: queue_room(replica.slots, engine.is_some()),
-                offset,
-                delay_ms: known.delay_ms(),
-                slowdown: known.slowdown(),
-                most_ms: BACKLOG_PART * need.objective.as_millis() as f64,
-            };
-            let offered = if fit { &mut sound } else { &mut suspect };
-            offered.candidates.push(candidate);
-            offered.replicas.push((Arc::clone(replica), terms));
-        }
-        // Where all have failed of late, one of them is better than none.
-        let offered =
-            if sound.candidates.is_empty() { suspect } else { sound };
+        };
         let chosen = choose(&offered.candidates)?;
         let (replica, terms) = offered.replicas.into_iter().nth(chosen)?;
         let known =
@@ -130,6 +84,74 @@
         })
     }
 
+    /// Returns those of some replicas that could take a request: the sound
+    /// ones, or where all have failed of late, these.
+    fn offers<'a>(
+        &self,
+        state: &mut State,
+        view: &FactsView,
+        need: &Need,
+        replicas: impl IntoIterator<Item = &'a (Arc<Replica>, Standing)>,
+    ) -> Offered {
+        let now = self.facts.now();
+        let layers = layers(view, need);
+        let listed = view
+            .of_service(&need.service)
+            .any(|(_, standing)| *standing == Standing::Listed);
+        let mut sound = Offered::default();
+        let mut suspect = Offered::default();
+        for (replica, standing) in replicas {
+            if listed && *standing == Standing::Doubtful {
+                continue;
+            }
+            let terms = self.terms(state, view, need, replica, layers, now);
+            let Some(terms) = terms else { continue };
+            let candidate = self.candidate(state, view, need, replica);
+            let Some((candidate, fit)) = candidate else { continue };
+            let offered = if fit { &mut sound } else { &mut suspect };
+            offered.candidates.push(candidate);
+            offered.replicas.push((Arc::clone(replica), terms));
+        }
+        if sound.candidates.is_empty() { suspect } else { sound }
+    }
+
+    /// Returns a replica as a candidate, and whether it is sound; `None` if
+    /// it has just said that it had no room.
+    fn candidate(
+        &self,
+        state: &mut State,
+        view: &FactsView,
+        need: &Need,
+        replica: &Replica,
+    ) -> Option<(Candidate, bool)> {
+        let engine = view.engine(&need.service);
+        let entries = state.contention.entries();
+        let known =
+            state.known.entry(Arc::clone(&replica.incarnation)).or_default();
+        if known.full_until.is_some_and(|at| at > Instant::now()) {
+            return None;
+        }
+        let fit = known.health.fit(self.facts.now());
+        let offset = *known
+            .offset
+            .get_or_insert_with(|| self.offset(&replica.incarnation));
+        let pace = engine.map_or_else(
+            || Pace::plain(replica.slots),
+            |engine| Pace { entries, ..engine.pace(replica.slots) },
+        );
+        let candidate = Candidate {
+            load: known.load,
+            pace,
+            near: replica.hall == self.hall,
+            queue: queue_room(replica.slots, engine.is_some()),
+            offset,
+            delay_ms: known.delay_ms(),
+            slowdown: known.slowdown(),
+            most_ms: BACKLOG_PART * need.objective.as_millis() as f64,
+        };
+        Some((candidate, fit))
+    }
+
     /// Returns this entry's leaning towards a replica, from 0 to 1.
     fn offset(&self, incarnation: &str) -> f64 {
         let score = rank::score(self.instance.as_bytes(), incarnation);
--- a/crates/gateway/src/dispatch/hall.rs
+++ b/crates/gateway/src/dispatch/hall.rs
@@ -7,10 +7,10 @@
 use std::time::{Duration, Instant};
 
 use stairhinge::direct::{HallEntry, ReplicaState};
-use stairhinge::placing::{Placed, ranked};
+use stairhinge::placing::{Need, Placed, ranked};
 use stairhinge_shell::directory::{FactsView, Standing};
 
-use super::{Dispatcher, Need, Place, State};
+use super::{Dispatcher, Place, State};
 use crate::placing::{Chooser, Lease};
 
 impl Dispatcher {
--- a/crates/gateway/src/dispatch/known.rs
+++ b/crates/gateway/src/dispatch/known.rs
@@ -5,7 +5,6 @@
 use stairhinge::direct::balance::Load;
 use stairhinge::routing::Health;
 
-use super::terms::REPORT_COUNTS;
 use crate::report::EngineReport;
 
 /// An attempt that begins later than this makes its replica a slow one.
@@ -20,6 +19,9 @@
 /// How long a replica counts as slow.
 const SLOW_COUNTS: Duration = Duration::from_secs(5);
 
+/// How long a report counts.
+const REPORT_COUNTS: Duration = Duration::from_millis(1_500);
+
 /// A report that is older than this is late: agents say something twice a
 /// second though nothing has changed.
 const REPORT_LATE: Duration = Duration::from_millis(750);
--- a/crates/gateway/src/dispatch/place.rs
+++ b/crates/gateway/src/dispatch/place.rs
@@ -1,4 +1,4 @@
-//! What a request needs, and the place at a replica that it gets.
+//! The place at a replica that a request gets.
 
 use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant};
@@ -10,34 +10,6 @@
 use super::Dispatcher;
 use crate::placing::{Chooser, Lease};
 
-/// What a request needs of a replica.
-#[derive(Clone, Debug)]
-pub(crate) struct Need {
-    /// The service.
-    pub service: Arc<str>,
-    /// The model, where the service has an engine.
-    pub model: Option<Arc<str>>,
-    /// The only version that will do.
-    pub version: Option<u64>,
-    /// Replicas that it has been sent to.
-    pub tried: Vec<Arc<str>>,
-    /// 0 is the most urgent.
-    pub priority: u8,
-    /// Tokens of its prompt.
-    pub prompt_tokens: u32,
-    /// Within which its first token is to come.
-    pub objective: Duration,
-}
-
-/// Why no replica was found.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum NoReplica {
-    /// None serves what is needed.
-    None,
-    /// None had room in time.
-    Full,
-}
-
 /// A place at a replica; dropping it gives the place back.
 #[derive(Debug)]
 pub(crate) struct Place {
--- a/crates/gateway/src/dispatch/queue.rs
+++ b/crates/gateway/src/dispatch/queue.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
+use stairhinge::placing::{Lack, Need};
 use tokio::sync::oneshot;
 
-use super::{Need, Place};
+use super::Place;
 
 /// What a request found.
 #[derive(Debug)]
@@ -13,10 +14,8 @@
     Place(Place),
     /// No room now; a place may follow.
     Waits(Waiting),
-    /// No room now.
-    Full,
-    /// No replica that could take it.
-    Nothing,
+    /// No place.
+    Nothing(Lack),
 }
 
 /// A request that waits.
--- a/crates/gateway/src/dispatch/terms.rs
+++ b/crates/gateway/src/dispatch/terms.rs
@@ -4,10 +4,11 @@
 
 use stairhinge::Time;
 use stairhinge::direct::{Replica, ReplicaState};
+use stairhinge::placing::Need;
 use stairhinge_shell::directory::FactsView;
 
 use super::known::Known;
-use super::{Dispatcher, Need, State};
+use super::{Dispatcher, State};
 
 /// How much sooner than the bound old versions get nothing more: what is
 /// sent then may still have to wait at the replica.
@@ -21,9 +22,6 @@
 /// more for an old version; what it is sent may be long on its way.
 const SLOW_MARGIN: Duration = Duration::from_millis(3_000);
 
-/// How long a report counts.
-pub(super) const REPORT_COUNTS: Duration = Duration::from_millis(1_500);
-
 /// On which terms a replica may take a request.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Terms {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -20,7 +20,7 @@
 use stairhinge::direct::{
     AttemptResult, NextStep, Repeat, RetryShare, Shortage, next_step,
 };
-use stairhinge::placing::Outcome;
+use stairhinge::placing::{Lack, Need, Outcome};
 use stairhinge::{Code, Error};
 use stairhinge_shell::directory::Facts;
 use stairhinge_shell::http::{Body, Failed, Handler, full, read};
@@ -30,7 +30,7 @@
 use crate::admit::{find_route, find_workspace};
 use crate::cancel_watch::CancelWatch;
 use crate::dialect::{CallerRequest, Dialect};
-use crate::dispatch::{Dispatcher, Need, NoReplica, Place};
+use crate::dispatch::{Dispatcher, Place};
 use crate::hop_headers::{promises, strip};
 use crate::metrics::EntryMetrics;
 use crate::placing::HallPlacing;
@@ -265,19 +265,18 @@
         if found.is_err() {
             self.log_no_replica(context, need, from);
         }
-        let (why, shortage) = match found {
+        let lack = match found {
             Ok(place) => return Ok(place),
-            Err(NoReplica::Full) => {
-                ("no replica had room in time", Shortage::NoRoom)
-            }
-            Err(NoReplica::None) => {
-                ("no replica serves this", Shortage::NoReplica)
-            }
+            Err(lack) => lack,
+        };
+        let shortage = match lack {
+            Lack::Room => Shortage::NoRoom,
+            Lack::Replica => Shortage::NoReplica,
         };
         if ran {
-            return Err(Failed::new(Error::new(Code::LostBackend, why)));
+            return Err(Failed::new(Error::new(Code::LostBackend, lack)));
         }
-        Err(refused(Error::new(Code::NoBackend, why), shortage))
+        Err(refused(Error::new(Code::NoBackend, lack), shortage))
     }
 
     /// Passes an answer on: a stream as it comes, all else once it is whole.
--- a/crates/gateway/src/forward/log.rs
+++ b/crates/gateway/src/forward/log.rs
@@ -3,10 +3,11 @@
 use std::time::{Duration, Instant};
 
 use stairhinge::direct::NextStep;
+use stairhinge::placing::Need;
 use stairhinge_shell::decisions::Decision;
 
 use super::{Forwarder, Missed};
-use crate::dispatch::{Need, Place};
+use crate::dispatch::Place;
 use crate::pauses::Pauses;
 use crate::request_context::RequestContext;
 
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -17,7 +17,7 @@
 use std::time::{Duration, Instant};
 
 use stairhinge::placing::{
-    Lack, Message, Placer, PlacerChoice, Seat, Verdict,
+    Lack, Message, Need, Placer, PlacerChoice, Seat, Verdict,
 };
 use stairhinge::{Code, Error};
 use stairhinge_shell::decisions::Decision;
@@ -27,7 +27,7 @@
 pub(crate) use self::lease::Lease;
 use self::placer::Given;
 use self::wire::Wire;
-use crate::dispatch::{Dispatcher, Need, NoReplica, Place};
+use crate::dispatch::{Dispatcher, Place};
 
 /// How often places are looked after, and whether this entry knows enough to
 /// place for others.
@@ -88,7 +88,7 @@
         need: Need,
         until: Instant,
         left: Duration,
-    ) -> Result<Place, NoReplica> {
+    ) -> Result<Place, Lack> {
         let Some(peers) = &self.peers else {
             return self.own(need, until, Chooser::Alone).await;
         };
@@ -106,9 +106,7 @@
             };
             match self.ask(peers, placer, &need, until, left).await {
                 Ok(place) => return Ok(place),
-                Err(Asked::Refused(Lack::Room)) => {
-                    return Err(NoReplica::Full);
-                }
+                Err(Asked::Refused(Lack::Room)) => return Err(Lack::Room),
                 // What this entry knows of may still do.
                 Err(Asked::Refused(Lack::Replica)) => break,
                 Err(Asked::Nothing(reason)) => why = reason,
@@ -122,7 +120,7 @@
         need: Need,
         until: Instant,
         chooser: Chooser,
-    ) -> Result<Place, NoReplica> {
+    ) -> Result<Place, Lack> {
         let mut place = self.dispatcher.place(need, until).await?;
         place.chooser = chooser;
         Ok(place)
@@ -169,14 +167,13 @@
     }
 
     fn note_answer(&self, peers: &Peers, placer: SocketAddr, took: Duration) {
-        if peers.choice().answered(placer, took) {
-            self.dispatcher.facts().log().write(
-                &Decision::DependencyRegained {
-                    dependency: &format!("placer {placer}"),
-                    lost_ms: 0,
-                },
-            );
-        }
+        let now = self.dispatcher.facts().now();
+        let silent = peers.choice().answered(placer, took, now);
+        let Some(silent) = silent else { return };
+        self.dispatcher.facts().log().write(&Decision::DependencyRegained {
+            dependency: &format!("placer {placer}"),
+            lost_ms: silent.as_millis() as u64,
+        });
     }
 
     fn note_silence(&self, peers: &Peers, placer: SocketAddr) {
--- a/crates/gateway/src/placing/asker.rs
+++ b/crates/gateway/src/placing/asker.rs
@@ -6,12 +6,13 @@
 use std::time::{Duration, Instant};
 
 use rand::RngExt as _;
-use stairhinge::placing::{Message, Outcome, PlaceEvent, Question, Verdict};
+use stairhinge::placing::{
+    Message, Need, Outcome, PlaceEvent, Question, Verdict,
+};
 use tokio::sync::mpsc;
 
 use super::lease::Lease;
 use super::wire::Wire;
-use crate::dispatch::Need;
 
 /// Asks placers.
 pub(super) struct Asker {
@@ -63,13 +64,7 @@
         let wait = until.saturating_duration_since(Instant::now());
         let question = Question {
             number,
-            service: Arc::clone(&need.service),
-            model: need.model.clone(),
-            version: need.version,
-            tried: need.tried.clone(),
-            priority: need.priority,
-            prompt_tokens: need.prompt_tokens,
-            objective_ms: millis(need.objective),
+            need: need.clone(),
             wait_ms: millis(wait),
             left_ms: millis(left),
         };
--- a/crates/gateway/src/placing/placer.rs
+++ b/crates/gateway/src/placing/placer.rs
@@ -10,7 +10,7 @@
 };
 
 use super::wire::Wire;
-use crate::dispatch::{Dispatcher, Found, Need, Place};
+use crate::dispatch::{Dispatcher, Found, Place};
 
 /// The places that other entries have from this one.
 #[derive(Default)]
@@ -43,14 +43,13 @@
         }
         let wait = Duration::from_millis(u64::from(question.wait_ms));
         let left = Duration::from_millis(u64::from(question.left_ms));
-        match dispatcher.request(need(question), !wait.is_zero()) {
+        match dispatcher.request(question.need, !wait.is_zero()) {
             Found::Place(place) => {
                 if let Some(placed) = self.give(dispatcher, key, place, left) {
                     say(placed);
                 }
             }
-            Found::Nothing => say(Verdict::Refused(Lack::Replica)),
-            Found::Full => say(Verdict::Refused(Lack::Room)),
+            Found::Nothing(lack) => say(Verdict::Refused(lack)),
             Found::Waits(found) => {
                 say(Verdict::Queued);
                 let given = Arc::clone(self);
@@ -142,15 +141,3 @@
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-fn need(question: Question) -> Need {
-    Need {
-        service: question.service,
-        model: question.model,
-        version: question.version,
-        tried: question.tried,
-        priority: question.priority,
-        prompt_tokens: question.prompt_tokens,
-        objective: Duration::from_millis(u64::from(question.objective_ms)),
-    }
-}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,11 +14,11 @@
 use hyper::header::HeaderMap;
 use stairhinge::Code;
 use stairhinge::direct::{EventSplitter, Repeat};
-use stairhinge::placing::Outcome;
+use stairhinge::placing::{Need, Outcome};
 use stairhinge_shell::decisions::Decision;
 use stairhinge_shell::http::{Body, BodyError};
 
-use crate::dispatch::{Need, Place};
+use crate::dispatch::Place;
 use crate::forward::Forwarder;
 use crate::pauses::Pauses;
 use crate::pool::Connection;
@@ -220,7 +220,7 @@
         let left = self.context.left();
         let until = Instant::now() + RESUME_WAIT.min(left);
         let found = self.forwarder.placing.place(need, until, left).await;
-        let place = found.map_err(|e| format!("no other replica: {e:?}"))?;
+        let place = found.map_err(|e| format!("no other replica: {e}"))?;
         let replica = Arc::clone(&place.replica.incarnation);
         self.tried.push(Arc::clone(&replica));
         let answered = self
--- a/crates/shell/tests/follow.rs
+++ b/crates/shell/tests/follow.rs
@@ -180,6 +180,24 @@
 /// The address of [`Behind`].
 const BEHIND: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
 
+/// Returns a fresh answer of the reader at [`BEHIND`].
+fn fresh(
+    at: u64,
+    revision: u64,
+    routes: Option<SharedRoutes>,
+) -> ReaderAnswer {
+    let shared = SharedAnswer {
+        at,
+        age_ms: 0,
+        failed_ms: None,
+        revision,
+        routes,
+        targets: Vec::new(),
+        replicas: None,
+    };
+    ReaderAnswer { entry: BEHIND, shared }
+}
+
 /// A reader that says it has newer routes, and hands over old ones.
 struct Behind;
 
@@ -198,16 +216,8 @@
             if question.after.is_none() {
                 return HallNews::Nobody;
             }
-            let shared = SharedAnswer {
-                at: 1_000,
-                age_ms: 0,
-                failed_ms: None,
-                revision: 2,
-                routes: Some(SharedRoutes::Fetch),
-                targets: Vec::new(),
-                replicas: None,
-            };
-            HallNews::Told(ReaderAnswer { entry: BEHIND, shared })
+            let answer = fresh(1_000, 2, Some(SharedRoutes::Fetch));
+            HallNews::Told(answer)
         })
     }
 
@@ -261,16 +271,8 @@
         let news = if (1..4).contains(&asked) {
             HallNews::Awaited
         } else {
-            let shared = SharedAnswer {
-                at: 7,
-                age_ms: 0,
-                failed_ms: None,
-                revision: 0,
-                routes: None,
-                targets: Vec::new(),
-                replicas: None,
-            };
-            HallNews::Told(ReaderAnswer { entry: BEHIND, shared })
+            let answer = fresh(7, 0, None);
+            HallNews::Told(answer)
         };
         // It takes as long as a question does that waits for news.
         Box::pin(async move {
@@ -337,18 +339,10 @@
     }
 
     fn news(&self, _question: SharedQuestion) -> BoxFuture<'_, ReaderAnswer> {
-        let shared = SharedAnswer {
-            at: 9,
-            age_ms: 0,
-            failed_ms: None,
-            revision: 1,
-            routes: Some(SharedRoutes::Fetch),
-            targets: Vec::new(),
-            replicas: None,
-        };
+        let answer = fresh(9, 1, Some(SharedRoutes::Fetch));
         Box::pin(async {
             tokio::time::sleep(Duration::from_millis(50)).await;
-            ReaderAnswer { entry: BEHIND, shared }
+            answer
         })
     }
 
--- a/src/placing.rs
+++ b/src/placing.rs
@@ -21,7 +21,7 @@
 mod seat;
 
 pub use self::message::{
-    Lack, Message, Outcome, PlaceEvent, Placed, Question, Verdict,
+    Lack, Message, Need, Outcome, PlaceEvent, Placed, Question, Verdict,
 };
 pub use self::place_table::{PlaceKey, PlaceTable};
 pub use self::placer_choice::{Placer, PlacerChoice};
--- a/src/placing/load_tests.rs
+++ b/src/placing/load_tests.rs
@@ -310,7 +310,8 @@
     PlaceKey { asker: ([10, 0, 0, last], 7700).into(), number }
 }
 
-/// In time without a placer: see `placing_by_the_hall_bears_many_entries`.
+/// In time by themselves: 0.987 through 4 entries, 0.837 through 16, 0.727
+/// through 64, 0.654 through 149; placed: 0.985 to 0.990.
 #[test]
 fn placing_by_the_hall_bears_many_entries() {
     let one = in_time(1, true);
--- a/src/placing/message.rs
+++ b/src/placing/message.rs
@@ -5,7 +5,9 @@
 //! asker's address and number, is given back by [`PlaceEvent::Ended`], and
 //! expires with its request's time where that is lost.
 
+use std::fmt;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -33,9 +35,7 @@
 
 /// What a request needs of a replica.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct Question {
-    /// Chosen by the asker, which uses it once.
-    pub number: u64,
+pub struct Need {
     /// The service.
     pub service: Arc<str>,
     /// The model, where the service has an engine.
@@ -48,8 +48,17 @@
     pub priority: u8,
     /// Tokens of its prompt.
     pub prompt_tokens: u32,
-    /// Within which its first token is to come, in milliseconds.
-    pub objective_ms: u32,
+    /// Within which its first token is to come.
+    pub objective: Duration,
+}
+
+/// A question for a place.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Question {
+    /// Chosen by the asker, which uses it once.
+    pub number: u64,
+    /// What the request needs.
+    pub need: Need,
     /// How long the question may wait for room, in milliseconds.
     pub wait_ms: u32,
     /// What is left of the request's time, in milliseconds: nobody uses a
@@ -99,6 +108,15 @@
     Room,
 }
 
+impl fmt::Display for Lack {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Lack::Replica => "no replica serves this",
+            Lack::Room => "no replica had room in time",
+        })
+    }
+}
+
 /// How a place was used.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/src/placing/placer_choice.rs
+++ b/src/placing/placer_choice.rs
@@ -27,6 +27,8 @@
 struct Rest {
     /// Questions without an answer since the last answer.
     silences: u32,
+    /// When the first of these was noted.
+    since: Time,
     until: Time,
 }
 
@@ -98,22 +100,32 @@
         Duration::from_secs_f64(ms / 1_000.0)
     }
 
-    /// Notes that a placer gave its first answer after `took`; returns
-    /// whether it had been left out for silence.
-    pub fn answered(&mut self, placer: SocketAddr, took: Duration) -> bool {
+    /// Notes that a placer gave its first answer after `took`; returns for
+    /// how long it had been silent, if it was left out for that.
+    pub fn answered(
+        &mut self,
+        placer: SocketAddr,
+        took: Duration,
+        now: Time,
+    ) -> Option<Duration> {
         let ms = took.as_secs_f64() * 1_000.0;
         self.usual_ms += (ms - self.usual_ms) * PlacerChoice::NEW_PART;
-        let rest = self.rests.remove(&placer);
-        rest.is_some_and(|r| r.silences >= PlacerChoice::SILENCES)
+        let rest = self.rests.remove(&placer)?;
+        let left_out = rest.silences >= PlacerChoice::SILENCES;
+        left_out.then(|| now.since(rest.since))
     }
 
     /// Notes that a placer gave no answer in time; returns whether it is left
     /// out from now on.
     pub fn silent(&mut self, placer: SocketAddr, now: Time) -> bool {
-        let rest = self
-            .rests
-            .entry(placer)
-            .or_insert(Rest { silences: 0, until: now });
+        let rest = self.rests.entry(placer).or_insert(Rest {
+            silences: 0,
+            since: now,
+            until: now,
+        });
+        if rest.silences == 0 {
+            rest.since = now;
+        }
         rest.silences += 1;
         let Some(over) = rest.silences.checked_sub(PlacerChoice::SILENCES)
         else {
@@ -129,7 +141,8 @@
     /// Notes that a placer does not know enough of its hall yet.
     pub fn unready(&mut self, placer: SocketAddr, now: Time) {
         let until = now.after(PlacerChoice::UNREADY_REST);
-        self.rests.insert(placer, Rest { silences: 0, until });
+        let rest = Rest { silences: 0, since: now, until };
+        self.rests.insert(placer, rest);
     }
 
     /// Forgets placers that are not among the leading entries any more.
--- a/src/placing/tests.rs
+++ b/src/placing/tests.rs
@@ -52,7 +52,8 @@
     assert!(!choice.silent(addr(7), at(502)));
     assert_eq!(choice.choose(&ranked, at(1_400)), second);
     assert_eq!(choice.choose(&ranked, at(1_502)), first);
-    assert!(choice.answered(addr(7), ms(2)));
+    // It counts from the first silence.
+    assert_eq!(choice.answered(addr(7), ms(2), at(1_502)), Some(ms(1_502)));
     assert!(!choice.silent(addr(7), at(1_600)));
     assert_eq!(choice.choose(&ranked, at(1_601)), first);
 }
@@ -76,11 +77,11 @@
 fn patience_follows_the_usual_answer_within_bounds() {
     let mut choice = PlacerChoice::new(addr(1));
     for _ in 0..200 {
-        choice.answered(addr(7), ms(0));
+        choice.answered(addr(7), ms(0), at(0));
     }
     assert_eq!(choice.patience(), ms(12));
     for _ in 0..200 {
-        choice.answered(addr(7), ms(40));
+        choice.answered(addr(7), ms(40), at(0));
     }
     assert_eq!(choice.patience(), ms(50));
 }
