Sight: who told routes, how long it took, and how old they may be at a refusal

The logs could not tell a reading over a full link from a busy processor or a neighbour that was late itself: routes_taken had no teller, no time and no count of documents, and a refusal by routes not their age.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -123,6 +123,10 @@
         self.metrics.taken_back.set(taken_back as i64);
         let view = self.facts.view();
         self.metrics.replicas.set(view.replicas.len() as i64);
+        if let Some(age) = self.facts.routes_age() {
+            self.metrics.routes_age.set(age.as_secs_f64());
+        }
+        self.metrics.documents.set(self.facts.documents() as i64);
         if let Some(routes) = &view.routes {
             self.metrics.revision.set(routes.revision() as i64);
         }
--- a/crates/gateway/src/forward/log.rs
+++ b/crates/gateway/src/forward/log.rs
@@ -30,6 +30,7 @@
             took_ms: context.elapsed_ms(),
             first_ms: pauses.and_then(|p| p.first_ms(context.started)),
             pause_ms: pauses.map(Pauses::longest_ms),
+            routes_age_ms: None,
         });
     }
 
--- a/crates/gateway/src/forward/refuse.rs
+++ b/crates/gateway/src/forward/refuse.rs
@@ -25,7 +25,9 @@
             self.dialect.come_back(response.headers_mut(), span);
         }
         let status = response.status().as_u16();
-        let code = failed.error().code().number();
+        let code = failed.error().code();
+        let age = self.facts.routes_age().filter(|_| by_routes(code));
+        let code = code.number();
         self.metrics.ended(status, code);
         self.facts.log().write(&Decision::Ended {
             request: id,
@@ -35,11 +37,17 @@
             took_ms: started.elapsed().as_millis() as u64,
             first_ms: None,
             pause_ms: None,
+            routes_age_ms: age.map(|age| age.as_millis() as u64),
         });
         response
     }
 }
 
+/// Whether the routes in force decide that a request is refused.
+const fn by_routes(code: Code) -> bool {
+    matches!(code, Code::UnknownRoute | Code::UnknownKey | Code::MissingKey)
+}
+
 /// Returns the refusal of a request that has not run, with when its caller
 /// may come back.
 pub(super) fn refused(error: Error, shortage: Shortage) -> Failed {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and histograms of an entry.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 
 use futures::future::BoxFuture;
 use hyper::body::Incoming;
@@ -41,6 +42,8 @@
     pub running: Gauge,
     pub waiting: Gauge,
     pub revision: Gauge,
+    pub routes_age: Gauge<f64, AtomicU64>,
+    pub documents: Gauge,
     pub replicas: Gauge,
     pub given: Gauge,
     pub taken_back: Gauge,
@@ -63,6 +66,8 @@
             running: Gauge::default(),
             waiting: Gauge::default(),
             revision: Gauge::default(),
+            routes_age: Gauge::default(),
+            documents: Gauge::default(),
             replicas: Gauge::default(),
             given: Gauge::default(),
             taken_back: Gauge::default(),
@@ -98,6 +103,18 @@
         r.register("waiting", "Requests waiting", self.waiting.clone());
         let revision = self.revision.clone();
         r.register("routes_revision", "Revision of the routes", revision);
+        r.register_with_unit(
+            "routes_age",
+            "Since all published routes were known",
+            Unit::Seconds,
+            self.routes_age.clone(),
+        );
+        let documents = self.documents.clone();
+        r.register(
+            "documents_read",
+            "Whole documents of routes read from the platform, since the start",
+            documents,
+        );
         let replicas = self.replicas.clone();
         r.register("replicas", "Replicas listed", replicas);
         let choices = self.choices.clone();
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -7,7 +7,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures::future::BoxFuture;
@@ -18,7 +18,7 @@
 use stairhinge_chunks::ChunkCache;
 use stairhinge_shell::decisions::Decision;
 use stairhinge_shell::directory::{
-    Directory, Facts, News, Share, SharedQuestion,
+    Directory, Facts, News, Share, SharedQuestion, Source,
 };
 use stairhinge_shell::http::{
     Body, Client, Failed, Handler, empty, full, read,
@@ -116,9 +116,11 @@
     }
 
     async fn fetch(&self, holder: SocketAddr) -> Result<(), Error> {
+        let called = Instant::now();
         let document = fetch_routes(&self.client, holder, WITHIN).await?;
         let record = self.directory.parse_routes(document)?;
-        self.facts.learn(record, "peer", None);
+        let source = Source::entry("peer", holder, called.elapsed());
+        self.facts.learn(record, source, None);
         Ok(())
     }
 }
--- a/crates/loader/src/read_routes.rs
+++ b/crates/loader/src/read_routes.rs
@@ -14,7 +14,7 @@
 use stairhinge::{Code, Error, rank};
 use stairhinge_chunks::log_failure;
 use stairhinge_gateway::fetch_routes;
-use stairhinge_shell::directory::{Collection, Freshness};
+use stairhinge_shell::directory::{Collection, Freshness, Source};
 
 use crate::agent::Agent;
 use crate::peer_list::Relist;
@@ -118,9 +118,12 @@
     agent: &Agent,
     freshness: Freshness,
 ) -> Result<(), Error> {
+    let called = Instant::now();
     let read = agent.directory.list(Collection::Routes, freshness);
-    for record in read.await?.records {
-        agent.facts.learn(record?, "list", None);
+    let records = read.await?.records;
+    let source = Source::platform("list", called.elapsed(), records.len());
+    for record in records {
+        agent.facts.learn(record?, source, None);
     }
     Ok(())
 }
@@ -128,9 +131,11 @@
 async fn from_entry(agent: &Agent) -> Result<(), Error> {
     let none = || Error::new(Code::PeerLost, "no entry of the hall listens");
     let entry = near_entry(agent).ok_or_else(none)?;
+    let called = Instant::now();
     let document = fetch_routes(&agent.client, entry, WITHIN).await?;
     let record = agent.directory.parse_routes(document)?;
-    agent.facts.learn(record, "entry", None);
+    let source = Source::entry("entry", entry, called.elapsed());
+    agent.facts.learn(record, source, None);
     Ok(())
 }
 
--- a/crates/shell/src/decisions.rs
+++ b/crates/shell/src/decisions.rs
@@ -69,8 +69,18 @@
     RoutesTaken {
         /// Their revision.
         revision: u64,
-        /// Who told them.
+        /// By what way they came.
         source: &'static str,
+        /// The entry that told them, if one did.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        from: Option<SocketAddr>,
+        /// How long the call took that brought them, in milliseconds; of a
+        /// watch, with its wait.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        took_ms: Option<u64>,
+        /// Whole documents of routes in the same answer of the platform.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        documents: Option<usize>,
     },
     /// A newer version of a model is wanted.
     TargetTaken {
@@ -197,6 +207,10 @@
         /// The longest pause between two of its events, in milliseconds.
         #[serde(skip_serializing_if = "Option::is_none")]
         pause_ms: Option<u64>,
+        /// How long ago all published routes were known, in milliseconds,
+        /// where the routes decided that it is refused.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        routes_age_ms: Option<u64>,
     },
     /// The caller went before the end.
     Cancelled {
--- a/crates/shell/src/decisions_tests.rs
+++ b/crates/shell/src/decisions_tests.rs
@@ -15,6 +15,7 @@
     took_ms: 81,
     first_ms: None,
     pause_ms: None,
+    routes_age_ms: None,
 };
 
 #[test]
--- a/crates/shell/src/directory.rs
+++ b/crates/shell/src/directory.rs
@@ -13,6 +13,7 @@
 mod share;
 mod shared_messages;
 mod sharing;
+mod source;
 
 pub use self::facts::{Facts, FactsView, Standing, TargetAge};
 pub use self::follow::{Follow, follow};
@@ -26,3 +27,4 @@
     SharedReplicas, SharedRoutes,
 };
 pub use self::sharing::Sharing;
+pub use self::source::Source;
--- a/crates/shell/src/directory/facts.rs
+++ b/crates/shell/src/directory/facts.rs
@@ -1,6 +1,7 @@
 //! What one process believes of what is published.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -13,7 +14,7 @@
 };
 use tokio::sync::watch;
 
-use super::{Change, Record};
+use super::{Change, Record, Source};
 use crate::decisions::{Decision, DecisionLog};
 
 /// How much a listed replica can be relied on.
@@ -74,6 +75,11 @@
     log: DecisionLog,
     start: Instant,
     presumed_age: Duration,
+    /// When all published routes were last known, in milliseconds of the
+    /// process's time; 0 if they never were.
+    routes_known: AtomicU64,
+    /// Whole documents of routes read from the platform.
+    documents: AtomicU64,
 }
 
 /// The process's time at its start; leaves room for what is older.
@@ -87,6 +93,8 @@
     pub fn new(log: DecisionLog, presumed_age: Duration) -> Facts {
         Facts {
             presumed_age,
+            routes_known: AtomicU64::new(0),
+            documents: AtomicU64::new(0),
             view: ArcSwap::default(),
             writing: Mutex::new(()),
             changed: watch::Sender::new(0),
@@ -117,18 +125,13 @@
 
     /// Takes in a record, if it is newer than what is believed. It was
     /// written after `synced`, when the process last knew all there was.
-    pub fn learn(
-        &self,
-        record: Record,
-        source: &'static str,
-        synced: Option<Time>,
-    ) {
+    pub fn learn(&self, record: Record, source: Source, synced: Option<Time>) {
         match record {
             Record::Routes(table, document) => {
                 self.learn_routes(table, document, source);
             }
             Record::Target(target) => {
-                self.learn_target(&target, source, synced);
+                self.learn_target(&target, source.way(), synced);
             }
             Record::Replica(replica) => self.learn_replica(replica),
         }
@@ -136,10 +139,10 @@
 
     /// Takes in a change; `reliable` says whether the platform has been well
     /// enough for an absence to be believed.
-    pub fn apply(&self, change: Change, reliable: bool) {
+    pub fn apply(&self, change: Change, source: Source, reliable: bool) {
         match change {
             Change::Set(record) => {
-                self.learn(record, "watch", Some(self.now()));
+                self.learn(record, source, Some(self.now()));
             }
             Change::Gone(incarnation) => self.remove(&incarnation, reliable),
             Change::Invalid(error) => self.refuse(&error),
@@ -207,6 +210,28 @@
         self.view().routes.as_ref().map_or(0, |r| r.revision())
     }
 
+    /// Notes that all routes published until a time are known.
+    pub fn note_routes_known(&self, at: Time) {
+        let at = at.as_millis();
+        self.routes_known.fetch_max(at, Ordering::Relaxed);
+    }
+
+    /// Returns how long ago all published routes were known, if ever.
+    pub fn routes_age(&self) -> Option<Duration> {
+        let at = self.routes_known.load(Ordering::Relaxed);
+        (at > 0).then(|| self.now().since(Time::from_millis(at)))
+    }
+
+    /// Counts whole documents of routes that the platform has sent.
+    pub fn note_documents(&self, count: usize) {
+        self.documents.fetch_add(count as u64, Ordering::Relaxed);
+    }
+
+    /// Returns how many whole documents of routes the platform has sent.
+    pub fn documents(&self) -> u64 {
+        self.documents.load(Ordering::Relaxed)
+    }
+
     /// Takes over the ages of versions from a process that was there when
     /// they were named.
     fn refine_ages(&self, ages: &[TargetAge]) {
@@ -243,7 +268,7 @@
         &self,
         table: Arc<RouteTable>,
         document: Bytes,
-        source: &'static str,
+        source: Source,
     ) {
         let revision = table.revision();
         let mut taken = false;
@@ -257,7 +282,13 @@
             taken
         });
         if taken {
-            self.log.write(&Decision::RoutesTaken { revision, source });
+            self.log.write(&Decision::RoutesTaken {
+                revision,
+                source: source.way(),
+                from: source.teller(),
+                took_ms: source.took_ms(),
+                documents: source.documents(),
+            });
         }
     }
 
--- a/crates/shell/src/directory/follow.rs
+++ b/crates/shell/src/directory/follow.rs
@@ -11,7 +11,7 @@
 use super::{
     Change, Collection, Directory, Facts, Freshness, HallNews, ReaderAnswer,
     Record, Share, SharedAnswer, SharedQuestion, SharedRoutes, Sharing,
-    Watched,
+    Source, Watched,
 };
 use crate::Shutdown;
 use crate::decisions::Decision;
@@ -192,7 +192,7 @@
         called: Time,
         sharing: &Sharing,
     ) -> Result<(), Error> {
-        self.take_routes(&answer, sharing).await?;
+        self.take_routes(&answer, called, sharing).await?;
         self.take_shared(answer.shared, called, &sharing.share)
     }
 
@@ -221,8 +221,9 @@
                 let gone = replicas.gone.into_iter().map(Change::Gone);
                 let changes: Vec<Change> = set.chain(gone).collect();
                 share.note(&changes, answer.at);
+                let source = Source::new("hall");
                 for change in changes {
-                    self.facts.apply(change, reliable);
+                    self.facts.apply(change, source, reliable);
                 }
             }
         }
@@ -235,6 +236,7 @@
     async fn take_routes(
         &self,
         answer: &ReaderAnswer,
+        called: Time,
         sharing: &Sharing,
     ) -> Result<(), Error> {
         let document = match &answer.shared.routes {
@@ -253,7 +255,9 @@
             }
         };
         let record = self.directory.parse_routes(document)?;
-        self.facts.learn(record, "hall", None);
+        let took = self.facts.now().since(called);
+        let source = Source::entry("hall", answer.entry, took);
+        self.facts.learn(record, source, None);
         let (known, told) = (self.facts.revision(), answer.shared.revision);
         if known < told {
             // Going on from where the reader is would skip that revision.
@@ -267,6 +271,9 @@
     fn reach(&mut self, at: u64, synced: Time) {
         self.at = Some(at);
         self.synced = Some(synced);
+        if self.follow.collection != Collection::Replicas {
+            self.facts.note_routes_known(synced);
+        }
         if let Some(sharing) = &self.follow.sharing {
             sharing.share.reach(self.follow.collection, at, synced);
         }
@@ -302,8 +309,11 @@
                 if let Some(sharing) = &self.follow.sharing {
                     sharing.share.note(&changes, at);
                 }
+                let took = self.facts.now().since(called);
+                let source = Source::platform("watch", took, routes);
+                self.facts.note_documents(routes);
                 for change in changes {
-                    self.facts.apply(change, reliable);
+                    self.facts.apply(change, source, reliable);
                 }
                 self.reach(at, called);
             }
@@ -328,11 +338,15 @@
         let collection = self.follow.collection;
         let listing =
             self.directory.list(collection, Freshness::Current).await?;
+        let routes = listing.records.iter().filter(|r| is_document(r)).count();
+        let took = self.facts.now().since(called);
+        let source = Source::platform("list", took, routes);
+        self.facts.note_documents(routes);
         let mut replicas = Vec::new();
         for record in listing.records {
             match record {
                 Ok(Record::Replica(replica)) => replicas.push(replica),
-                Ok(record) => self.facts.learn(record, "list", self.synced),
+                Ok(record) => self.facts.learn(record, source, self.synced),
                 Err(error) => self.facts.refuse(&error),
             }
         }
@@ -403,6 +417,10 @@
     matches!(change, Change::Set(Record::Routes(..)))
 }
 
+const fn is_document(record: &Result<Record, Error>) -> bool {
+    matches!(record, Ok(Record::Routes(..)))
+}
+
 /// Returns the time so many milliseconds before another.
 fn before(time: Time, ms: u64) -> Time {
     Time::from_millis(time.as_millis().saturating_sub(ms))
--- a/src/explanation/cause.rs
+++ b/src/explanation/cause.rs
@@ -54,6 +54,9 @@
         code: u16,
         /// What is wrong with it.
         reason: Arc<str>,
+        /// How long ago all published routes were known, in milliseconds,
+        /// where the routes decided.
+        routes_age_ms: Option<u64>,
     },
     /// Its caller left.
     CallerLeft {
@@ -181,12 +184,14 @@
 }
 
 fn rule(history: &RequestHistory) -> Cause {
-    let code = find(history, |d| match d {
-        LoggedDecision::Ended { code, .. } => Some(*code),
+    let ended = find(history, |d| match d {
+        LoggedDecision::Ended { code, routes_age_ms, .. } => {
+            Some((*code, *routes_age_ms))
+        }
         _ => None,
     });
-    let code = code.unwrap_or_default();
-    Cause::Rule { code, reason: reason(history) }
+    let (code, routes_age_ms) = ended.unwrap_or_default();
+    Cause::Rule { code, reason: reason(history), routes_age_ms }
 }
 
 fn reason(history: &RequestHistory) -> Arc<str> {
@@ -221,8 +226,12 @@
             Cause::AttemptFailed { replica, reason } => {
                 write!(f, "replica {replica} failed: {reason}")
             }
-            Cause::Rule { code, reason } => {
-                write!(f, "refused by rule, code {code}: {reason}")
+            Cause::Rule { code, reason, routes_age_ms } => {
+                write!(f, "refused by rule, code {code}: {reason}")?;
+                match routes_age_ms {
+                    Some(age) => write!(f, ", all known {age} ms before"),
+                    None => Ok(()),
+                }
             }
             Cause::CallerLeft { sent, took_ms } => {
                 let at = if *sent { "served" } else { "waiting" };
--- a/src/explanation/log_line.rs
+++ b/src/explanation/log_line.rs
@@ -141,6 +141,10 @@
         reason: Arc<str>,
         /// Since the request's head arrived, in milliseconds.
         took_ms: u64,
+        /// How long ago all published routes were known, in milliseconds,
+        /// where the routes decided.
+        #[serde(default)]
+        routes_age_ms: Option<u64>,
     },
     /// The caller went before the end.
     Cancelled {
--- a/src/explanation/tests.rs
+++ b/src/explanation/tests.rs
@@ -71,7 +71,18 @@
     assert_eq!(found, Cause::NoSuitableReplica { listed: 9 });
     let (_, found) = cause(&[START, &ended(401, 2012, "unknown key")]);
     let reason = Arc::from("unknown key");
-    assert_eq!(found, Cause::Rule { code: 2012, reason });
+    let routes_age_ms = None;
+    assert_eq!(found, Cause::Rule { code: 2012, reason, routes_age_ms });
+}
+
+#[test]
+fn a_refusal_by_routes_tells_how_old_they_may_be() {
+    let refused = r#"{"wall":1900,"ms":900,"event":"ended","request":"r1",
+        "status":404,"code":1012,"reason":"revision 35","took_ms":0,
+        "routes_age_ms":2400}"#;
+    let (outcome, found) = cause(&[START, refused]);
+    assert_eq!(outcome, Outcome::Refused);
+    assert!(found.to_string().ends_with("all known 2400 ms before"));
 }
 
 #[test]
