Silent readers are passed over for the next in rank

Cause: an entry asked the first two in rank and nobody else. Where these were frozen, or cut off, all others of the hall read the platform themselves, each revision whole, over one link between regions: longer than the bound (0.4 of a hall of 30 frozen in a storm of 350 KB: readings of 4.1 s at 18 entries). Ruled out: patches that do not fit (no record refused), the processor (the routes are in force 2 ms after the answer).

--- a/crates/gateway/src/hall_reader.rs
+++ b/crates/gateway/src/hall_reader.rs
@@ -1,5 +1,7 @@
 //! Asking another entry for what it has read of the platform.
 
+mod round;
+
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -63,10 +65,23 @@
 
     /// Returns whether another entry reads for this one.
     pub(crate) fn has_reader(&self) -> bool {
-        let entries = self.dispatcher.entries();
+        let entries = self.entries();
         self.choice().choose(&entries, self.facts.now()).is_some()
     }
 
+    /// Returns the entries that this one knows of: the first of each hall,
+    /// and those that lead its own.
+    fn entries(&self) -> Vec<HallEntry> {
+        let mut entries = Vec::clone(&self.dispatcher.entries());
+        for addr in self.dispatcher.ranked().iter() {
+            let hall = Arc::from(self.dispatcher.hall());
+            entries.push(HallEntry { addr: *addr, hall });
+        }
+        entries.sort_unstable();
+        entries.dedup();
+        entries
+    }
+
     /// Asks one entry, and takes nothing old from it.
     async fn ask_entry(
         &self,
@@ -131,6 +146,16 @@
         }
     }
 
+    /// Returns the entry to ask beside a reading of the platform: one that
+    /// had old news, or else one that has not been asked of late.
+    fn beside_reading(&self) -> Option<SocketAddr> {
+        let entries = self.entries();
+        let now = self.facts.now();
+        let choice = self.choice();
+        let alive = choice.alive(&entries);
+        alive.or_else(|| choice.choose(&entries, now))
+    }
+
     fn failed(&self, entry: SocketAddr, unheard: &Unheard) {
         let now = self.facts.now();
         let was_well = match unheard {
@@ -179,14 +204,8 @@
 impl HallReader for HallReaders {
     fn ask(&self, question: SharedQuestion) -> BoxFuture<'_, HallNews> {
         Box::pin(async move {
-            for _ in 0..ReaderChoice::MOST_ASKED {
-                let entries = self.dispatcher.entries();
-                let now = self.facts.now();
-                let entry = self.choice().choose(&entries, now);
-                let Some(entry) = entry else { break };
-                if let Some(answer) = self.hear(entry, &question).await {
-                    return HallNews::Told(answer);
-                }
+            if let Some(answer) = self.ask_in_turn(&question).await {
+                return HallNews::Told(answer);
             }
             if question.collection == Collection::Replicas {
                 // Its changes are small, and a leaving replica must be known
@@ -194,7 +213,7 @@
                 return HallNews::Nobody;
             }
             let leading = self.dispatcher.ranked().len();
-            let entries = self.dispatcher.entries();
+            let entries = self.entries();
             let awaited = self.choice().awaited(&entries, leading);
             let Some(entry) = awaited else { return HallNews::Nobody };
             if rand::rng().random_ratio(1, READ_ANYWAY) {
@@ -210,8 +229,7 @@
     fn news(&self, question: SharedQuestion) -> BoxFuture<'_, ReaderAnswer> {
         Box::pin(async move {
             loop {
-                let alive = self.choice().alive(&self.dispatcher.entries());
-                if let Some(entry) = alive
+                if let Some(entry) = self.beside_reading()
                     && let Some(answer) = self.hear(entry, &question).await
                 {
                     return answer;
@@ -222,7 +240,7 @@
     }
 
     fn leads(&self) -> bool {
-        self.choice().leads(&self.dispatcher.entries())
+        self.choice().leads(&self.entries())
     }
 
     fn fetch_routes(
--- a/src/direct/reader_choice.rs
+++ b/src/direct/reader_choice.rs
@@ -5,7 +5,9 @@
 //! it; and the first of each hall asks the first of all halls. Rank is the
 //! order of addresses, which all entries agree on without talking; where
 //! they do not, more of them read, and nothing else is lost. One that fails
-//! is left out for a while that grows with each failure.
+//! is left out for a while that grows with each failure, and the next in rank
+//! stands in for it: if all that it read for read the platform themselves,
+//! their documents fill the link that they share for longer than the bound.
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -45,10 +47,13 @@
 }
 
 impl ReaderChoice {
-    /// How many of the first in rank are asked, one after the other, before
-    /// an entry reads the platform itself. Each that is silent costs time
-    /// that the bounds do not have more often.
-    pub const MOST_ASKED: usize = 2;
+    /// How many entries are asked before an entry reads the platform itself:
+    /// as many of its hall as it is told of.
+    pub const MOST_ASKED: usize = LEADING;
+
+    /// How many of a hall's entries with old news are enough to know that the
+    /// platform has told the hall nothing.
+    pub const MOST_OLD: usize = 2;
 
     /// How many entries of a hall read the platform themselves where those
     /// before them have only old news. The others wait for them: if all do
@@ -76,23 +81,50 @@
         entries: &[HallEntry],
         now: Time,
     ) -> Option<SocketAddr> {
-        let reader = self.first_well(near(entries, &self.own.hall), now);
-        reader.or_else(|| self.first_well(first_of_halls(entries), now))
+        self.choose_next(entries, &[], now)
+    }
+
+    /// Returns the entry to ask after those in `asked`, which have not
+    /// answered yet; or `None` if there is no other.
+    pub fn choose_next(
+        &self,
+        entries: &[HallEntry],
+        asked: &[SocketAddr],
+        now: Time,
+    ) -> Option<SocketAddr> {
+        let near = near(entries, &self.own.hall);
+        let reader = self.first_well(near, asked, now);
+        reader.or_else(|| self.first_well(first_of_halls(entries), asked, now))
+    }
+
+    /// Returns whether an entry has failed, and not answered since.
+    pub fn doubts(&self, entry: SocketAddr) -> bool {
+        self.failures.contains_key(&entry)
     }
 
-    /// Returns the first in rank before this entry that has not failed, if
-    /// it is one of the first of these.
+    /// Returns the first in rank before this entry that is not left out and
+    /// not asked already. Those that are silent are passed over; where
+    /// several have old news, the others have none either.
     fn first_well(
         &self,
         mut entries: Vec<SocketAddr>,
+        asked: &[SocketAddr],
         now: Time,
     ) -> Option<SocketAddr> {
         entries.retain(|addr| *addr < self.own.addr);
         entries.sort_unstable();
         entries.dedup();
-        for addr in entries.into_iter().take(ReaderChoice::MOST_ASKED) {
+        let mut old = 0;
+        for addr in entries {
             let failure = self.failures.get(&addr);
-            if failure.is_none_or(|f| f.until <= now) {
+            if let Some(failure) = failure.filter(|f| f.until > now) {
+                old += usize::from(failure.alive);
+                if old >= ReaderChoice::MOST_OLD {
+                    return None;
+                }
+                continue;
+            }
+            if !asked.contains(&addr) {
                 return Some(addr);
             }
         }
@@ -117,6 +149,14 @@
         failure.count == 1
     }
 
+    /// Notes that an entry that had failed was asked again, and that another
+    /// one answered before it: it is left out for a while longer.
+    pub fn passed_over(&mut self, entry: SocketAddr, now: Time) {
+        if let Some(failure) = self.failures.get_mut(&entry) {
+            failure.until = now.after(ReaderChoice::FIRST_REST);
+        }
+    }
+
     /// Notes that an entry answered, but knows nothing new enough; returns
     /// whether it had been well until now. It is asked again soon, however
     /// often that happens: it says so as soon as it has news.
--- a/src/direct/sharing_tests.rs
+++ b/src/direct/sharing_tests.rs
@@ -177,12 +177,15 @@
 }
 
 #[test]
-fn after_two_silent_readers_an_entry_reads_itself() {
+fn silent_readers_are_passed_over_for_the_next_in_rank() {
     let entries = [near(1), near(2), near(3), near(4)];
     let mut choice = ReaderChoice::new(near(4));
     assert!(choice.failed(entry(1), at(0)));
     assert_eq!(choice.choose(&entries, at(0)), Some(entry(2)));
     choice.failed(entry(2), at(0));
+    // If it did not ask the third, all of a hall would read the platform.
+    assert_eq!(choice.choose(&entries, at(0)), Some(entry(3)));
+    choice.failed(entry(3), at(0));
     assert_eq!(choice.choose(&entries, at(0)), None);
     // It tries them again later, and ever later while they fail.
     assert_eq!(choice.choose(&entries, at(2_000)), Some(entry(1)));
@@ -195,6 +198,38 @@
     assert_eq!(choice.choose(&entries, at(8_000)), Some(entry(1)));
 }
 
+#[test]
+fn while_one_is_asked_the_next_in_rank_is_chosen_beside_it() {
+    let entries = [near(1), near(2), near(3), far(21, "south")];
+    let mut choice = ReaderChoice::new(near(3));
+    let asked = [entry(1)];
+    let next = |choice: &ReaderChoice, asked: &[SocketAddr]| {
+        choice.choose_next(&entries, asked, at(0))
+    };
+    assert_eq!(next(&choice, &asked), Some(entry(2)));
+    assert_eq!(next(&choice, &[entry(1), entry(2)]), None);
+    // Two with old news are enough, whoever else is being asked.
+    choice.had_old_news(entry(1), at(0));
+    assert_eq!(next(&choice, &[]), Some(entry(2)));
+    choice.had_old_news(entry(2), at(0));
+    assert_eq!(next(&choice, &[]), None);
+}
+
+#[test]
+fn one_in_doubt_that_another_outruns_is_left_out_for_longer() {
+    let entries = [near(1), near(2), near(3)];
+    let mut choice = ReaderChoice::new(near(3));
+    choice.failed(entry(1), at(0));
+    assert!(choice.doubts(entry(1)) && !choice.doubts(entry(2)));
+    assert_eq!(choice.choose(&entries, at(2_000)), Some(entry(1)));
+    choice.passed_over(entry(1), at(2_000));
+    assert_eq!(choice.choose(&entries, at(3_999)), Some(entry(2)));
+    assert_eq!(choice.choose(&entries, at(4_000)), Some(entry(1)));
+    choice.answered(entry(1), at(4_000));
+    choice.passed_over(entry(1), at(4_000));
+    assert_eq!(choice.choose(&entries, at(4_000)), Some(entry(1)));
+}
+
 #[test]
 fn who_does_not_lead_waits_for_a_reader_with_old_news() {
     let entries = [1, 2, 3, 4, 5].map(near);
