Who was out of touch reads the routes in force, not each revision missed

Cause: a watch from the last revision known brings every one since, whole, so what is furthest behind reads most (five documents in 2.2 s after a freeze of 5 s), and readings that take long make the next ones longer. Change: after 0.6 of the bound without news the versions named since are read by a watch of these alone, and the routes by a list.

--- a/crates/shell/src/directory/follow.rs
+++ b/crates/shell/src/directory/follow.rs
@@ -1,5 +1,6 @@
 //! Keeping up with what is published.
 
+mod read;
 mod start;
 
 use std::sync::Arc;
@@ -9,9 +10,8 @@
 use stairhinge::{Code, Error, Time};
 
 use super::{
-    Change, Collection, Directory, Facts, Freshness, HallNews, ReaderAnswer,
-    Record, Share, SharedAnswer, SharedQuestion, SharedRoutes, Sharing,
-    Source, Watched,
+    Change, Collection, Directory, Facts, HallNews, ReaderAnswer, Record,
+    Share, SharedAnswer, SharedQuestion, SharedRoutes, Sharing, Source,
 };
 use crate::Shutdown;
 use crate::decisions::Decision;
@@ -41,9 +41,6 @@
 /// Those wait at it for up to an eighth of the bound that they serve.
 const AWAITED_PACE: Duration = Duration::from_millis(200);
 
-/// Changes in one answer from which on routes come in quick succession.
-const BURST: usize = 2;
-
 /// The first pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
@@ -67,6 +64,7 @@
         lost_since: None,
         pause: FIRST_PAUSE,
         burst: false,
+        rejoined: false,
     };
     tokio::select! {
         () = shutdown.wait() => {}
@@ -97,6 +95,9 @@
     pause: Duration,
     /// Whether routes come in quick succession.
     burst: bool,
+    /// Whether all that is in force was read after a time out of touch, and
+    /// no watch was answered since.
+    rejoined: bool,
 }
 
 impl Follower {
@@ -288,93 +289,6 @@
         }
     }
 
-    async fn step(&mut self) -> Result<(), Error> {
-        let Some(after) = self.at else { return self.list().await };
-        if self.burst {
-            return self.catch_up().await;
-        }
-        let collection = self.follow.collection;
-        let wait = self.wait();
-        let called = self.facts.now();
-        match self.directory.watch(collection, after, wait).await? {
-            Watched::Forgotten => {
-                self.at = None;
-                // What went unseen may have been the loss of history itself.
-                self.failed = Some(Instant::now());
-            }
-            Watched::Changes(changes, at) => {
-                let reliable = self.reliable();
-                let routes = changes.iter().filter(|c| is_routes(c)).count();
-                self.burst = routes >= BURST;
-                if let Some(sharing) = &self.follow.sharing {
-                    sharing.share.note(&changes, at);
-                }
-                let took = self.facts.now().since(called);
-                let source = Source::platform("watch", took, routes);
-                self.facts.note_documents(routes);
-                for change in changes {
-                    self.facts.apply(change, source, reliable);
-                }
-                self.reach(at, called);
-            }
-        }
-        Ok(())
-    }
-
-    /// Reads all that is in force, at a pace, until nothing new comes.
-    ///
-    /// A watch brings every revision whole. Where many come in quick
-    /// succession, only the newest is worth a poor link's bytes.
-    async fn catch_up(&mut self) -> Result<(), Error> {
-        tokio::time::sleep(self.follow.burst_pace).await;
-        let before = self.facts.revision();
-        self.list().await?;
-        self.burst = self.facts.revision() != before;
-        Ok(())
-    }
-
-    async fn list(&mut self) -> Result<(), Error> {
-        let called = self.facts.now();
-        let collection = self.follow.collection;
-        let listing =
-            self.directory.list(collection, Freshness::Current).await?;
-        let routes = listing.records.iter().filter(|r| is_document(r)).count();
-        let took = self.facts.now().since(called);
-        let source = Source::platform("list", took, routes);
-        self.facts.note_documents(routes);
-        let mut replicas = Vec::new();
-        for record in listing.records {
-            match record {
-                Ok(Record::Replica(replica)) => replicas.push(replica),
-                Ok(record) => self.facts.learn(record, source, self.synced),
-                Err(error) => self.facts.refuse(&error),
-            }
-        }
-        if collection == Collection::Replicas {
-            let reliable = self.reliable();
-            if let Some(sharing) = &self.follow.sharing {
-                sharing.share.note_list(&replicas, listing.at);
-            }
-            self.facts.replace_replicas(replicas, reliable);
-        }
-        self.reach(listing.at, called);
-        Ok(())
-    }
-
-    /// Returns how long a watch waits: not for long after a failure, since
-    /// doubts have to be settled in time.
-    fn wait(&self) -> Duration {
-        let wait = match &self.follow.sharing {
-            Some(sharing) => sharing.watch().min(self.follow.wait),
-            None => self.follow.wait,
-        };
-        if self.failed.is_some() {
-            wait.min(self.follow.doubt / 2)
-        } else {
-            wait
-        }
-    }
-
     /// Whether the platform has been well long enough for absences to count.
     fn reliable(&self) -> bool {
         self.failed.is_none_or(|at| at.elapsed() > self.follow.doubt)
@@ -413,14 +327,6 @@
     }
 }
 
-const fn is_routes(change: &Change) -> bool {
-    matches!(change, Change::Set(Record::Routes(..)))
-}
-
-const fn is_document(record: &Result<Record, Error>) -> bool {
-    matches!(record, Ok(Record::Routes(..)))
-}
-
 /// Returns the time so many milliseconds before another.
 fn before(time: Time, ms: u64) -> Time {
     Time::from_millis(time.as_millis().saturating_sub(ms))
--- a/crates/shell/tests/support/mod.rs
+++ b/crates/shell/tests/support/mod.rs
@@ -101,7 +101,7 @@
 
     fn watch(
         &self,
-        _collection: Collection,
+        collection: Collection,
         after: u64,
         wait: Duration,
     ) -> BoxFuture<'_, Result<Watched, Error>> {
@@ -109,6 +109,12 @@
         if self.down.load(Ordering::Relaxed) {
             return Box::pin(async { Err(lost()) });
         }
+        if collection == Collection::Targets {
+            let at = *self.newest.borrow();
+            return Box::pin(
+                async move { Ok(Watched::Changes(Vec::new(), at)) },
+            );
+        }
         let wait_ms = wait.as_millis() as u64;
         self.longest_wait.fetch_max(wait_ms, Ordering::Relaxed);
         let mut newest = self.newest.subscribe();
