--- a/crates/loader/src/read_routes.rs
+++ b/crates/loader/src/read_routes.rs
@@ -5,6 +5,7 @@
 //! for seconds. They are read from there at the start only, and afterwards
 //! from an entry of the own hall, which has them packed.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -43,21 +44,73 @@
 /// origin cannot be reached and there are newer ones, in which it may stand
 /// elsewhere.
 pub(crate) async fn read_routes(agent: Arc<Agent>) {
-    if !ask_entries(&agent).await {
-        read_first(&agent).await;
+    let mut turn = Turn::default();
+    if !ask_entries(&agent, &mut turn).await {
+        read_first(&agent, &mut turn).await;
     }
     loop {
         tokio::time::sleep(DOUBTED).await;
         let rest = EVERY.saturating_sub(DOUBTED);
         let _ = tokio::time::timeout(rest, agent.origin_doubted()).await;
-        if let Err(error) = newer(&agent).await {
+        if let Err(error) = newer(&agent, &mut turn).await {
             log_failure(&agent.facts, "routes", &error);
         }
     }
 }
 
+/// How many entries in a row are silent before the platform is asked in
+/// between. One that answers that it has no routes is not silent: where all
+/// processes have just started, the platform is left to the entries.
+const SILENT: usize = 2;
+
+/// Whose turn it is to be asked: after each failure the next in rank, since
+/// an entry that is frozen still listens.
+#[derive(Debug, Default)]
+struct Turn {
+    failures: usize,
+    /// Entries in a row that did not answer.
+    silent: usize,
+}
+
+impl Turn {
+    /// Returns the entry of the hall that is asked; each agent has an order
+    /// of its own.
+    fn entry(&self, agent: &Agent) -> Option<SocketAddr> {
+        let me = agent.addr().to_string();
+        let score = |entry: &SocketAddr| {
+            rank::score(me.as_bytes(), &entry.to_string())
+        };
+        let near = agent.listeners.of_hall(&agent.settings.hall);
+        let mut near: Vec<SocketAddr> =
+            near.into_iter().map(|entry| entry.addr).collect();
+        near.sort_by_key(|entry| Reverse(score(entry)));
+        let turn = self.failures.checked_rem(near.len())?;
+        near.get(turn).copied()
+    }
+
+    /// Returns whether the platform is asked in between, and if so begins
+    /// anew with entries.
+    const fn platform(&mut self) -> bool {
+        if self.silent < SILENT {
+            return false;
+        }
+        self.silent = 0;
+        true
+    }
+
+    /// Takes in what an entry that was asked for `took` has brought.
+    fn heard<T>(&mut self, took: Duration, read: &Result<T, Error>) {
+        if read.is_ok() {
+            self.silent = 0;
+            return;
+        }
+        self.failures += 1;
+        self.silent = if took < WITHIN { 0 } else { self.silent + 1 };
+    }
+}
+
 /// Asks entries for the first routes, and returns whether one had them.
-async fn ask_entries(agent: &Arc<Agent>) -> bool {
+async fn ask_entries(agent: &Arc<Agent>, turn: &mut Turn) -> bool {
     let reading = FirstReading::new(rand::rng().random());
     let begun = Instant::now();
     // The list is small, and it says how many read the routes.
@@ -65,8 +118,8 @@
     relist.start(agent);
     let listed = || agent.facts.view().replicas.len();
     while begun.elapsed() < reading.of_agent(listed()) {
-        if near_entry(agent).is_some() {
-            match from_entry(agent).await {
+        if turn.entry(agent).is_some() {
+            match from_entry(agent, turn).await {
                 Ok(()) => return true,
                 Err(error) => log_failure(&agent.facts, "entry", &error),
             }
@@ -78,9 +131,9 @@
 }
 
 /// Reads the first routes from whoever has them.
-async fn read_first(agent: &Agent) {
+async fn read_first(agent: &Agent, turn: &mut Turn) {
     let mut pause = AGAIN;
-    while let Err(error) = first(agent).await {
+    while let Err(error) = first(agent, turn).await {
         log_failure(&agent.facts, "routes", &error);
         let entry = agent.listeners.joined();
         let _ = tokio::time::timeout(pause, entry).await;
@@ -89,11 +142,12 @@
 }
 
 /// Reads the first routes, from an entry if one listens already.
-async fn first(agent: &Agent) -> Result<(), Error> {
-    match near_entry(agent) {
-        Some(_) => from_entry(agent).await,
-        None => from_platform(agent, Freshness::Current).await,
-    }?;
+async fn first(agent: &Agent, turn: &mut Turn) -> Result<(), Error> {
+    if turn.entry(agent).is_some() && !turn.platform() {
+        from_entry(agent, turn).await?;
+    } else {
+        from_platform(agent, Freshness::Current).await?;
+    }
     if agent.facts.view().routes.is_some() {
         return Ok(());
     }
@@ -101,11 +155,11 @@
 }
 
 /// Reads newer routes, if an entry has told of some.
-async fn newer(agent: &Agent) -> Result<(), Error> {
+async fn newer(agent: &Agent, turn: &mut Turn) -> Result<(), Error> {
     if agent.news().revision <= agent.facts.revision() {
         return Ok(());
     }
-    match from_entry(agent).await {
+    match from_entry(agent, turn).await {
         Ok(()) => Ok(()),
         Err(error) => {
             log_failure(&agent.facts, "routes of an entry", &error);
@@ -128,9 +182,17 @@
     Ok(())
 }
 
-async fn from_entry(agent: &Agent) -> Result<(), Error> {
+/// Reads the routes of the entry whose turn it is.
+async fn from_entry(agent: &Agent, turn: &mut Turn) -> Result<(), Error> {
     let none = || Error::new(Code::PeerLost, "no entry of the hall listens");
-    let entry = near_entry(agent).ok_or_else(none)?;
+    let entry = turn.entry(agent).ok_or_else(none)?;
+    let called = Instant::now();
+    let read = read_entry(agent, entry).await;
+    turn.heard(called.elapsed(), &read);
+    read
+}
+
+async fn read_entry(agent: &Agent, entry: SocketAddr) -> Result<(), Error> {
     let called = Instant::now();
     let document = fetch_routes(&agent.client, entry, WITHIN).await?;
     let record = agent.directory.parse_routes(document)?;
@@ -139,13 +201,6 @@
     Ok(())
 }
 
-/// Returns the entry of the hall that this agent asks: each asks another one.
-fn near_entry(agent: &Agent) -> Option<SocketAddr> {
-    let me = agent.addr().to_string();
-    let near = agent.listeners.of_hall(&agent.settings.hall);
-    near.into_iter()
-        .max_by_key(|entry| {
-            rank::score(me.as_bytes(), &entry.addr.to_string())
-        })
-        .map(|entry| entry.addr)
-}
+#[cfg(test)]
+#[path = "read_routes_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/loader/src/read_routes_tests.rs
@@ -0,0 +1,29 @@
+//! Tests of whose turn it is to be asked for routes.
+
+use super::{Error, Turn, WITHIN};
+use stairhinge::Code;
+use std::time::Duration;
+
+fn lost() -> Result<(), Error> {
+    Err(Error::new(Code::PeerLost, "no answer"))
+}
+
+#[test]
+fn the_platform_is_asked_after_silent_entries_only() {
+    let mut turn = Turn::default();
+    // Entries that have no routes yet say so at once.
+    for _ in 0..10 {
+        turn.heard(Duration::from_millis(5), &lost());
+    }
+    assert!(!turn.platform());
+    assert_eq!(turn.failures, 10, "each time the next one is asked");
+    turn.heard(WITHIN, &lost());
+    assert!(!turn.platform(), "another one may be well");
+    turn.heard(WITHIN, &lost());
+    assert!(turn.platform());
+    assert!(!turn.platform(), "then entries are asked again");
+    turn.heard(WITHIN, &lost());
+    turn.heard(Duration::from_millis(5), &Ok(()));
+    turn.heard(WITHIN, &lost());
+    assert!(!turn.platform());
+}
