--- a/crates/loader/src/read_routes_tests.rs
+++ b/crates/loader/src/read_routes_tests.rs
@@ -1,9 +1,11 @@
 //! Tests of whose turn it is to be asked for routes.
 
-use super::{Error, Turn, WITHIN};
-use stairhinge::Code;
 use std::time::Duration;
 
+use stairhinge::Code;
+
+use super::{Error, Turn, WITHIN};
+
 fn lost() -> Result<(), Error> {
     Err(Error::new(Code::PeerLost, "no answer"))
 }
