--- a/crates/loader/src/read_routes.rs
+++ b/crates/loader/src/read_routes.rs
@@ -90,7 +90,7 @@
 
     /// Returns whether the platform is asked in between, and if so begins
     /// anew with entries.
-    const fn platform(&mut self) -> bool {
+    const fn asks_platform(&mut self) -> bool {
         if self.silent < SILENT {
             return false;
         }
@@ -143,7 +143,7 @@
 
 /// Reads the first routes, from an entry if one listens already.
 async fn first(agent: &Agent, turn: &mut Turn) -> Result<(), Error> {
-    if turn.entry(agent).is_some() && !turn.platform() {
+    if turn.entry(agent).is_some() && !turn.asks_platform() {
         from_entry(agent, turn).await?;
     } else {
         from_platform(agent, Freshness::Current).await?;
--- a/crates/loader/src/read_routes_tests.rs
+++ b/crates/loader/src/read_routes_tests.rs
@@ -17,15 +17,15 @@
     for _ in 0..10 {
         turn.heard(Duration::from_millis(5), &lost());
     }
-    assert!(!turn.platform());
+    assert!(!turn.asks_platform());
     assert_eq!(turn.failures, 10, "each time the next one is asked");
     turn.heard(WITHIN, &lost());
-    assert!(!turn.platform(), "another one may be well");
+    assert!(!turn.asks_platform(), "another one may be well");
     turn.heard(WITHIN, &lost());
-    assert!(turn.platform());
-    assert!(!turn.platform(), "then entries are asked again");
+    assert!(turn.asks_platform());
+    assert!(!turn.asks_platform(), "then entries are asked again");
     turn.heard(WITHIN, &lost());
     turn.heard(Duration::from_millis(5), &Ok(()));
     turn.heard(WITHIN, &lost());
-    assert!(!turn.platform());
+    assert!(!turn.asks_platform());
 }
