Who is out of touch again reads the routes in force again

Cause: that an entry had read them all counted until a watch was answered, also where it heard from its hall since. Found by reading. who_is_out_of_touch_again_reads_only_what_is_in_force: 6 documents the second time, now 1.

--- a/crates/shell/src/directory/follow.rs
+++ b/crates/shell/src/directory/follow.rs
@@ -96,7 +96,7 @@
     /// Whether routes come in quick succession.
     burst: bool,
     /// Whether all that is in force was read after a time out of touch, and
-    /// no watch was answered since.
+    /// nothing was heard since, from the platform or the hall.
     rejoined: bool,
 }
 
@@ -272,6 +272,7 @@
     fn reach(&mut self, at: u64, synced: Time) {
         self.at = Some(at);
         self.synced = Some(synced);
+        self.rejoined = false;
         if self.follow.collection != Collection::Replicas {
             self.facts.note_routes_known(synced);
         }
--- a/crates/shell/src/directory/follow/read.rs
+++ b/crates/shell/src/directory/follow/read.rs
@@ -30,7 +30,6 @@
         match self.directory.watch(collection, after, wait).await? {
             Watched::Forgotten => self.forget(),
             Watched::Changes(changes, at) => {
-                self.rejoined = false;
                 let reliable = self.reliable();
                 let routes = changes.iter().filter(|c| is_routes(c)).count();
                 self.burst = routes >= BURST;
--- a/crates/shell/tests/catch_up.rs
+++ b/crates/shell/tests/catch_up.rs
@@ -10,11 +10,18 @@
 
 mod support;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use support::{Nobody, Routes, share_reading, until};
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use stairhinge::Error;
+use stairhinge_shell::directory::{
+    HallNews, HallReader, ReaderAnswer, SharedQuestion,
+};
+use support::{Nobody, Routes, fresh, share_reading, until};
 
 #[tokio::test]
 async fn who_was_out_of_touch_reads_only_what_is_in_force() {
@@ -35,3 +42,71 @@
     let handed = platform.handed.load(Ordering::Relaxed) - before;
     assert_eq!(handed, 1, "documents were read, from revision {known} on");
 }
+
+/// A reader that tells what it is set to, or is silent.
+#[derive(Default)]
+struct Switched {
+    told: AtomicU64,
+}
+
+impl HallReader for Switched {
+    fn ask(&self, question: SharedQuestion) -> BoxFuture<'_, HallNews> {
+        let at = self.told.load(Ordering::Relaxed);
+        Box::pin(async move {
+            if at == 0 || question.after.is_none() {
+                return HallNews::Nobody;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            HallNews::Told(fresh(at, question.revision, None))
+        })
+    }
+
+    fn news(&self, _question: SharedQuestion) -> BoxFuture<'_, ReaderAnswer> {
+        Box::pin(std::future::pending())
+    }
+
+    fn leads(&self) -> bool {
+        true
+    }
+
+    fn fetch_routes(
+        &self,
+        _entry: SocketAddr,
+        _within: Duration,
+    ) -> BoxFuture<'_, Result<Bytes, Error>> {
+        unreachable!("no routes were told of")
+    }
+}
+
+/// An entry that had been out of touch, and heard from its hall since, is out
+/// of touch again: that it once read all must not count any more.
+#[tokio::test]
+async fn who_is_out_of_touch_again_reads_only_what_is_in_force() {
+    let platform = Routes::start();
+    let reader = Arc::new(Switched::default());
+    let (facts, _stopper) =
+        share_reading(Arc::clone(&platform) as _, Arc::clone(&reader) as _);
+    until("the first routes", || facts.revision() == 1).await;
+    let handed = || platform.handed.load(Ordering::Relaxed);
+    for round in 1..=2 {
+        platform.down.store(true, Ordering::Relaxed);
+        reader.told.store(0, Ordering::Relaxed);
+        for _ in 0..6 {
+            platform.newest.send_modify(|n| *n += 1);
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+        let before = handed();
+        let newest = *platform.newest.borrow();
+        platform.down.store(false, Ordering::Relaxed);
+        until("what is in force", || {
+            if facts.revision() == newest {
+                // From now on its hall tells it that nothing is new.
+                reader.told.store(newest, Ordering::Relaxed);
+            }
+            facts.revision() == newest
+        })
+        .await;
+        assert_eq!(handed() - before, 1, "documents, time {round}");
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+}
--- a/crates/shell/tests/follow.rs
+++ b/crates/shell/tests/follow.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
@@ -14,10 +14,10 @@
 use stairhinge_shell::decisions::DecisionLog;
 use stairhinge_shell::directory::{
     Collection, Directory, Facts, Follow, Freshness, HallNews, HallReader,
-    Listing, ReaderAnswer, Record, SharedAnswer, SharedQuestion, SharedRoutes,
-    Watched, follow,
+    Listing, ReaderAnswer, Record, SharedQuestion, SharedRoutes, Watched,
+    follow,
 };
-use support::{Nobody, Routes, record, share_reading, until};
+use support::{BEHIND, Nobody, Routes, fresh, record, share_reading, until};
 
 #[tokio::test]
 async fn of_routes_in_quick_succession_only_some_are_read() {
@@ -53,27 +53,6 @@
     until("one more", || facts.revision() == 2 + published).await;
 }
 
-/// The address of [`Behind`].
-const BEHIND: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
-
-/// Returns a fresh answer of the reader at [`BEHIND`].
-fn fresh(
-    at: u64,
-    revision: u64,
-    routes: Option<SharedRoutes>,
-) -> ReaderAnswer {
-    let shared = SharedAnswer {
-        at,
-        age_ms: 0,
-        failed_ms: None,
-        revision,
-        routes,
-        targets: Vec::new(),
-        replicas: None,
-    };
-    ReaderAnswer { entry: BEHIND, shared }
-}
-
 /// A reader that says it has newer routes, and hands over old ones.
 struct Behind;
 
--- a/crates/shell/tests/support/mod.rs
+++ b/crates/shell/tests/support/mod.rs
@@ -1,7 +1,7 @@
 //! A platform in memory, and following it as an entry does.
 #![allow(dead_code)]
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
@@ -13,8 +13,8 @@
 use stairhinge_shell::decisions::DecisionLog;
 use stairhinge_shell::directory::{
     Change, Collection, Directory, Facts, Follow, Freshness, HallNews,
-    HallReader, Listing, ReaderAnswer, Record, Share, SharedQuestion, Sharing,
-    Watched, follow,
+    HallReader, Listing, ReaderAnswer, Record, Share, SharedAnswer,
+    SharedQuestion, SharedRoutes, Sharing, Watched, follow,
 };
 use stairhinge_shell::{Shutdown, Stopper};
 use tokio::sync::watch;
@@ -162,3 +162,25 @@
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
 }
+
+/// The address of the one reader of these tests.
+pub const BEHIND: SocketAddr =
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
+
+/// Returns a fresh answer of the reader at [`BEHIND`].
+pub fn fresh(
+    at: u64,
+    revision: u64,
+    routes: Option<SharedRoutes>,
+) -> ReaderAnswer {
+    let shared = SharedAnswer {
+        at,
+        age_ms: 0,
+        failed_ms: None,
+        revision,
+        routes,
+        targets: Vec::new(),
+        replicas: None,
+    };
+    ReaderAnswer { entry: BEHIND, shared }
+}
