Sight: what a request asks, and whether the replica's process ended under it

A request was known by its try's id, and a failed attempt told that a connection closed, not whether the process behind it was gone; of a stream that broke off nothing was logged at all. So one request that ends each replica could not be told from replicas that end by themselves.

attempt_failed now has the fingerprint of what is asked (host, path, caller, body) and, where the connection ended, replica_ended (nobody listens at its address); it is also written for a stream that breaks off. No decision has changed.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -5,7 +5,7 @@
 mod send;
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use futures::future::BoxFuture;
@@ -18,7 +18,7 @@
 use hyper::{Request, Response};
 use rand::RngExt as _;
 use stairhinge::direct::{
-    AttemptResult, NextStep, Repeat, RetryShare, Shortage, next_step,
+    AttemptResult, NextStep, Repeat, Replica, RetryShare, Shortage, next_step,
 };
 use stairhinge::placing::{Lack, Need, Outcome};
 use stairhinge::{Code, Error};
@@ -29,6 +29,7 @@
 use self::refuse::{lost, refused};
 use crate::admit::{find_route, find_workspace};
 use crate::cancel_watch::CancelWatch;
+use crate::connect::is_refused;
 use crate::dialect::{CallerRequest, Dialect};
 use crate::dispatch::{Dispatcher, Place};
 use crate::hop_headers::{promises, strip};
@@ -70,12 +71,28 @@
 pub(crate) struct Missed {
     pub result: AttemptResult,
     pub reason: String,
+    /// Whether the connection ended under it.
+    pub cut: bool,
 }
 
 impl Missed {
     fn new(result: AttemptResult, reason: impl ToString) -> Missed {
-        Missed { result, reason: reason.to_string() }
+        Missed { result, reason: reason.to_string(), cut: false }
     }
+
+    fn cut(reason: impl ToString) -> Missed {
+        let missed = Missed::new(AttemptResult::Silent, reason);
+        Missed { cut: true, ..missed }
+    }
+}
+
+/// An attempt that did not end well.
+pub(crate) struct FailedAttempt {
+    pub replica: Arc<Replica>,
+    pub sent: Instant,
+    pub reason: String,
+    /// Whether the replica's process has ended, if that was asked.
+    pub replica_ended: Option<bool>,
 }
 
 impl Handler for Forwarder {
@@ -197,6 +214,7 @@
             route,
             head,
             body,
+            fingerprint: OnceLock::new(),
         });
         self.share(&context.service, |s| s.request(self.facts.now()));
         self.attempts(context).await
@@ -224,18 +242,19 @@
                 Err(missed) => missed,
             };
             ran |= matches!(missed.result, AttemptResult::Silent);
+            let replica_ended = has_ended(&replica, missed.cut).await;
             let may = attempt < context.route.attempts
                 && !context.left().is_zero()
                 && self.spend(&context.service);
             let repeat = context.route.repeat;
             let next = next_step(missed.result, repeat, ran, may);
-            self.log_missed(
-                &context,
-                &replica.incarnation,
-                &missed,
+            let failed = FailedAttempt {
+                replica,
                 sent,
-                next,
-            );
+                reason: missed.reason.clone(),
+                replica_ended,
+            };
+            self.log_failed(&context, &failed, next);
             match next {
                 NextStep::Retry => self.metrics.retries.inc(),
                 NextStep::Refuse => {
@@ -313,7 +332,10 @@
         let most = self.settings.get().body_bytes;
         let bytes = read(body, most, context.left()).await.map_err(|e| {
             place.note(Outcome::Failed);
-            Missed::new(AttemptResult::Silent, e)
+            match e.code() {
+                Code::MalformedHttp => Missed::cut(e),
+                _ => Missed::new(AttemptResult::Silent, e),
+            }
         })?;
         self.pool.put(connection, &head.headers);
         let failed = status.is_server_error();
@@ -366,6 +388,15 @@
     }
 }
 
+/// Returns whether a replica's process has ended; asked only where the
+/// connection to it did, since all else has other causes.
+pub(crate) async fn has_ended(replica: &Replica, cut: bool) -> Option<bool> {
+    if !cut {
+        return None;
+    }
+    Some(is_refused(replica.addr).await)
+}
+
 fn need(context: &RequestContext) -> Need {
     Need {
         service: Arc::clone(&context.service),
--- a/crates/gateway/src/forward/log.rs
+++ b/crates/gateway/src/forward/log.rs
@@ -6,7 +6,7 @@
 use stairhinge::placing::Need;
 use stairhinge_shell::decisions::Decision;
 
-use super::{Forwarder, Missed};
+use super::{FailedAttempt, Forwarder};
 use crate::dispatch::Place;
 use crate::pauses::Pauses;
 use crate::request_context::RequestContext;
@@ -77,25 +77,23 @@
         });
     }
 
-    pub(super) fn log_missed(
+    pub(crate) fn log_failed(
         &self,
         context: &RequestContext,
-        replica: &str,
-        missed: &Missed,
-        sent: Instant,
+        failed: &FailedAttempt,
         next: NextStep,
     ) {
-        let next = match next {
-            NextStep::Retry => "retry",
-            NextStep::Refuse => "refuse",
-            NextStep::Fail => "fail",
-        };
+        if failed.replica_ended == Some(true) {
+            self.metrics.ended_under.inc();
+        }
         self.facts.log().write(&Decision::AttemptFailed {
             request: &context.caller.id,
-            replica,
-            reason: &missed.reason,
-            after_ms: sent.elapsed().as_millis() as u64,
-            next,
+            fingerprint: &context.fingerprint().to_string(),
+            replica: &failed.replica.incarnation,
+            reason: &failed.reason,
+            after_ms: failed.sent.elapsed().as_millis() as u64,
+            replica_ended: failed.replica_ended,
+            next: next.name(),
         });
     }
 }
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -1,7 +1,7 @@
 //! One attempt, from its sending to the head of its answer.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, Limited};
@@ -46,6 +46,7 @@
             return Err(Missed::new(AttemptResult::Unsent, "no time left"));
         }
         self.log_sent(context, &place, attempt, left);
+        let at = Instant::now();
         let request = self.request(context, &place, left, after_event);
         let mut patience = if never { left } else { left.min(HEAD_PATIENCE) };
         if let Some(begin_by) = place.begin_by {
@@ -56,7 +57,7 @@
             Ok(Ok(response)) => response,
             Ok(Err(error)) => {
                 place.note(Outcome::Failed);
-                return Err(Missed::new(AttemptResult::Silent, error));
+                return Err(Missed::cut(error));
             }
             Err(_) => {
                 place.note(Outcome::Failed);
@@ -68,7 +69,8 @@
         match self.dialect.judge(&context.caller.id, &head) {
             Judgement::Answer { version } => {
                 place.begin();
-                let upstream = Upstream { body, connection, place, version };
+                let upstream =
+                    Upstream { body, connection, place, sent: at, version };
                 Ok(Answered { head, upstream })
             }
             Judgement::Declined => {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -38,6 +38,7 @@
     pub attempts: Counter,
     pub retries: Counter,
     pub resumed: Counter,
+    pub ended_under: Counter,
     pub cancelled: Counter,
     pub running: Gauge,
     pub waiting: Gauge,
@@ -62,6 +63,7 @@
             attempts: Counter::default(),
             retries: Counter::default(),
             resumed: Counter::default(),
+            ended_under: Counter::default(),
             cancelled: Counter::default(),
             running: Gauge::default(),
             waiting: Gauge::default(),
@@ -97,6 +99,12 @@
         r.register("retries", "Attempts after the first", retries);
         let resumed = self.resumed.clone();
         r.register("resumed", "Streams taken up elsewhere", resumed);
+        let ended_under = self.ended_under.clone();
+        r.register(
+            "replica_ended_under",
+            "Attempts under which the replica's process ended",
+            ended_under,
+        );
         let cancelled = self.cancelled.clone();
         r.register("cancelled", "Requests whose caller went", cancelled);
         r.register("running", "Requests at replicas", self.running.clone());
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,13 +13,13 @@
 use hyper::body::{Frame, Incoming};
 use hyper::header::HeaderMap;
 use stairhinge::Code;
-use stairhinge::direct::{EventSplitter, Repeat};
+use stairhinge::direct::{EventSplitter, NextStep, Repeat};
 use stairhinge::placing::{Need, Outcome};
 use stairhinge_shell::decisions::Decision;
 use stairhinge_shell::http::{Body, BodyError};
 
 use crate::dispatch::Place;
-use crate::forward::Forwarder;
+use crate::forward::{FailedAttempt, Forwarder, has_ended};
 use crate::pauses::Pauses;
 use crate::pool::Connection;
 use crate::request_context::RequestContext;
@@ -38,6 +38,7 @@
     pub body: Incoming,
     pub connection: Connection,
     pub place: Place,
+    pub sent: Instant,
     /// The version of weights that it comes from.
     pub version: Option<u64>,
 }
@@ -61,7 +62,31 @@
 enum Read {
     Bytes(Bytes),
     End,
-    Broke(String),
+    Broke(Broke),
+}
+
+/// Why a replica's answer is not read to its end.
+struct Broke {
+    reason: String,
+    /// Whether the connection ended.
+    cut: bool,
+}
+
+impl Broke {
+    fn silent(reason: impl Into<String>) -> Broke {
+        Broke { reason: reason.into(), cut: false }
+    }
+
+    fn cut(reason: impl Into<String>) -> Broke {
+        Broke { reason: reason.into(), cut: true }
+    }
+}
+
+/// Why a stream was not taken up at another replica.
+struct NotTaken {
+    reason: String,
+    /// The attempt there, if a replica was found.
+    failed: Option<FailedAttempt>,
 }
 
 impl Relay {
@@ -102,7 +127,7 @@
                     return None;
                 }
                 Read::End => {
-                    let why = "the answer ended within an event".to_string();
+                    let why = Broke::cut("the answer ended within an event");
                     if let Err(error) = self.resume(why).await {
                         return Some(Err(error));
                     }
@@ -134,21 +159,21 @@
 
     async fn read(&mut self) -> Read {
         let Some(upstream) = &mut self.upstream else {
-            return Read::Broke("no replica".to_string());
+            return Read::Broke(Broke::silent("no replica"));
         };
         let resumable = self.context.route.repeat == Repeat::Resume;
         let since = Instant::now();
         loop {
             let left = self.context.left();
             if left.is_zero() {
-                return Read::Broke("the time is over".to_string());
+                return Read::Broke(Broke::silent("the time is over"));
             }
             let wait = if resumable { left.min(LOOK) } else { left };
             let frame = tokio::time::timeout(wait, upstream.body.frame());
             match frame.await {
                 Ok(None) => return Read::End,
                 Ok(Some(Err(error))) => {
-                    return Read::Broke(error.to_string());
+                    return Read::Broke(Broke::cut(error.to_string()));
                 }
                 Ok(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
@@ -162,11 +187,12 @@
             }
             let replica = &upstream.place.replica.incarnation;
             if self.forwarder.dispatcher.is_down(replica) {
-                return Read::Broke("its agent reports it down".to_string());
+                let why = "its agent reports it down";
+                return Read::Broke(Broke::silent(why));
             }
             if since.elapsed() > SILENCE {
-                let ms = SILENCE.as_millis();
-                return Read::Broke(format!("no event for {ms} ms"));
+                let why = format!("no event for {} ms", SILENCE.as_millis());
+                return Read::Broke(Broke::silent(why));
             }
         }
     }
@@ -184,29 +210,46 @@
     }
 
     /// Takes the stream up at another replica.
-    async fn resume(&mut self, reason: String) -> Result<(), BodyError> {
-        let mut reason = reason;
+    async fn resume(&mut self, broke: Broke) -> Result<(), BodyError> {
+        let mut reason = broke.reason.clone();
+        let mut failed = self.leave(broke).await;
         loop {
-            if let Some(mut upstream) = self.upstream.take() {
-                upstream.place.note(Outcome::Failed);
-            }
             self.splitter = EventSplitter::new();
             let may = self.context.route.repeat == Repeat::Resume
                 && self.attempt < self.context.route.attempts
                 && !self.context.left().is_zero()
                 && self.forwarder.spend(&self.context.service);
+            let next = if may { NextStep::Retry } else { NextStep::Fail };
+            if let Some(failed) = failed.take() {
+                self.forwarder.log_failed(&self.context, &failed, next);
+            }
             if !may {
                 return Err(self.cut(&reason));
             }
             self.attempt += 1;
             match self.take_up().await {
                 Ok(()) => return Ok(()),
-                Err(why) => reason = format!("{reason}; then {why}"),
+                Err(not_taken) => {
+                    reason = format!("{reason}; then {}", not_taken.reason);
+                    failed = not_taken.failed;
+                }
             }
         }
     }
 
-    async fn take_up(&mut self) -> Result<(), String> {
+    /// Leaves the replica whose answer broke off.
+    async fn leave(&mut self, broke: Broke) -> Option<FailedAttempt> {
+        let mut upstream = self.upstream.take()?;
+        upstream.place.note(Outcome::Failed);
+        let replica = Arc::clone(&upstream.place.replica);
+        let sent = upstream.sent;
+        drop(upstream);
+        let replica_ended = has_ended(&replica, broke.cut).await;
+        let reason = broke.reason;
+        Some(FailedAttempt { replica, sent, reason, replica_ended })
+    }
+
+    async fn take_up(&mut self) -> Result<(), NotTaken> {
         let need = Need {
             service: Arc::clone(&self.context.service),
             model: self.context.caller.model.clone(),
@@ -220,23 +263,44 @@
         let left = self.context.left();
         let until = Instant::now() + RESUME_WAIT.min(left);
         let found = self.forwarder.placing.place(need, until, left).await;
-        let place = found.map_err(|e| format!("no other replica: {e}"))?;
-        let replica = Arc::clone(&place.replica.incarnation);
-        self.tried.push(Arc::clone(&replica));
+        let place = found.map_err(|e| NotTaken {
+            reason: format!("no other replica: {e}"),
+            failed: None,
+        })?;
+        let replica = Arc::clone(&place.replica);
+        self.tried.push(Arc::clone(&replica.incarnation));
+        let sent = Instant::now();
         let answered = self
             .forwarder
             .send(&self.context, place, self.attempt, self.last_event)
-            .await
-            .map_err(|missed| missed.reason)?;
+            .await;
+        let answered = match answered {
+            Ok(answered) => answered,
+            Err(missed) => {
+                let replica_ended = has_ended(&replica, missed.cut).await;
+                let reason = missed.reason;
+                return Err(NotTaken {
+                    reason: reason.clone(),
+                    failed: Some(FailedAttempt {
+                        replica,
+                        sent,
+                        reason,
+                        replica_ended,
+                    }),
+                });
+            }
+        };
+        let replica = &replica.incarnation;
         if !answered.head.status.is_success() {
-            return Err(format!("{replica} says {}", answered.head.status));
+            let reason = format!("{replica} says {}", answered.head.status);
+            return Err(NotTaken { reason, failed: None });
         }
         self.headers = answered.head.headers;
         self.upstream = Some(answered.upstream);
         self.forwarder.metrics.resumed.inc();
         self.forwarder.facts.log().write(&Decision::Resumed {
             request: &self.context.caller.id,
-            replica: &replica,
+            replica,
             after_event: self.last_event,
         });
         Ok(())
--- a/crates/gateway/src/request_context.rs
+++ b/crates/gateway/src/request_context.rs
@@ -1,11 +1,13 @@
 //! One request over all its attempts.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use hyper::header::HOST;
 use hyper::http::request::Parts;
 use stairhinge::direct::Route;
+use stairhinge::poison::{Fingerprint, Identity};
 
 use crate::dialect::CallerRequest;
 
@@ -21,6 +23,8 @@
     pub deadline: Instant,
     pub head: Parts,
     pub body: Bytes,
+    /// Worked out when it is first asked for: few requests need it.
+    pub fingerprint: OnceLock<Fingerprint>,
 }
 
 impl RequestContext {
@@ -29,6 +33,28 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns the name of what is asked, the same for all tries.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let host = self.head.headers.get(HOST);
+            let host = host.and_then(|value| value.to_str().ok());
+            let path = self.head.uri.path_and_query();
+            Fingerprint::of(&Identity {
+                host: host.or(self.head.uri.host()).unwrap_or(""),
+                path: path.map_or("", |path| path.as_str()),
+                caller: self.caller_name(),
+                body: &self.body,
+            })
+        })
+    }
+
+    /// Returns whose it is: the workspace, or where the route asks for none,
+    /// the key that was sent all the same.
+    fn caller_name(&self) -> &str {
+        let key = self.caller.key.as_deref().unwrap_or("");
+        self.workspace.as_deref().unwrap_or(key)
+    }
+
     /// Returns the time since the request's head arrived, in milliseconds.
     pub(crate) fn elapsed_ms(&self) -> u64 {
         self.started.elapsed().as_millis() as u64
--- a/crates/shell/src/decisions.rs
+++ b/crates/shell/src/decisions.rs
@@ -171,12 +171,18 @@
     AttemptFailed {
         /// The request's id.
         request: &'a str,
+        /// Names what it asks: the same for all tries of a request.
+        fingerprint: &'a str,
         /// The replica's incarnation.
         replica: &'a str,
         /// What came back.
         reason: &'a str,
         /// How long after it was sent, in milliseconds.
         after_ms: u64,
+        /// Whether the replica's process has ended, where the connection
+        /// did.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        replica_ended: Option<bool>,
         /// What follows.
         next: &'static str,
     },
--- a/crates/shell/src/decisions_tests.rs
+++ b/crates/shell/src/decisions_tests.rs
@@ -83,9 +83,11 @@
         },
         Decision::AttemptFailed {
             request: "r1",
+            fingerprint: "0123456789abcdef0123456789abcdef",
             replica: "i-a",
             reason: "loading",
             after_ms: 4,
+            replica_ended: Some(false),
             next: "retry",
         },
         Decision::NoReplica {
--- a/src/direct/attempt_result.rs
+++ b/src/direct/attempt_result.rs
@@ -26,6 +26,17 @@
     Fail,
 }
 
+impl NextStep {
+    /// Returns its name in logs.
+    pub const fn name(self) -> &'static str {
+        match self {
+            NextStep::Retry => "retry",
+            NextStep::Refuse => "refuse",
+            NextStep::Fail => "fail",
+        }
+    }
+}
+
 /// Decides what follows after an attempt.
 ///
 /// `ran` says whether an earlier attempt of the same request may have run,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 * [`routing`] is the choice between backend servers.
 * [`direct`] is serving from entries straight to replicas: routes, keys,
   retries, streams that are taken up elsewhere, turns of a rollout.
+* [`poison`] is how a request is known that ends the replicas it runs on.
 * [`placing`] is how one entry of a hall picks replicas for all of them.
 * [`event`] is the time line over all processes.
 * [`explanation`] is why a request ended as it did, from logs alone.
@@ -62,6 +63,7 @@
 pub mod event;
 pub mod explanation;
 pub mod placing;
+pub mod poison;
 pub mod rank;
 pub mod request;
 pub mod routing;
