Requests that end replicas are quarantined by all entries

Cause: nothing knew a request over its tries, whose ids differ, or told other entries of one. Each try of a request that ends the replicas that run it was sent to as many as its route allows, at every entry, for as long as its caller came back: 19 runs more than 3 s after the third end, 56 ends in 5 s. Class: a poison request; retries without a memory that outlives a try. Ruled out: the retry share (37 of 47 failed attempts at replicas that ended, one retry each at most), replicas that end by themselves (each ends 44 to 111 ms after it begins the request, at one entry after the other).

Change: a request is known by what it asks. An entry whose connection ends under it asks whether the replica's process is gone, and counts one end more than was known when it was sent: ends in turn count, ends together count once, a whole answer clears all. Entries tell one another at once, and compare digests. From the third end on the request is refused (3020) with when it is tried again, three times at most. Requests that may end a replica are kept apart from one another.

--- a/crates/gateway/src/dispatch/find.rs
+++ b/crates/gateway/src/dispatch/find.rs
@@ -20,13 +20,59 @@
 /// began them after 0.8 s.
 const BACKLOG_PART: f64 = 0.5;
 
-/// Replicas that could take a request.
+/// Replicas that could take a request, of one kind.
 #[derive(Debug, Default)]
 struct Offered {
     candidates: Vec<Candidate>,
     replicas: Vec<(Arc<Replica>, Terms)>,
 }
 
+impl Offered {
+    fn chosen(&self) -> Option<(Arc<Replica>, Terms)> {
+        let chosen = choose(&self.candidates)?;
+        let (replica, terms) = self.replicas.get(chosen)?;
+        Some((Arc::clone(replica), *terms))
+    }
+}
+
+/// Replicas that could take a request.
+#[derive(Debug, Default)]
+struct Offers {
+    /// Those that nothing speaks against.
+    sound: Offered,
+    /// Those that run a request that may end them.
+    shared: Offered,
+    /// Those that have failed of late.
+    failing: Offered,
+}
+
+impl Offers {
+    fn of(&mut self, fitness: Fitness) -> &mut Offered {
+        match fitness {
+            Fitness::Sound => &mut self.sound,
+            Fitness::Shared => &mut self.shared,
+            Fitness::Failing => &mut self.failing,
+        }
+    }
+
+    /// Chooses the best one. Those that have failed are offered only where
+    /// all have.
+    fn chosen(&self) -> Option<(Arc<Replica>, Terms)> {
+        let well = self.sound.chosen().or_else(|| self.shared.chosen());
+        let any_well = !self.sound.candidates.is_empty()
+            || !self.shared.candidates.is_empty();
+        if any_well { well } else { self.failing.chosen() }
+    }
+}
+
+/// What speaks against a replica.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Fitness {
+    Sound,
+    Shared,
+    Failing,
+}
+
 impl Dispatcher {
     /// Whether any replica could take the request if it had room.
     pub(super) fn exists(
@@ -51,7 +97,7 @@
         need: &Need,
         only: Option<&Arc<str>>,
     ) -> Option<Place> {
-        let offered = match only {
+        let offers = match only {
             Some(only) if self.may_fill(state, view, need, only) => {
                 self.offers(state, view, need, view.replicas.get(only))
             }
@@ -61,12 +107,10 @@
                 self.offers(state, view, need, all)
             }
         };
-        let chosen = choose(&offered.candidates)?;
-        let (replica, terms) = offered.replicas.into_iter().nth(chosen)?;
+        let (replica, terms) = offers.chosen()?;
         let known =
             state.known.entry(Arc::clone(&replica.incarnation)).or_default();
-        known.load.own_pending += 1;
-        known.load.own_pending_tokens += need.prompt_tokens;
+        known.given(need);
         let reported = known.reported.as_ref();
         Some(Place {
             version: terms.version.or(need.version),
@@ -84,22 +128,20 @@
         })
     }
 
-    /// Returns those of some replicas that could take a request: the sound
-    /// ones, or where all have failed of late, these.
+    /// Returns those of some replicas that could take a request.
     fn offers<'a>(
         &self,
         state: &mut State,
         view: &FactsView,
         need: &Need,
         replicas: impl IntoIterator<Item = &'a (Arc<Replica>, Standing)>,
-    ) -> Offered {
+    ) -> Offers {
         let now = self.facts.now();
         let layers = layers(view, need);
         let listed = view
             .of_service(&need.service)
             .any(|(_, standing)| *standing == Standing::Listed);
-        let mut sound = Offered::default();
-        let mut suspect = Offered::default();
+        let mut offers = Offers::default();
         for (replica, standing) in replicas {
             if listed && *standing == Standing::Doubtful {
                 continue;
@@ -107,23 +149,24 @@
             let terms = self.terms(state, view, need, replica, layers, now);
             let Some(terms) = terms else { continue };
             let candidate = self.candidate(state, view, need, replica);
-            let Some((candidate, fit)) = candidate else { continue };
-            let offered = if fit { &mut sound } else { &mut suspect };
+            let Some((candidate, fitness)) = candidate else { continue };
+            let offered = offers.of(fitness);
             offered.candidates.push(candidate);
             offered.replicas.push((Arc::clone(replica), terms));
         }
-        if sound.candidates.is_empty() { suspect } else { sound }
+        offers
     }
 
-    /// Returns a replica as a candidate, and whether it is sound; `None` if
-    /// it has just said that it had no room.
+    /// Returns a replica as a candidate, and what speaks against it; `None` if
+    /// it has just said that it had no room, or if both it and the request
+    /// have to be kept apart from others that may end replicas.
     fn candidate(
         &self,
         state: &mut State,
         view: &FactsView,
         need: &Need,
         replica: &Replica,
-    ) -> Option<(Candidate, bool)> {
+    ) -> Option<(Candidate, Fitness)> {
         let engine = view.engine(&need.service);
         let entries = state.contention.entries();
         let known =
@@ -131,7 +174,16 @@
         if known.full_until.is_some_and(|at| at > Instant::now()) {
             return None;
         }
-        let fit = known.health.fit(self.facts.now());
+        if need.suspicion.is_last() && known.has_trial() {
+            return None;
+        }
+        let suspected = need.suspicion.ended > 0;
+        let shared = known.has_trial() || (suspected && known.has_suspect());
+        let fitness = match known.health.fit(self.facts.now()) {
+            true if shared => Fitness::Shared,
+            true => Fitness::Sound,
+            false => Fitness::Failing,
+        };
         let offset = *known
             .offset
             .get_or_insert_with(|| self.offset(&replica.incarnation));
@@ -149,7 +201,7 @@
             slowdown: known.slowdown(),
             most_ms: BACKLOG_PART * need.objective.as_millis() as f64,
         };
-        Some((candidate, fit))
+        Some((candidate, fitness))
     }
 
     /// Returns this entry's leaning towards a replica, from 0 to 1.
--- a/crates/gateway/src/dispatch/hall.rs
+++ b/crates/gateway/src/dispatch/hall.rs
@@ -99,9 +99,7 @@
         }
         let mut state = self.lock();
         let incarnation = Arc::clone(&replica.incarnation);
-        let load = &mut state.known.entry(incarnation).or_default().load;
-        load.own_pending += 1;
-        load.own_pending_tokens += need.prompt_tokens;
+        state.known.entry(incarnation).or_default().given(need);
         Some(Place {
             replica: Arc::clone(replica),
             version: placed.version,
--- a/crates/gateway/src/dispatch/known.rs
+++ b/crates/gateway/src/dispatch/known.rs
@@ -3,6 +3,8 @@
 use std::time::{Duration, Instant};
 
 use stairhinge::direct::balance::Load;
+use stairhinge::placing::Need;
+use stairhinge::poison::PoisonTable;
 use stairhinge::routing::Health;
 
 use crate::report::EngineReport;
@@ -69,9 +71,37 @@
     pub full_until: Option<Instant>,
     /// What it last said not to be.
     pub misdirected: Option<Misdirected>,
+    /// Until when it may end under a request that it was given.
+    pub suspect_until: Option<Instant>,
+    /// Until when it may end under one that is a replica short of quarantine.
+    pub trial_until: Option<Instant>,
 }
 
 impl Known {
+    /// Takes note of a request that it is given.
+    pub(super) fn given(&mut self, need: &Need) {
+        self.load.own_pending += 1;
+        self.load.own_pending_tokens += need.prompt_tokens;
+        let until = Some(Instant::now() + PoisonTable::TRIAL);
+        if need.suspicion.ended > 0 {
+            self.suspect_until = until;
+        }
+        if need.suspicion.is_last() {
+            self.trial_until = until;
+        }
+    }
+
+    /// Whether it has just been given a request that may end it.
+    pub(super) fn has_suspect(&self) -> bool {
+        self.suspect_until.is_some_and(|until| Instant::now() < until)
+    }
+
+    /// Whether it has just been given a request that is a replica short of
+    /// quarantine.
+    pub(super) fn has_trial(&self) -> bool {
+        self.trial_until.is_some_and(|until| Instant::now() < until)
+    }
+
     /// Returns how much longer than usual the way to it takes, as far as
     /// known, in milliseconds.
     pub(super) fn delay_ms(&self) -> f64 {
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -25,8 +25,10 @@
 use crate::metrics::{EntryMetrics, ServeMetrics};
 use crate::news::{HandOver, NewsDesk};
 use crate::placing::HallPlacing;
+use crate::poison::{PoisonGossip, PoisonWatch};
 use crate::ready::Ready;
 use crate::settings::EntrySettings;
+use crate::wire::Wire;
 
 /// How often kept connections and gauges are looked after.
 const HOUSEKEEPING: Duration = Duration::from_millis(500);
@@ -107,13 +109,14 @@
     if let Some(watch) = watch {
         tokio::spawn(live.clone().follow(watch, log.clone()));
     }
-    let placing = placing(&settings, &dispatcher).await?;
+    let poison = Arc::new(PoisonWatch::new(Arc::clone(&facts)));
+    let placing = placing(&settings, &dispatcher, &poison).await?;
     tokio::spawn(Arc::clone(&placing).run());
     let forwarder = Arc::new(Forwarder::new(
         live.clone(),
-        Arc::clone(&facts),
         Arc::clone(&dispatcher),
         placing,
+        poison,
         dialect,
         Arc::clone(&metrics),
         shutdown.clone(),
@@ -149,18 +152,27 @@
         .map_err(|e| Error::new(Code::CannotBind, format_args!("{addr}: {e}")))
 }
 
-/// Returns how the entry's requests get their places.
+/// Returns how the entry's requests get their places, and has it talk with
+/// other entries.
 async fn placing(
     settings: &EntrySettings,
     dispatcher: &Arc<Dispatcher>,
+    poison: &Arc<PoisonWatch>,
 ) -> Result<Arc<HallPlacing>, Error> {
     let dispatcher = Arc::clone(dispatcher);
-    let placing = match settings.peers {
-        Some(own) if settings.hall_placing => {
-            HallPlacing::bind(dispatcher, own).await?
-        }
-        _ => HallPlacing::alone(dispatcher),
+    let Some(own) = settings.peers else {
+        return Ok(Arc::new(HallPlacing::alone(dispatcher)));
     };
+    let wire = Arc::new(Wire::bind(own).await?);
+    let gossip = Arc::new(PoisonGossip::new(
+        Arc::clone(poison),
+        Arc::clone(&dispatcher),
+        Arc::clone(&wire),
+        own,
+    ));
+    tokio::spawn(Arc::clone(&gossip).run());
+    let places = settings.hall_placing;
+    let placing = HallPlacing::new(dispatcher, own, wire, places, gossip);
     Ok(Arc::new(placing))
 }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -21,20 +21,22 @@
     AttemptResult, NextStep, Repeat, Replica, RetryShare, Shortage, next_step,
 };
 use stairhinge::placing::{Lack, Need, Outcome};
+use stairhinge::poison::Suspicion;
 use stairhinge::{Code, Error};
 use stairhinge_shell::directory::Facts;
 use stairhinge_shell::http::{Body, Failed, Handler, full, read};
 use stairhinge_shell::{LiveSettings, Shutdown};
 
-use self::refuse::{lost, refused};
+use self::refuse::{lost, quarantined, refused};
 use crate::admit::{find_route, find_workspace};
 use crate::cancel_watch::CancelWatch;
 use crate::connect::is_refused;
 use crate::dialect::{CallerRequest, Dialect};
 use crate::dispatch::{Dispatcher, Place};
-use crate::hop_headers::{promises, strip};
+use crate::hop_headers::{is_framed, promises, strip};
 use crate::metrics::EntryMetrics;
 use crate::placing::HallPlacing;
+use crate::poison::PoisonWatch;
 use crate::pool::Pool;
 use crate::relay::{Relay, Upstream, relay};
 use crate::request_context::RequestContext;
@@ -57,6 +59,7 @@
     dialect: Arc<dyn Dialect>,
     pub metrics: Arc<EntryMetrics>,
     pub pool: Pool,
+    pub poison: Arc<PoisonWatch>,
     shares: Mutex<HashMap<Arc<str>, RetryShare>>,
     shutdown: Shutdown,
 }
@@ -108,18 +111,19 @@
     /// Returns a forwarder without connections.
     pub(crate) fn new(
         settings: LiveSettings<EntrySettings>,
-        facts: Arc<Facts>,
         dispatcher: Arc<Dispatcher>,
         placing: Arc<HallPlacing>,
+        poison: Arc<PoisonWatch>,
         dialect: Arc<dyn Dialect>,
         metrics: Arc<EntryMetrics>,
         shutdown: Shutdown,
     ) -> Forwarder {
         Forwarder {
             settings,
-            facts,
+            facts: Arc::clone(dispatcher.facts()),
             dispatcher,
             placing,
+            poison,
             dialect,
             metrics,
             pool: Pool::default(),
@@ -135,6 +139,9 @@
         let (running, waiting) = self.dispatcher.load();
         self.metrics.running.set(running as i64);
         self.metrics.waiting.set(waiting as i64);
+        let (suspected, quarantined) = self.poison.sweep();
+        self.metrics.suspected.set(suspected as i64);
+        self.metrics.quarantined.set(quarantined as i64);
         let (given, taken_back) = self.placing.given();
         self.metrics.given.set(given as i64);
         self.metrics.taken_back.set(taken_back as i64);
@@ -217,7 +224,11 @@
             fingerprint: OnceLock::new(),
         });
         self.share(&context.service, |s| s.request(self.facts.now()));
-        self.attempts(context).await
+        let answered = Arc::clone(&self).attempts(Arc::clone(&context)).await;
+        if answered.is_err() {
+            self.poison.given_up(&context);
+        }
+        answered
     }
 
     async fn attempts(
@@ -228,22 +239,35 @@
         let mut ran = false;
         let mut attempt = 1;
         loop {
-            let place = self.place(&context, &need, ran).await?;
+            let admitted = self.poison.admit(&context);
+            let suspicion = admitted.map_err(|r| quarantined(&r, ran))?;
+            need.suspicion = suspicion;
+            let place = self.place(&context, &need, ran).await;
+            let place =
+                place.inspect_err(|_| self.poison.released(&context))?;
+            let admitted = self.poison.still_admits(&context, suspicion);
+            admitted.map_err(|r| quarantined(&r, ran))?;
             need.tried.push(Arc::clone(&place.replica.incarnation));
             let sent = Instant::now();
             let replica = Arc::clone(&place.replica);
             let after = context.caller.after_event;
             let missed = match self.send(&context, place, attempt, after).await
             {
-                Ok(answered) => match self.pass_on(&context, answered).await {
-                    Ok(response) => return Ok(response),
-                    Err(missed) => missed,
-                },
+                Ok(answered) => {
+                    let passed = self.pass_on(&context, answered, suspicion);
+                    match passed.await {
+                        Ok(response) => return Ok(response),
+                        Err(missed) => missed,
+                    }
+                }
                 Err(missed) => missed,
             };
             ran |= matches!(missed.result, AttemptResult::Silent);
-            let replica_ended = has_ended(&replica, missed.cut).await;
+            let cut = missed.cut;
+            let (replica_ended, known) =
+                self.examine(&context, &replica, cut, suspicion).await;
             let may = attempt < context.route.attempts
+                && !known.is_quarantined()
                 && !context.left().is_zero()
                 && self.spend(&context.service);
             let repeat = context.route.repeat;
@@ -307,6 +331,7 @@
         self: &Arc<Self>,
         context: &Arc<RequestContext>,
         answered: Answered,
+        suspicion: Suspicion,
     ) -> Result<Response<Body>, Missed> {
         let Answered { mut head, mut upstream } = answered;
         let status = head.status;
@@ -325,6 +350,7 @@
                 Arc::clone(context),
                 upstream,
                 kept,
+                suspicion,
             );
             return Ok(Response::from_parts(head, relay(state)));
         }
@@ -338,6 +364,9 @@
             }
         })?;
         self.pool.put(connection, &head.headers);
+        if is_framed(&head.headers) {
+            self.poison.answered(context);
+        }
         let failed = status.is_server_error();
         if failed && context.route.repeat != Repeat::Never {
             let why = format!("the replica answered {status}");
@@ -367,6 +396,28 @@
         others && context.route.attempts > 1
     }
 
+    /// Looks at a replica from which no whole answer came: whether its process
+    /// has ended, and what is known of the request now, of which `sent` was
+    /// known when it was sent there. The replica is asked only where the
+    /// connection to it ended, since all else has other causes.
+    pub(crate) async fn examine(
+        &self,
+        context: &RequestContext,
+        replica: &Replica,
+        cut: bool,
+        sent: Suspicion,
+    ) -> (Option<bool>, Suspicion) {
+        self.poison.released(context);
+        if !cut {
+            return (None, sent);
+        }
+        if !is_refused(replica.addr).await {
+            return (Some(false), sent);
+        }
+        let known = self.poison.ended_under(context, replica, sent);
+        (Some(true), known)
+    }
+
     /// Spends a retry of a service's share, if there is one.
     pub(crate) fn spend(&self, service: &Arc<str>) -> bool {
         let now = self.facts.now();
@@ -388,15 +439,6 @@
     }
 }
 
-/// Returns whether a replica's process has ended; asked only where the
-/// connection to it did, since all else has other causes.
-pub(crate) async fn has_ended(replica: &Replica, cut: bool) -> Option<bool> {
-    if !cut {
-        return None;
-    }
-    Some(is_refused(replica.addr).await)
-}
-
 fn need(context: &RequestContext) -> Need {
     Need {
         service: Arc::clone(&context.service),
@@ -406,5 +448,6 @@
         priority: context.priority,
         prompt_tokens: context.caller.prompt_tokens,
         objective: context.route.objective(),
+        suspicion: Suspicion::default(),
     }
 }
--- a/crates/gateway/src/forward/refuse.rs
+++ b/crates/gateway/src/forward/refuse.rs
@@ -5,6 +5,7 @@
 use hyper::Response;
 use rand::RngExt as _;
 use stairhinge::direct::Shortage;
+use stairhinge::poison::Refusal;
 use stairhinge::{Code, Error, Ran};
 use stairhinge_shell::decisions::Decision;
 use stairhinge_shell::http::{Body, Failed};
@@ -55,6 +56,15 @@
     Failed::new(error).with_back(span)
 }
 
+/// Returns the answer to a request that is kept from replicas, with when it
+/// may be sent again; or that it may have run, if an earlier attempt may.
+pub(super) fn quarantined(refusal: &Refusal, ran: bool) -> Failed {
+    if ran {
+        return Failed::new(Error::new(Code::LostBackend, refusal));
+    }
+    Failed::new(Error::new(Code::Quarantined, refusal)).with_back(refusal.back)
+}
+
 /// Returns the failure of a request that may have run.
 pub(super) fn lost(context: &RequestContext, missed: &Missed) -> Failed {
     let code = if context.left().is_zero() {
--- a/crates/gateway/src/hop_headers.rs
+++ b/crates/gateway/src/hop_headers.rs
@@ -1,8 +1,8 @@
 //! Headers and statuses that are not passed on as they are.
 
 use hyper::header::{
-    CONNECTION, HOST, HeaderMap, HeaderName, TE, TRAILER, TRANSFER_ENCODING,
-    UPGRADE,
+    CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
 };
 
 /// Headers that concern one connection only.
@@ -34,6 +34,13 @@
     }
 }
 
+/// Returns whether an answer with these headers shows where it ends. One that
+/// ends with its connection looks whole also where its sender was lost.
+pub(crate) fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH)
+        || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Statuses by which a caller is told that a request did not run.
 pub(crate) const fn promises(status: u16) -> bool {
     matches!(status, 408 | 421 | 429 | 503)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! A caller's request is matched to a route ([`forward`]), waits its turn
 //! for a replica ([`dispatch`]), which one entry of the hall chooses for all
-//! ([`placing`]), is sent on a kept connection ([`pool`]), and
+//! ([`placing`]), is kept from replicas if it ends those that it runs on
+//! ([`poison`]), is sent on a kept connection ([`pool`]), and
 //! its answer is passed on ([`relay`]). What a process believes of replicas
 //! comes from the platform ([`stairhinge_shell::directory`]) and, newer, from
 //! the agents beside them ([`feed`]). One entry reads the platform for the
@@ -25,12 +26,14 @@
 mod news;
 mod pauses;
 mod placing;
+mod poison;
 mod pool;
 mod ready;
 mod relay;
 mod report;
 mod request_context;
 mod settings;
+mod wire;
 
 pub use self::dialect::{
     Attempt, CallerRequest, Dialect, Judgement, PlainDialect, header_text,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -40,6 +40,8 @@
     pub resumed: Counter,
     pub ended_under: Counter,
     pub cancelled: Counter,
+    pub suspected: Gauge,
+    pub quarantined: Gauge,
     pub running: Gauge,
     pub waiting: Gauge,
     pub revision: Gauge,
@@ -65,6 +67,8 @@
             resumed: Counter::default(),
             ended_under: Counter::default(),
             cancelled: Counter::default(),
+            suspected: Gauge::default(),
+            quarantined: Gauge::default(),
             running: Gauge::default(),
             waiting: Gauge::default(),
             revision: Gauge::default(),
@@ -105,6 +109,18 @@
             "Attempts under which the replica's process ended",
             ended_under,
         );
+        let suspected = self.suspected.clone();
+        r.register(
+            "requests_suspected",
+            "Requests remembered under which replicas ended",
+            suspected,
+        );
+        let quarantined = self.quarantined.clone();
+        r.register(
+            "requests_quarantined",
+            "Of these, the ones kept from replicas",
+            quarantined,
+        );
         let cancelled = self.cancelled.clone();
         r.register("cancelled", "Requests whose caller went", cancelled);
         r.register("running", "Requests at replicas", self.running.clone());
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -9,7 +9,6 @@
 mod chooser;
 mod lease;
 mod placer;
-mod wire;
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -26,8 +25,9 @@
 pub(crate) use self::chooser::Chooser;
 pub(crate) use self::lease::Lease;
 use self::placer::Given;
-use self::wire::Wire;
 use crate::dispatch::{Dispatcher, Place};
+use crate::poison::PoisonGossip;
+use crate::wire::Wire;
 
 /// How often places are looked after, and whether this entry knows enough to
 /// place for others.
@@ -47,6 +47,9 @@
 struct Peers {
     own: SocketAddr,
     wire: Arc<Wire>,
+    /// Whether places are asked for and given.
+    places: bool,
+    gossip: Arc<PoisonGossip>,
     asker: Asker,
     choice: Mutex<PlacerChoice>,
     given: Arc<Given>,
@@ -60,25 +63,26 @@
         HallPlacing { dispatcher, peers: None }
     }
 
-    /// Returns the placing of an entry that others reach at `own`.
-    ///
-    /// # Errors
-    ///
-    /// [`Code::CannotBind`] if the address is taken.
-    pub(crate) async fn bind(
+    /// Returns the placing of an entry that others reach at `own` by a
+    /// socket. Without `places` each entry picks by itself.
+    pub(crate) fn new(
         dispatcher: Arc<Dispatcher>,
         own: SocketAddr,
-    ) -> Result<HallPlacing, Error> {
-        let wire = Arc::new(Wire::bind(own).await?);
+        wire: Arc<Wire>,
+        places: bool,
+        gossip: Arc<PoisonGossip>,
+    ) -> HallPlacing {
         let peers = Peers {
             own,
+            places,
+            gossip,
             asker: Asker::new(Arc::clone(&wire)),
             wire,
             choice: Mutex::new(PlacerChoice::new(own)),
             given: Arc::default(),
             ready: AtomicBool::new(false),
         };
-        Ok(HallPlacing { dispatcher, peers: Some(peers) })
+        HallPlacing { dispatcher, peers: Some(peers) }
     }
 
     /// Returns a place at a replica, waiting until `until` for one. Nobody
@@ -89,7 +93,7 @@
         until: Instant,
         left: Duration,
     ) -> Result<Place, Lack> {
-        let Some(peers) = &self.peers else {
+        let Some(peers) = self.peers.as_ref().filter(|p| p.places) else {
             return self.own(need, until, Chooser::Alone).await;
         };
         let ranked = self.dispatcher.ranked();
@@ -232,6 +236,7 @@
             Ok(Message::Event { number, event }) => {
                 peers.given.take(from, number, event);
             }
+            Ok(Message::Poison(news)) => peers.gossip.take(from, news),
             Err(error) if peers.wire.is_new_fault(from) => {
                 self.dispatcher.facts().log().write(&Decision::SourceFailed {
                     source: &format!("entry {from}"),
@@ -247,7 +252,7 @@
         let ranked = self.dispatcher.ranked();
         peers.choice().retain(&ranked);
         let placer = Seat::of(peers.own, &ranked) == Seat::Placer;
-        let ready = placer && self.dispatcher.hears_hall();
+        let ready = peers.places && placer && self.dispatcher.hears_hall();
         peers.ready.store(ready, Ordering::Relaxed);
         peers.given.look(&self.dispatcher);
     }
--- a/crates/gateway/src/placing/asker.rs
+++ b/crates/gateway/src/placing/asker.rs
@@ -12,7 +12,7 @@
 use tokio::sync::mpsc;
 
 use super::lease::Lease;
-use super::wire::Wire;
+use crate::wire::Wire;
 
 /// Asks placers.
 pub(super) struct Asker {
--- a/crates/gateway/src/placing/lease.rs
+++ b/crates/gateway/src/placing/lease.rs
@@ -6,7 +6,7 @@
 
 use stairhinge::placing::{Message, Outcome, PlaceEvent};
 
-use super::wire::Wire;
+use crate::wire::Wire;
 
 /// A place that another entry has given; dropping it gives the place back.
 #[derive(Debug)]
--- a/crates/gateway/src/placing/placer.rs
+++ b/crates/gateway/src/placing/placer.rs
@@ -9,8 +9,8 @@
     Question, Verdict,
 };
 
-use super::wire::Wire;
 use crate::dispatch::{Dispatcher, Found, Place};
+use crate::wire::Wire;
 
 /// The places that other entries have from this one.
 #[derive(Default)]
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,13 +13,15 @@
 use hyper::body::{Frame, Incoming};
 use hyper::header::HeaderMap;
 use stairhinge::Code;
-use stairhinge::direct::{EventSplitter, NextStep, Repeat};
+use stairhinge::direct::{EventSplitter, NextStep, Repeat, Replica};
 use stairhinge::placing::{Need, Outcome};
+use stairhinge::poison::Suspicion;
 use stairhinge_shell::decisions::Decision;
 use stairhinge_shell::http::{Body, BodyError};
 
 use crate::dispatch::Place;
-use crate::forward::{FailedAttempt, Forwarder, has_ended};
+use crate::forward::{FailedAttempt, Forwarder, Missed};
+use crate::hop_headers::is_framed;
 use crate::pauses::Pauses;
 use crate::pool::Connection;
 use crate::request_context::RequestContext;
@@ -54,6 +56,8 @@
     version: Option<u64>,
     tried: Vec<Arc<str>>,
     attempt: u32,
+    /// What was known of the request when it was sent where it runs now.
+    suspicion: Suspicion,
     pauses: Pauses,
     ended: bool,
 }
@@ -85,10 +89,17 @@
 /// Why a stream was not taken up at another replica.
 struct NotTaken {
     reason: String,
-    /// The attempt there, if a replica was found.
+    /// The attempt there, if it failed.
     failed: Option<FailedAttempt>,
 }
 
+impl NotTaken {
+    /// Returns a reason that speaks against no replica.
+    fn before(reason: impl ToString) -> NotTaken {
+        NotTaken { reason: reason.to_string(), failed: None }
+    }
+}
+
 impl Relay {
     /// Returns a relay of an answer whose head had these headers.
     pub(crate) fn new(
@@ -96,6 +107,7 @@
         context: Arc<RequestContext>,
         upstream: Upstream,
         headers: HeaderMap,
+        suspicion: Suspicion,
     ) -> Relay {
         let tried = vec![Arc::clone(&upstream.place.replica.incarnation)];
         Relay {
@@ -108,6 +120,7 @@
             splitter: EventSplitter::new(),
             tried,
             attempt: 1,
+            suspicion,
             pauses: Pauses::default(),
             ended: false,
         }
@@ -202,6 +215,9 @@
         if let Some(upstream) = self.upstream.take() {
             let Upstream { connection, place, body, .. } = upstream;
             drop(body);
+            if is_framed(&self.headers) {
+                self.forwarder.poison.answered(&self.context);
+            }
             self.forwarder.pool.put(connection, &self.headers);
             drop(place);
         }
@@ -216,6 +232,7 @@
         loop {
             self.splitter = EventSplitter::new();
             let may = self.context.route.repeat == Repeat::Resume
+                && !self.suspicion.is_quarantined()
                 && self.attempt < self.context.route.attempts
                 && !self.context.left().is_zero()
                 && self.forwarder.spend(&self.context.service);
@@ -244,12 +261,29 @@
         let replica = Arc::clone(&upstream.place.replica);
         let sent = upstream.sent;
         drop(upstream);
-        let replica_ended = has_ended(&replica, broke.cut).await;
         let reason = broke.reason;
-        Some(FailedAttempt { replica, sent, reason, replica_ended })
+        Some(self.examine(replica, sent, reason, broke.cut).await)
+    }
+
+    /// Looks at a replica that did not bring the whole answer.
+    async fn examine(
+        &mut self,
+        replica: Arc<Replica>,
+        sent: Instant,
+        reason: String,
+        cut: bool,
+    ) -> FailedAttempt {
+        let known = self.suspicion;
+        let (replica_ended, known) =
+            self.forwarder.examine(&self.context, &replica, cut, known).await;
+        self.suspicion = known;
+        FailedAttempt { replica, sent, reason, replica_ended }
     }
 
     async fn take_up(&mut self) -> Result<(), NotTaken> {
+        let poison = &self.forwarder.poison;
+        self.suspicion =
+            poison.admit(&self.context).map_err(NotTaken::before)?;
         let need = Need {
             service: Arc::clone(&self.context.service),
             model: self.context.caller.model.clone(),
@@ -259,14 +293,19 @@
             priority: 0,
             prompt_tokens: self.context.caller.prompt_tokens,
             objective: self.context.route.objective(),
+            suspicion: self.suspicion,
         };
         let left = self.context.left();
         let until = Instant::now() + RESUME_WAIT.min(left);
         let found = self.forwarder.placing.place(need, until, left).await;
-        let place = found.map_err(|e| NotTaken {
-            reason: format!("no other replica: {e}"),
-            failed: None,
+        let place = found.map_err(|lack| {
+            self.forwarder.poison.released(&self.context);
+            NotTaken::before(format!("no other replica: {lack}"))
         })?;
+        self.forwarder
+            .poison
+            .still_admits(&self.context, self.suspicion)
+            .map_err(NotTaken::before)?;
         let replica = Arc::clone(&place.replica);
         self.tried.push(Arc::clone(&replica.incarnation));
         let sent = Instant::now();
@@ -277,23 +316,16 @@
         let answered = match answered {
             Ok(answered) => answered,
             Err(missed) => {
-                let replica_ended = has_ended(&replica, missed.cut).await;
-                let reason = missed.reason;
-                return Err(NotTaken {
-                    reason: reason.clone(),
-                    failed: Some(FailedAttempt {
-                        replica,
-                        sent,
-                        reason,
-                        replica_ended,
-                    }),
-                });
+                let Missed { reason, cut, .. } = missed;
+                let failed = self.examine(replica, sent, reason, cut).await;
+                let reason = failed.reason.clone();
+                return Err(NotTaken { reason, failed: Some(failed) });
             }
         };
         let replica = &replica.incarnation;
         if !answered.head.status.is_success() {
             let reason = format!("{replica} says {}", answered.head.status);
-            return Err(NotTaken { reason, failed: None });
+            return Err(NotTaken::before(reason));
         }
         self.headers = answered.head.headers;
         self.upstream = Some(answered.upstream);
@@ -308,6 +340,7 @@
 
     fn cut(&mut self, reason: &str) -> BodyError {
         self.ended = true;
+        self.forwarder.poison.given_up(&self.context);
         let code = if self.context.left().is_zero() {
             Code::TimedOut
         } else {
@@ -324,6 +357,7 @@
         if self.ended {
             return;
         }
+        self.forwarder.poison.given_up(&self.context);
         self.forwarder.metrics.cancelled.inc();
         self.forwarder.facts.log().write(&Decision::Cancelled {
             request: &self.context.caller.id,
--- a/crates/gateway/src/placing/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -32,7 +32,7 @@
     /// # Errors
     ///
     /// [`Code::CannotBind`] if the address is taken.
-    pub(super) async fn bind(addr: SocketAddr) -> Result<Wire, Error> {
+    pub(crate) async fn bind(addr: SocketAddr) -> Result<Wire, Error> {
         let socket = UdpSocket::bind(addr).await.map_err(|e| {
             Error::new(Code::CannotBind, format_args!("{addr}, UDP: {e}"))
         })?;
@@ -41,13 +41,13 @@
 
     /// Sends a message. One that cannot be sent at once is lost, as it may
     /// be on its way: no request waits for a full socket.
-    pub(super) fn send(&self, to: SocketAddr, message: &Message) {
+    pub(crate) fn send(&self, to: SocketAddr, message: &Message) {
         let Ok(json) = serde_json::to_vec(message) else { return };
         let _ = self.socket.try_send_to(&json, to);
     }
 
     /// Waits for the next message.
-    pub(super) async fn receive(
+    pub(crate) async fn receive(
         &self,
     ) -> (SocketAddr, Result<Message, Error>) {
         let mut buffer = [0; MOST];
@@ -61,7 +61,7 @@
     }
 
     /// Returns the next message if it is here already.
-    pub(super) fn try_receive(
+    pub(crate) fn try_receive(
         &self,
     ) -> Option<(SocketAddr, Result<Message, Error>)> {
         let mut buffer = [0; MOST];
@@ -70,7 +70,7 @@
     }
 
     /// Returns whether this is the first bad message of a sender.
-    pub(super) fn is_new_fault(&self, from: SocketAddr) -> bool {
+    pub(crate) fn is_new_fault(&self, from: SocketAddr) -> bool {
         let mut faulty =
             self.faulty.lock().unwrap_or_else(PoisonError::into_inner);
         faulty.len() < MOST_FAULTY && faulty.insert(from)
--- a/crates/shell/src/decisions.rs
+++ b/crates/shell/src/decisions.rs
@@ -186,6 +186,69 @@
         /// What follows.
         next: &'static str,
     },
+    /// A replica ended under a request.
+    PoisonSuspected {
+        /// The request's id.
+        request: &'a str,
+        /// Names what it asks.
+        fingerprint: &'a str,
+        /// The replica's incarnation.
+        replica: &'a str,
+        /// Replicas that ended under it, one after the other.
+        ended: u8,
+        /// How often a whole answer has cleared it before.
+        cleared: u32,
+        /// Whether it is kept from replicas from now on.
+        quarantined: bool,
+    },
+    /// A request was refused, since it ends the replicas that it runs on.
+    PoisonRefused {
+        /// The request's id.
+        request: &'a str,
+        /// Names what it asks.
+        fingerprint: &'a str,
+        /// The replicas that ended under it.
+        replicas: &'a [Arc<str>],
+        /// How long that has been known here, in milliseconds.
+        age_ms: u64,
+        /// When it may be sent again, in milliseconds.
+        back_ms: u64,
+    },
+    /// A request that was kept from replicas is tried again.
+    PoisonTried {
+        /// The request's id.
+        request: &'a str,
+        /// Names what it asks.
+        fingerprint: &'a str,
+        /// Counted from 1.
+        trial: u8,
+    },
+    /// A request under which replicas ended has had its whole answer.
+    PoisonCleared {
+        /// The request's id.
+        request: &'a str,
+        /// Names what it asks.
+        fingerprint: &'a str,
+        /// Replicas that had ended under it, one after the other.
+        ended: u8,
+    },
+    /// Another entry told of a request under which replicas ended.
+    PoisonLearned {
+        /// Names what it asks.
+        fingerprint: &'a str,
+        /// The entry.
+        from: SocketAddr,
+        /// Replicas that ended under it, one after the other.
+        ended: u8,
+        /// How often a whole answer has cleared it.
+        cleared: u32,
+        /// How often it was tried again.
+        trials: u8,
+        /// How long ago that changed, in milliseconds.
+        age_ms: u64,
+        /// The replicas.
+        replicas: &'a [Arc<str>],
+    },
     /// A stream was taken up at another replica.
     Resumed {
         /// The request's id.
--- a/src/code.rs
+++ b/src/code.rs
@@ -191,6 +191,9 @@
     TimedOut = 3019, 504, MAY,
         "The request's time was over before its answer was whole.",
         "Repeat it only if it is repeatable, or allow more time.";
+    Quarantined = 3020, 503, NOT,
+        "Backend servers ended, one after the other, as they ran this request.",
+        "Mend the request; it is tried again after `Retry-After`.";
     CorruptChunk = 4001, 502, None,
         "A chunk's bytes do not have the declared digest.",
         "None: it is drawn again elsewhere; see who sent it.";
--- a/src/placing/message.rs
+++ b/src/placing/message.rs
@@ -1,4 +1,5 @@
-//! What entries and the placer of their hall tell one another.
+//! What entries tell one another by datagrams: of places, and of poisoned
+//! requests.
 //!
 //! Each message is one datagram of JSON. One that is lost, late or doubled
 //! costs at most a choice without the placer: a place is known by the
@@ -11,6 +12,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::poison::{PoisonNews, Suspicion};
+
 /// One datagram.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -31,6 +34,8 @@
         /// What happened.
         event: PlaceEvent,
     },
+    /// An entry tells of requests that end replicas.
+    Poison(PoisonNews),
 }
 
 /// What a request needs of a replica.
@@ -50,6 +55,9 @@
     pub prompt_tokens: u32,
     /// Within which its first token is to come.
     pub objective: Duration,
+    /// How far it is suspected of ending the replicas that it runs on.
+    #[serde(default)]
+    pub suspicion: Suspicion,
 }
 
 /// A question for a place.
--- /dev/null
+++ b/src/poison/record.rs
@@ -0,0 +1,78 @@
+//! What is known of one request.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::Fingerprint;
+
+/// How far a request is suspected.
+///
+/// Suspicions of one request are ordered: the greater one is newer.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Deserialize,
+    Eq,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+)]
+pub struct Suspicion {
+    /// How often a whole answer has cleared it.
+    pub cleared: u32,
+    /// Replicas that have ended under it since, one after the other.
+    pub ended: u8,
+    /// How often it was tried again while it was quarantined.
+    pub trials: u8,
+}
+
+impl Suspicion {
+    /// So many replicas have to end under a request, one after the other,
+    /// until it is quarantined. With two, a request that ran beside a poisoned
+    /// one and was sent to the same second replica would be.
+    pub const LIMIT: u8 = 3;
+
+    /// The most trials of a quarantined request.
+    pub const MOST_TRIALS: u8 = 3;
+
+    /// Returns whether the request is kept from replicas.
+    pub const fn is_quarantined(self) -> bool {
+        self.ended >= Suspicion::LIMIT
+    }
+
+    /// Returns whether one more replica that ends makes it quarantined, or
+    /// keeps it so: its runs are kept apart from one another.
+    pub const fn is_last(self) -> bool {
+        self.ended + 1 >= Suspicion::LIMIT
+    }
+
+    /// Returns whether the counts are within their ranges.
+    pub(super) const fn is_valid(self) -> bool {
+        self.ended <= Suspicion::LIMIT && self.trials <= Suspicion::MOST_TRIALS
+    }
+}
+
+/// What one entry tells others of a request.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PoisonRecord {
+    /// The request.
+    pub request: Fingerprint,
+    /// How far it is suspected.
+    pub suspicion: Suspicion,
+    /// How long ago that changed, in milliseconds.
+    pub age_ms: u64,
+    /// The replicas that ended under it, as far as told.
+    pub replicas: Vec<Arc<str>>,
+}
+
+impl PoisonRecord {
+    /// Returns how long ago it changed.
+    pub(super) const fn age(&self) -> Duration {
+        Duration::from_millis(self.age_ms)
+    }
+}
