@@ -6482,14 +7534,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0xa364_1178_d09f_3f4b;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xb734_e41e_b180_a370;
         }
     }
 
-    pub mod operator_params {
+    pub mod news_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -6542,7 +7594,7 @@
             }
         }
 
-        impl <> Reader<'_,>  {
+        impl <'a,> Reader<'a,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -6550,11 +7602,19 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
+            #[inline]
+            pub fn get_news(self) -> ::capnp::Result<crate::fleet_capnp::news::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_news(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6604,6 +7664,22 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
+            #[inline]
+            pub fn get_news(self) -> ::capnp::Result<crate::fleet_capnp::news::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_news(&mut self, value: crate::fleet_capnp::news::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_news(self, ) -> crate::fleet_capnp::news::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            }
+            #[inline]
+            pub fn has_news(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -6613,29 +7689,50 @@
             }
         }
         impl Pipeline  {
+            pub fn get_news(&self) -> crate::fleet_capnp::news::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(180, 219, 4, 108, 242, 254, 58, 130),
+                ::capnp::word(7, 194, 42, 33, 219, 9, 130, 214),
                 ::capnp::word(17, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
-                ::capnp::word(46, 111, 112, 101, 114, 97, 116, 111),
-                ::capnp::word(114, 36, 80, 97, 114, 97, 109, 115),
+                ::capnp::word(46, 110, 101, 119, 115, 36, 80, 97),
+                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(110, 101, 119, 115, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(249, 11, 166, 209, 174, 22, 247, 246),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
+                match index {
+                    0 => <crate::fleet_capnp::news::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
             }
             pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -6647,14 +7744,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0x823a_fef2_6c04_dbb4;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xd682_09db_212a_c207;
         }
     }
 
-    pub mod operator_results {
+    pub mod news_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -6716,11 +7813,11 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_operator(self) -> ::capnp::Result<crate::fleet_capnp::operator::Client> {
-                match self.reader.get_pointer_field(0).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+            pub fn get_news(self) -> ::capnp::Result<crate::fleet_capnp::news::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_operator(&self) -> bool {
+            pub fn has_news(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -6778,15 +7875,19 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_operator(self) -> ::capnp::Result<crate::fleet_capnp::operator::Client> {
-                match self.builder.get_pointer_field(0).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+            pub fn get_news(self) -> ::capnp::Result<crate::fleet_capnp::news::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_operator(&mut self, value: crate::fleet_capnp::operator::Client)  {
-                self.builder.reborrow().get_pointer_field(0).set_capability(value.client.hook);
+            pub fn set_news(&mut self, value: crate::fleet_capnp::news::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn has_operator(&self) -> bool {
+            pub fn init_news(self, ) -> crate::fleet_capnp::news::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            }
+            #[inline]
+            pub fn has_news(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -6798,50 +7899,48 @@
             }
         }
         impl Pipeline  {
-            pub fn get_operator(&self) -> crate::fleet_capnp::operator::Client {
-                ::capnp::capability::FromClientHook::new(self._typeless.get_pointer_field(0).as_cap())
+            pub fn get_news(&self) -> crate::fleet_capnp::news::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(112, 163, 128, 177, 30, 228, 52, 183),
+                ::capnp::word(145, 207, 202, 40, 71, 164, 8, 173),
                 ::capnp::word(17, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
-                ::capnp::word(46, 111, 112, 101, 114, 97, 116, 111),
-                ::capnp::word(114, 36, 82, 101, 115, 117, 108, 116),
-                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(46, 110, 101, 119, 115, 36, 82, 101),
+                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(111, 112, 101, 114, 97, 116, 111, 114),
+                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(200, 35, 165, 15, 193, 207, 79, 161),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(110, 101, 119, 115, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(249, 11, 166, 209, 174, 22, 247, 246),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::fleet_capnp::operator::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::fleet_capnp::news::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -6858,11 +7957,11 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xb734_e41e_b180_a370;
+            pub(crate) const TYPE_ID: u64 = 0xad08_a447_28ca_cf91;
         }
     }
 
-    pub mod news_params {
+    pub mod poison_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -6924,11 +8023,11 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_news(self) -> ::capnp::Result<crate::fleet_capnp::news::Reader<'a>> {
+            pub fn get_poison(self) -> ::capnp::Result<crate::fleet_capnp::poison::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_news(&self) -> bool {
+            pub fn has_poison(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -6986,19 +8085,19 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_news(self) -> ::capnp::Result<crate::fleet_capnp::news::Builder<'a>> {
+            pub fn get_poison(self) -> ::capnp::Result<crate::fleet_capnp::poison::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_news(&mut self, value: crate::fleet_capnp::news::Reader<'_>) -> ::capnp::Result<()> {
+            pub fn set_poison(&mut self, value: crate::fleet_capnp::poison::Reader<'_>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_news(self, ) -> crate::fleet_capnp::news::Builder<'a> {
+            pub fn init_poison(self, ) -> crate::fleet_capnp::poison::Builder<'a> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn has_news(&self) -> bool {
+            pub fn has_poison(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -7010,19 +8109,19 @@
             }
         }
         impl Pipeline  {
-            pub fn get_news(&self) -> crate::fleet_capnp::news::Pipeline {
+            pub fn get_poison(&self) -> crate::fleet_capnp::poison::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
         }
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(7, 194, 42, 33, 219, 9, 130, 214),
+                ::capnp::word(20, 44, 135, 93, 161, 2, 253, 193),
                 ::capnp::word(17, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
@@ -7030,19 +8129,19 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
-                ::capnp::word(46, 110, 101, 119, 115, 36, 80, 97),
-                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
+                ::capnp::word(46, 112, 111, 105, 115, 111, 110, 36),
+                ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(110, 101, 119, 115, 0, 0, 0, 0),
+                ::capnp::word(112, 111, 105, 115, 111, 110, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(249, 11, 166, 209, 174, 22, 247, 246),
+                ::capnp::word(4, 148, 32, 64, 5, 255, 107, 202),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -7051,7 +8150,7 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::fleet_capnp::news::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::fleet_capnp::poison::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -7068,11 +8167,11 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xd682_09db_212a_c207;
+            pub(crate) const TYPE_ID: u64 = 0xc1fd_02a1_5d87_2c14;
         }
     }
 
-    pub mod news_results {
+    pub mod poison_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -7134,11 +8233,11 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_news(self) -> ::capnp::Result<crate::fleet_capnp::news::Reader<'a>> {
+            pub fn get_poison(self) -> ::capnp::Result<crate::fleet_capnp::poison::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_news(&self) -> bool {
+            pub fn has_poison(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -7196,19 +8295,19 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_news(self) -> ::capnp::Result<crate::fleet_capnp::news::Builder<'a>> {
+            pub fn get_poison(self) -> ::capnp::Result<crate::fleet_capnp::poison::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_news(&mut self, value: crate::fleet_capnp::news::Reader<'_>) -> ::capnp::Result<()> {
+            pub fn set_poison(&mut self, value: crate::fleet_capnp::poison::Reader<'_>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_news(self, ) -> crate::fleet_capnp::news::Builder<'a> {
+            pub fn init_poison(self, ) -> crate::fleet_capnp::poison::Builder<'a> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn has_news(&self) -> bool {
+            pub fn has_poison(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -7220,19 +8319,19 @@
             }
         }
         impl Pipeline  {
-            pub fn get_news(&self) -> crate::fleet_capnp::news::Pipeline {
+            pub fn get_poison(&self) -> crate::fleet_capnp::poison::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
         }
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(145, 207, 202, 40, 71, 164, 8, 173),
+                ::capnp::word(144, 77, 120, 231, 183, 220, 57, 227),
                 ::capnp::word(17, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
@@ -7240,19 +8339,19 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
-                ::capnp::word(46, 110, 101, 119, 115, 36, 82, 101),
-                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
+                ::capnp::word(46, 112, 111, 105, 115, 111, 110, 36),
+                ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(110, 101, 119, 115, 0, 0, 0, 0),
+                ::capnp::word(112, 111, 105, 115, 111, 110, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(249, 11, 166, 209, 174, 22, 247, 246),
+                ::capnp::word(4, 148, 32, 64, 5, 255, 107, 202),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -7261,7 +8360,7 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::fleet_capnp::news::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::fleet_capnp::poison::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -7278,7 +8377,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xad08_a447_28ca_cf91;
+            pub(crate) const TYPE_ID: u64 = 0xe339_dcb7_e778_4d90;
         }
     }
 }
--- a/crates/shell/src/control.rs
+++ b/crates/shell/src/control.rs
@@ -15,5 +15,5 @@
 mod wire;
 
 pub use self::report::Report;
-pub use self::service::{ClaimAsk, Control, Grant, News, Pulled};
+pub use self::service::{ClaimAsk, Control, Grant, News, PoisonTold, Pulled};
 pub use self::wire::Wire;
--- a/crates/shell/src/control/convert.rs
+++ b/crates/shell/src/control/convert.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use stairhinge::document::{Delta, Document, Kind, Seen};
+use stairhinge::poison::{PoisonRecord, Suspicion};
 use stairhinge::{Code, Digest, Ran};
 use stairhinge_schema::fleet_capnp as schema;
 
-use super::{News, Pulled, Report};
+use super::{News, PoisonTold, Pulled, Report};
 
 type Read<T> = Result<T, capnp::Error>;
 
@@ -36,6 +37,7 @@
     to.set_share(report.share);
     to.set_rate(report.rate);
     to.set_stuck(report.stuck.map_or(0, Code::number));
+    to.set_poison(report.poison);
 }
 
 pub(super) fn get_report(from: schema::report::Reader<'_>) -> Read<Report> {
@@ -55,6 +57,7 @@
         share: from.get_share(),
         rate: from.get_rate(),
         stuck: Code::from_number(from.get_stuck()),
+        poison: from.get_poison(),
     })
 }
 
@@ -152,3 +155,64 @@
         control: text(from.get_control())?.parse().ok(),
     })
 }
+
+pub(super) fn put_poison(
+    told: &PoisonTold,
+    mut to: schema::poison::Builder<'_>,
+) {
+    to.set_digest(told.digest);
+    if let Some(about) = told.about {
+        to.set_about(about.to_string());
+    }
+    let mut list = to.init_records(told.records.len() as u32);
+    for (i, record) in told.records.iter().enumerate() {
+        put_poison_record(record, list.reborrow().get(i as u32));
+    }
+}
+
+fn put_poison_record(
+    record: &PoisonRecord,
+    mut to: schema::poison_record::Builder<'_>,
+) {
+    to.set_request(record.request.to_string());
+    to.set_cleared(record.suspicion.cleared);
+    to.set_ended(record.suspicion.ended);
+    to.set_trials(record.suspicion.trials);
+    to.set_age_ms(record.age_ms);
+    let mut replicas = to.init_replicas(record.replicas.len() as u32);
+    for (i, replica) in record.replicas.iter().enumerate() {
+        replicas.set(i as u32, &**replica);
+    }
+}
+
+pub(super) fn get_poison(
+    from: schema::poison::Reader<'_>,
+) -> Read<PoisonTold> {
+    let mut records = Vec::new();
+    for record in from.get_records()? {
+        records.push(get_poison_record(record)?);
+    }
+    let about = text(from.get_about())?.parse().ok();
+    Ok(PoisonTold { digest: from.get_digest(), records, about })
+}
+
+fn get_poison_record(
+    from: schema::poison_record::Reader<'_>,
+) -> Read<PoisonRecord> {
+    let request = text(from.get_request())?.parse();
+    let failed = |e: stairhinge::Error| capnp::Error::failed(e.to_string());
+    let mut replicas = Vec::new();
+    for replica in from.get_replicas()? {
+        replicas.push(text(replica)?);
+    }
+    Ok(PoisonRecord {
+        request: request.map_err(failed)?,
+        suspicion: Suspicion {
+            cleared: from.get_cleared(),
+            ended: from.get_ended(),
+            trials: from.get_trials(),
+        },
+        age_ms: from.get_age_ms(),
+        replicas,
+    })
+}
--- a/crates/shell/src/control/report.rs
+++ b/crates/shell/src/control/report.rs
@@ -41,6 +41,8 @@
     pub rate: u32,
     /// What holds it up.
     pub stuck: Option<Code>,
+    /// The digest of its table of poisoned requests.
+    pub poison: u64,
 }
 
 impl Report {
--- a/crates/shell/src/control/serve.rs
+++ b/crates/shell/src/control/serve.rs
@@ -13,8 +13,8 @@
 use tokio_util::compat::TokioAsyncReadCompatExt as _;
 
 use super::convert::{
-    from_kind, from_ran, get_news, get_report, get_seen, put_news, put_pulled,
-    put_report, text, to_ran,
+    from_kind, from_ran, get_news, get_poison, get_report, get_seen, put_news,
+    put_poison, put_pulled, put_report, text, to_ran,
 };
 use super::counted::Counted;
 use super::fleet::put_fleet;
@@ -108,6 +108,17 @@
         Ok(())
     }
 
+    async fn poison(
+        self: Rc<Self>,
+        params: peer::PoisonParams,
+        mut results: peer::PoisonResults,
+    ) -> Result<(), capnp::Error> {
+        let from = get_poison(params.get()?.get_poison()?)?;
+        let own = self.0.poison(from);
+        put_poison(&own, results.get().init_poison());
+        Ok(())
+    }
+
     async fn revoke(
         self: Rc<Self>,
         params: peer::RevokeParams,
--- a/crates/shell/src/control/service.rs
+++ b/crates/shell/src/control/service.rs
@@ -7,6 +7,7 @@
 use futures::future::BoxFuture;
 use stairhinge::declaration::Fleet;
 use stairhinge::document::{Delta, Document, Kind, Seen};
+use stairhinge::poison::{Fingerprint, PoisonRecord};
 use stairhinge::request::{Attempt, Key};
 use stairhinge::{Code, Error, Ran};
 
@@ -54,6 +55,17 @@
     pub revision: u64,
 }
 
+/// What a process knows of poisoned requests, in part.
+#[derive(Clone, Debug)]
+pub struct PoisonTold {
+    /// Of the whole table.
+    pub digest: u64,
+    /// Some of its records.
+    pub records: Vec<PoisonRecord>,
+    /// A request that the sender wants to hear of.
+    pub about: Option<Fingerprint>,
+}
+
 /// What a process answers to control calls.
 pub trait Control: Send + Sync {
     /// Takes in a peer's report and returns the own one.
@@ -66,6 +78,10 @@
     /// Takes in how far a peer has got, and returns the same of this process.
     fn news(&self, from: News) -> News;
 
+    /// Takes in what a peer knows of poisoned requests, and returns what it
+    /// may lack.
+    fn poison(&self, from: PoisonTold) -> PoisonTold;
+
     /// Revokes an attempt meant for an incarnation of this agent.
     fn revoke(&self, attempt: &Attempt, incarnation: u64) -> Ran;
 
--- a/crates/shell/src/control/wire.rs
+++ b/crates/shell/src/control/wire.rs
@@ -15,11 +15,13 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::convert::{
-    from_ran, get_news, get_pulled, get_report, put_news, put_report,
-    put_seen, text, to_kind, to_ran,
+    from_ran, get_news, get_poison, get_pulled, get_report, put_news,
+    put_poison, put_report, put_seen, text, to_kind, to_ran,
 };
 use super::links::{Job, control_thread};
-use super::{ClaimAsk, Control, Grant, News, Pulled, Report, serve};
+use super::{
+    ClaimAsk, Control, Grant, News, PoisonTold, Pulled, Report, serve,
+};
 use crate::Shutdown;
 
 /// The handle to a process's control thread; clones share it.
@@ -152,6 +154,26 @@
         .await
     }
 
+    /// Tells a peer of poisoned requests, and hears of some.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::PeerLost`].
+    pub async fn poison(
+        &self,
+        addr: SocketAddr,
+        within: Duration,
+        told: PoisonTold,
+    ) -> Result<PoisonTold, Error> {
+        self.call(addr, within, move |peer| async move {
+            let mut request = peer.poison_request();
+            put_poison(&told, request.get().init_poison());
+            let response = request.send().promise.await?;
+            get_poison(response.get()?.get_poison()?)
+        })
+        .await
+    }
+
     /// Pulls what leads from what is held here to what the peer has newer.
     ///
     /// # Errors
--- a/crates/shell/src/http/headers.rs
+++ b/crates/shell/src/http/headers.rs
@@ -27,6 +27,12 @@
 pub const INCARNATION: &str = "stairhinge-incarnation";
 /// The revision of the sender's configuration.
 pub const REVISION: &str = "stairhinge-revision";
+/// Names what a request asks, the same for all its tries, from entry to
+/// agent.
+pub const FINGERPRINT: &str = "stairhinge-fingerprint";
+/// How far a request is suspected of ending backend servers, from entry to
+/// agent.
+pub const SUSPICION: &str = "stairhinge-suspicion";
 /// The model that a request is for, from entry to agent.
 pub const MODEL: &str = "stairhinge-model";
 /// The requests in progress at an agent, on its answers.
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -22,6 +22,7 @@
 mod logs;
 mod metrics;
 mod rate;
+mod refused;
 mod settings_watch;
 mod shutdown;
 mod slot;
@@ -31,6 +32,7 @@
 pub use self::logs::{start as start_logs, to_report};
 pub use self::metrics::Metrics;
 pub use self::rate::Shaper;
+pub use self::refused::is_refused;
 pub use self::settings_watch::{SettingsSource, SettingsWatch};
 pub use self::shutdown::{
     HangUps, Shutdown, Stopper, on_signals, stop_on_signals,
--- a/crates/shell/src/node.rs
+++ b/crates/shell/src/node.rs
@@ -9,6 +9,7 @@
 mod gossip;
 mod identity;
 mod peers;
+mod poison;
 mod state;
 mod view;
 
--- a/crates/shell/src/node/gossip.rs
+++ b/crates/shell/src/node/gossip.rs
@@ -11,7 +11,7 @@
 use stairhinge::document::Instance;
 use stairhinge::rank;
 
-use super::Node;
+use super::{Node, poison};
 
 /// How many peers of the hall are told at once of a new document.
 const FANOUT: usize = 3;
@@ -77,14 +77,9 @@
 /// Tells a few peers of the hall, and one of each other hall if this process
 /// ranks first here, that something is new.
 async fn tell(node: &Arc<Node>) {
-    let mut seed = node.view().revision().to_le_bytes().to_vec();
-    seed.extend_from_slice(node.identity().name.as_bytes());
+    let seed = node.view().revision().to_le_bytes();
     let near = node.others(true);
-    let order = rank::order(&seed, near.iter().map(|i| &i.name));
-    let mut addrs: Vec<SocketAddr> = Vec::new();
-    for name in order.iter().take(FANOUT) {
-        addrs.extend(near.iter().find(|i| i.name == *name).map(|i| i.control));
-    }
+    let mut addrs = near_few(node, &seed);
     let mut names = vec![Arc::clone(&node.identity().name)];
     names.extend(near.iter().map(|i| Arc::clone(&i.name)));
     let first = rank::first(b"watch", &names);
@@ -100,7 +95,21 @@
     futures::future::join_all(told).await;
 }
 
-fn one_a_hall(node: &Node, seed: &[u8]) -> Vec<SocketAddr> {
+/// Returns a few peers of the hall, others for each process and seed.
+pub(super) fn near_few(node: &Node, seed: &[u8]) -> Vec<SocketAddr> {
+    let mut seed = seed.to_vec();
+    seed.extend_from_slice(node.identity().name.as_bytes());
+    let near = node.others(true);
+    let order = rank::order(&seed, near.iter().map(|i| &i.name));
+    let mut addrs = Vec::new();
+    for name in order.iter().take(FANOUT) {
+        addrs.extend(near.iter().find(|i| i.name == *name).map(|i| i.control));
+    }
+    addrs
+}
+
+/// Returns one peer of each other hall.
+pub(super) fn one_a_hall(node: &Node, seed: &[u8]) -> Vec<SocketAddr> {
     let far = node.others(false);
     let mut halls: Vec<Arc<str>> = Vec::new();
     for instance in &far {
@@ -121,7 +130,11 @@
 pub(super) async fn meet(node: &Arc<Node>, addr: SocketAddr) {
     let report = node.report();
     match node.wire().exchange(addr, WITHIN, report).await {
-        Ok(theirs) => node.hear(theirs),
+        Ok(theirs) => {
+            let digest = theirs.poison;
+            node.hear(theirs);
+            poison::compare(node, addr, digest).await;
+        }
         Err(err) => log::debug!("exchange: {err}"),
     }
 }
--- a/crates/shell/src/node/state.rs
+++ b/crates/shell/src/node/state.rs
@@ -9,9 +9,10 @@
 use arc_swap::ArcSwap;
 use stairhinge::document::{Instance, Kind, Presence};
 use stairhinge::event::Event;
+use stairhinge::poison::PoisonTable;
 use stairhinge::{Clock, Code, Error, Time};
 use tokio::runtime::Handle;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use super::documents::Documents;
 use super::{Identity, Peers, View};
@@ -45,6 +46,8 @@
     contact: Mutex<Option<Time>>,
     peers: Mutex<Peers>,
     standing: Mutex<Standing>,
+    pub(super) poison: Mutex<PoisonTable>,
+    pub(super) poison_change: Notify,
     wire: Wire,
     client: Client,
     metrics: Metrics,
@@ -87,6 +90,8 @@
             contact: Mutex::new(None),
             peers: Mutex::default(),
             standing: Mutex::new(standing),
+            poison: Mutex::default(),
+            poison_change: Notify::new(),
             wire,
             client: Client::new(),
             metrics: Metrics::new(),
@@ -100,6 +105,7 @@
             self.spawn(super::feed::run(Arc::clone(self), kind), shutdown);
         }
         self.spawn(super::gossip::run(Arc::clone(self)), shutdown);
+        self.spawn(super::poison::run(Arc::clone(self)), shutdown);
     }
 
     fn spawn(
@@ -269,6 +275,7 @@
             share: standing.share,
             rate: standing.rate,
             stuck: standing.stuck,
+            poison: self.poison().digest(),
         }
     }
 
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -1,6 +1,7 @@
 //! A model engine: batches, streams, takes fenced orders.
 
 mod answer;
+mod life;
 mod record;
 mod state;
 
--- a/crates/standins/src/engine/answer.rs
+++ b/crates/standins/src/engine/answer.rs
@@ -37,6 +37,7 @@
 struct Job {
     engine: Arc<Engine>,
     number: u64,
+    prompt: String,
     tokens: u32,
     held: Held,
     epoch: u64,
@@ -73,6 +74,7 @@
             version: held.version.clone(),
             whole: false,
         };
+        let prompt = record.prompt.clone();
         let number = {
             let mut records = lock(&self.records);
             let number = records.len() as u64;
@@ -84,7 +86,7 @@
         let rx = self.batch.add(priority, tokens);
         let engine = Arc::clone(&self);
         let epoch = self.epoch.load(Ordering::SeqCst);
-        let job = Job { engine, number, tokens, held, epoch, rx };
+        let job = Job { engine, number, prompt, tokens, held, epoch, rx };
         job.go(chat.stream)
     }
 }
@@ -141,6 +143,7 @@
                 () = tx.closed() => return,
             };
             let Some(i) = next else { break };
+            self.engine.life.run(&self.prompt).await;
             if self.breaks(i) {
                 let _ = tx.send(Err(BodyError("told to".into()))).await;
                 return;
@@ -170,6 +173,7 @@
                 () = tx.closed() => return,
             };
             let Some(i) = next else { break };
+            self.engine.life.run(&self.prompt).await;
             if self.breaks(i) {
                 let _ = tx.send(Err(BodyError("told to".into()))).await;
                 return;
--- a/crates/standins/src/engine/state.rs
+++ b/crates/standins/src/engine/state.rs
@@ -15,9 +15,13 @@
 use serde_json::json;
 use stairhinge::Digest;
 use stairhinge::serving::Fence;
-use stairhinge_shell::http::{Body, Client, Handler, answer, headers, read};
+use stairhinge_shell::http::{
+    Body, BodyError, Client, Handler, answer, headers, read, stream,
+};
+use tokio::sync::mpsc;
 
 use super::Record;
+use super::life::Life;
 use crate::batch::Batch;
 use crate::limits;
 
@@ -69,6 +73,7 @@
     loads: AtomicU32,
     /// Rises when the weights are replaced.
     pub(super) epoch: AtomicU64,
+    pub(super) life: Life,
 }
 
 #[derive(Deserialize)]
@@ -96,6 +101,7 @@
             client: Client::new(),
             loads: AtomicU32::new(0),
             epoch: AtomicU64::new(0),
+            life: Life::new(),
         })
     }
 
@@ -143,6 +149,39 @@
         self.role_delay.store(ms, Ordering::Relaxed);
     }
 
+    /// Has its process end under requests with this prompt.
+    pub fn end_under(&self, prompt: &str) {
+        self.life.end_under(prompt);
+    }
+
+    /// Ends its process.
+    pub fn end(&self) {
+        self.life.end();
+    }
+
+    /// Returns how often its process has ended.
+    pub fn ends(&self) -> u32 {
+        self.life.ends()
+    }
+
+    /// Waits until its process is to end.
+    pub async fn ending(&self) {
+        self.life.ending().await;
+    }
+
+    /// Notes that nobody listens at its address any more: what runs breaks
+    /// off, and it holds nothing.
+    pub fn down(&self) {
+        self.forget();
+        self.epoch.fetch_add(1, Ordering::SeqCst);
+        self.life.down();
+    }
+
+    /// Notes that a new process listens at its address.
+    pub fn up(&self) {
+        self.life.up();
+    }
+
     /// Returns the version that it holds, or the empty string.
     pub fn version(&self) -> String {
         lock(&self.held).version.clone()
@@ -252,6 +291,9 @@
         self: Arc<Engine>,
         request: Request<Incoming>,
     ) -> Response<Body> {
+        if self.life.is_down() {
+            return broken();
+        }
         let (parts, body) = request.into_parts();
         let limits = limits();
         let Ok(body) = read(body, limits.body, limits.body_time).await else {
@@ -294,6 +336,13 @@
     }
 }
 
+/// Returns an answer that breaks its connection off.
+fn broken() -> Response<Body> {
+    let (tx, rx) = mpsc::channel(1);
+    let _ = tx.try_send(Err(BodyError("the process has ended".into())));
+    Response::new(stream(rx))
+}
+
 pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(|e| e.into_inner())
 }
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -87,6 +87,23 @@
   stuck @12 :UInt16;        # numbered code of what holds it up, or 0
   control @13 :Text;        # where it takes control calls
   rate @14 :UInt32;         # KB/s at which it is fetching
+  poison @15 :UInt64;       # digest of its table of poisoned requests
+}
+
+# What a process knows of poisoned requests, in part.
+struct Poison {
+  digest @0 :UInt64;        # of the whole table
+  records @1 :List(PoisonRecord);
+  about @2 :Text;           # a request that the sender wants to hear of
+}
+
+struct PoisonRecord {
+  request @0 :Text;         # 32 hex digits
+  cleared @1 :UInt32;
+  ended @2 :UInt8;
+  trials @3 :UInt8;
+  ageMs @4 :UInt64;
+  replicas @5 :List(Text);
 }
 
 # How far a process has got with one published document.
@@ -124,6 +141,7 @@
   settle @4 (key :Text, holder :Text, ran :Ran);
   operator @5 () -> (operator :Operator);
   news @6 (news :News) -> (news :News);
+  poison @7 (poison :Poison) -> (poison :Poison);
 }
 
 # How far a process has got with both documents: a short report.
--- a/src/poison/record.rs
+++ b/src/poison/record.rs
@@ -1,11 +1,14 @@
 //! What is known of one request.
 
+use std::fmt;
+use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use super::Fingerprint;
+use crate::Error;
 
 /// How far a request is suspected.
 ///
@@ -57,6 +60,32 @@
     }
 }
 
+impl fmt::Display for Suspicion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}", self.cleared, self.ended, self.trials)
+    }
+}
+
+impl FromStr for Suspicion {
+    type Err = Error;
+
+    /// Reads what [`Suspicion`]'s `Display` writes.
+    fn from_str(s: &str) -> Result<Suspicion, Error> {
+        let wrong = || Error::range("suspicion", s, "three numbers with dots");
+        let mut parts = s.splitn(3, '.');
+        let mut next = || parts.next().ok_or_else(wrong);
+        let read = Suspicion {
+            cleared: next()?.parse().map_err(|_| wrong())?,
+            ended: next()?.parse().map_err(|_| wrong())?,
+            trials: next()?.parse().map_err(|_| wrong())?,
+        };
+        if !read.is_valid() {
+            return Err(wrong());
+        }
+        Ok(read)
+    }
+}
+
 /// What one entry tells others of a request.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct PoisonRecord {
