Entries of another writer name no replica; a replica that starts again has no past

A replica was known by its name alone, so that what an ended process had failed was held against the one that had started under the same name, for up to 16 s.

--- a/crates/gateway/src/dispatch/find.rs
+++ b/crates/gateway/src/dispatch/find.rs
@@ -171,6 +171,7 @@
         let entries = state.contention.entries();
         let known =
             state.known.entry(Arc::clone(&replica.incarnation)).or_default();
+        known.meet(replica);
         if known.full_until.is_some_and(|at| at > Instant::now()) {
             return None;
         }
--- a/crates/gateway/src/dispatch/known.rs
+++ b/crates/gateway/src/dispatch/known.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use stairhinge::direct::Replica;
 use stairhinge::direct::balance::Load;
 use stairhinge::placing::Need;
 use stairhinge::poison::PoisonTable;
@@ -62,6 +63,8 @@
 /// What an entry knows of one replica.
 #[derive(Debug, Default)]
 pub(super) struct Known {
+    /// When the process started of which this is known, if it tells.
+    pub born: Option<u64>,
     pub load: Load,
     pub offset: Option<f64>,
     pub health: Health,
@@ -78,6 +81,21 @@
 }
 
 impl Known {
+    /// Forgets what was held against an earlier process of the replica. The
+    /// requests there end by themselves, and its agent goes on.
+    pub(super) fn meet(&mut self, replica: &Replica) {
+        if self.born == replica.born {
+            return;
+        }
+        *self = Known {
+            born: replica.born,
+            load: self.load,
+            offset: self.offset,
+            reported: self.reported.take(),
+            ..Known::default()
+        };
+    }
+
     /// Takes note of a request that it is given.
     pub(super) fn given(&mut self, need: &Need) {
         self.load.own_pending += 1;
--- a/crates/shell/src/directory/facts.rs
+++ b/crates/shell/src/directory/facts.rs
@@ -57,6 +57,12 @@
         self.routes.as_ref()?.service(service)?.engine
     }
 
+    /// Whether the routes in force know a service; without routes any is taken
+    /// for known.
+    pub fn knows_service(&self, service: &str) -> bool {
+        self.routes.as_ref().is_none_or(|r| r.service(service).is_some())
+    }
+
     /// Returns the replicas of a service.
     pub fn of_service<'a>(
         &'a self,
@@ -329,12 +335,19 @@
             return;
         }
         let view = self.view();
+        let known = view.replicas.get(&replica.incarnation);
+        if known.is_some_and(|(known, _)| replica.is_older_than(known)) {
+            return;
+        }
         let others = || view.replicas.values().map(|(other, _)| other);
-        if others().any(|other| replica.is_replaced_by(other)) {
+        let takes_over = |new: &Replica, old: &Replica| {
+            old.is_replaced_by(new) && view.knows_service(&new.service)
+        };
+        if others().any(|other| takes_over(other, &replica)) {
             return;
         }
         let replaced: Vec<Arc<str>> = others()
-            .filter(|other| other.is_replaced_by(&replica))
+            .filter(|other| takes_over(&replica, other))
             .map(|other| Arc::clone(&other.incarnation))
             .collect();
         for incarnation in replaced {
--- a/src/direct/replica.rs
+++ b/src/direct/replica.rs
@@ -29,7 +29,8 @@
     pub layers: Option<LayerRange>,
 }
 
-/// A listed replica. Each start of one is another replica.
+/// A listed replica. Each start of one is another replica, or the same one
+/// with a later start.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Replica {
     /// Names this run of it.
@@ -48,6 +49,10 @@
     /// known.
     #[serde(default)]
     pub listed_at: u64,
+    /// When its process started, in Unix milliseconds by its own clock, if it
+    /// tells. One that starts again may keep its name.
+    #[serde(default)]
+    pub born: Option<u64>,
     /// The models that it holds; none for plain services.
     #[serde(default)]
     pub versions: Vec<ReplicaVersion>,
@@ -64,6 +69,13 @@
             && self.listed_at < other.listed_at
     }
 
+    /// Returns whether this is an earlier process of the replica than another
+    /// one. Of two of which one does not tell its start nothing is known.
+    pub fn is_older_than(&self, other: &Replica) -> bool {
+        self.incarnation == other.incarnation
+            && self.born.zip(other.born).is_some_and(|(own, new)| own < new)
+    }
+
     /// Returns the version that it holds of a model with `layers` layers, if
     /// it holds all of them.
     pub fn version(&self, model: &str, layers: u32) -> Option<u64> {
--- a/src/direct/sharing_tests.rs
+++ b/src/direct/sharing_tests.rs
@@ -21,6 +21,7 @@
         slots,
         state: ReplicaState::Ready,
         listed_at: 0,
+        born: None,
         versions: Vec::new(),
     }
 }
