--- /dev/null
+++ b/crates/gateway/src/forward/attempts.rs
@@ -0,0 +1,165 @@
+//! A request's attempts, one after the other, and what each one tells.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use hyper::Response;
+use stairhinge::direct::{
+    AttemptResult, NextStep, Replica, Shortage, next_step,
+};
+use stairhinge::placing::{Lack, Need};
+use stairhinge::poison::Suspicion;
+use stairhinge::{Code, Error};
+use stairhinge_shell::http::{Body, Failed};
+
+use super::Forwarder;
+use super::refuse::{lost, quarantined, refused};
+use crate::connect::has_ended;
+use crate::dispatch::Place;
+use crate::request_context::RequestContext;
+
+/// How long a request may wait for a replica with room, as a part of its
+/// objective: its caller can still come back and be in time. A replica's slot
+/// gets free in a hall of 24 engines each 6 ms.
+const WAIT_PART: u32 = 8;
+
+/// An attempt that did not end well.
+pub(crate) struct FailedAttempt {
+    pub replica: Arc<Replica>,
+    pub sent: Instant,
+    pub reason: String,
+    /// Whether the replica's process has ended, if that was asked.
+    pub replica_ended: Option<bool>,
+}
+
+impl Forwarder {
+    pub(super) async fn attempts(
+        self: Arc<Self>,
+        context: Arc<RequestContext>,
+    ) -> Result<Response<Body>, Failed> {
+        let mut need = need(&context);
+        let mut ran = false;
+        let mut attempt = 1;
+        loop {
+            let admitted = self.poison.admit(&context);
+            let suspicion = admitted.map_err(|r| quarantined(&r, ran))?;
+            need.suspicion = suspicion;
+            let place = self.place(&context, &need, ran).await;
+            let place =
+                place.inspect_err(|_| self.poison.released(&context))?;
+            let admitted = self.poison.still_admits(&context, suspicion);
+            admitted.map_err(|r| quarantined(&r, ran))?;
+            need.tried.push(Arc::clone(&place.replica.incarnation));
+            let sent = Instant::now();
+            let replica = Arc::clone(&place.replica);
+            let after = context.caller.after_event;
+            let missed = match self.send(&context, place, attempt, after).await
+            {
+                Ok(answered) => {
+                    let passed = self.pass_on(&context, answered, suspicion);
+                    match passed.await {
+                        Ok(response) => return Ok(response),
+                        Err(missed) => missed,
+                    }
+                }
+                Err(missed) => missed,
+            };
+            ran |= matches!(missed.result, AttemptResult::Silent);
+            let cut = missed.cut;
+            let (replica_ended, known) =
+                self.examine(&context, &replica, cut, suspicion).await;
+            let may = attempt < context.route.attempts
+                && !known.is_quarantined()
+                && !context.left().is_zero()
+                && self.spend(&context.service);
+            let repeat = context.route.repeat;
+            let next = next_step(missed.result, repeat, ran, may);
+            let failed = FailedAttempt {
+                replica,
+                sent,
+                reason: missed.reason.clone(),
+                replica_ended,
+            };
+            self.log_failed(&context, &failed, next);
+            match next {
+                NextStep::Retry => self.metrics.retries.inc(),
+                NextStep::Refuse => {
+                    let why = format!("declined: {}", missed.reason);
+                    let error = Error::new(Code::NoBackend, why);
+                    let shortage = match missed.result {
+                        AttemptResult::Unsent => Shortage::Unreachable,
+                        _ => Shortage::Declined,
+                    };
+                    return Err(refused(error, shortage));
+                }
+                NextStep::Fail => return Err(lost(&context, &missed)),
+            };
+            attempt += 1;
+        }
+    }
+
+    /// Waits for a place at a replica.
+    async fn place(
+        &self,
+        context: &RequestContext,
+        need: &Need,
+        ran: bool,
+    ) -> Result<Place, Failed> {
+        let from = Instant::now();
+        let until =
+            context.deadline.min(from + context.route.objective() / WAIT_PART);
+        let left = context.left();
+        let found = self.placing.place(need.clone(), until, left).await;
+        self.metrics.waited(from.elapsed().as_secs_f64());
+        if found.is_err() {
+            self.log_no_replica(context, need, from);
+        }
+        let lack = match found {
+            Ok(place) => return Ok(place),
+            Err(lack) => lack,
+        };
+        let shortage = match lack {
+            Lack::Room => Shortage::NoRoom,
+            Lack::Replica => Shortage::NoReplica,
+        };
+        if ran {
+            return Err(Failed::new(Error::new(Code::LostBackend, lack)));
+        }
+        Err(refused(Error::new(Code::NoBackend, lack), shortage))
+    }
+
+    /// Looks at a replica from which no whole answer came: whether its process
+    /// has ended, and what is known of the request now, of which `sent` was
+    /// known when it was sent there. The replica is asked only where the
+    /// connection to it ended, since all else has other causes.
+    pub(crate) async fn examine(
+        &self,
+        context: &RequestContext,
+        replica: &Replica,
+        cut: bool,
+        sent: Suspicion,
+    ) -> (Option<bool>, Suspicion) {
+        self.poison.released(context);
+        if !cut {
+            return (None, sent);
+        }
+        if !has_ended(replica.addr).await {
+            return (Some(false), sent);
+        }
+        let known = self.poison.ended_under(context, replica, sent);
+        (Some(true), known)
+    }
+}
+
+fn need(context: &RequestContext) -> Need {
+    Need {
+        service: Arc::clone(&context.service),
+        model: context.caller.model.clone(),
+        version: None,
+        tried: Vec::new(),
+        priority: context.priority,
+        prompt_tokens: context.caller.prompt_tokens,
+        objective: context.route.objective(),
+        suspicion: Suspicion::default(),
+    }
+}
--- a/crates/local/src/fleet.rs
+++ b/crates/local/src/fleet.rs
@@ -13,10 +13,8 @@
     Engine, Origin, Pack, Platform, Running, Service, start, weights,
 };
 
-use tokio::net::TcpStream;
-use tokio::task::JoinHandle;
-
 use crate::cell::Cell;
+use crate::kept_engine::KeptEngine;
 use crate::launch::{free_slot, launch};
 use crate::plan::{Plan, Version};
 
@@ -66,16 +64,7 @@
     revision: u64,
     wire: Wire,
     _standins: Vec<Running>,
-    _kept: Vec<Kept>,
-}
-
-/// A task that ends when dropped.
-struct Kept(JoinHandle<()>);
-
-impl Drop for Kept {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
+    _kept: Vec<KeptEngine>,
 }
 
 const HERE: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
@@ -123,8 +112,8 @@
                 plan.link_shared,
                 plan.agent
             );
-            let keeping = keep_engine(Arc::clone(&engine), served);
-            local._kept.push(Kept(tokio::spawn(keeping)));
+            let kept = KeptEngine::new(Arc::clone(&engine), served);
+            local._kept.push(kept);
             local.engines.push(engine);
             let (name, hall) = (plan.agent_name(r), plan.hall_of(r));
             local.add(&name, hall, Role::Agent, platform_addr, &more)?;
@@ -409,29 +398,3 @@
 fn io(err: std::io::Error) -> Error {
     Error::new(Code::CannotBind, err)
 }
-
-/// How long an engine is away once its process has ended.
-const AWAY: Duration = Duration::from_millis(300);
-
-/// Starts an engine's process again, at its address, each time it has ended.
-async fn keep_engine(engine: Arc<Engine>, mut served: Running) {
-    loop {
-        engine.ending().await;
-        let addr = served.addr();
-        drop(served);
-        // Its listener closes with its task.
-        while TcpStream::connect(addr).await.is_ok() {
-            tokio::time::sleep(Duration::from_millis(1)).await;
-        }
-        engine.down();
-        tokio::time::sleep(AWAY).await;
-        engine.up();
-        served = match start(addr, engine.clone()).await {
-            Ok(served) => served,
-            Err(err) => {
-                log::error!("{addr}: {err}");
-                return;
-            }
-        };
-    }
-}
--- a/crates/local/src/lib.rs
+++ b/crates/local/src/lib.rs
@@ -7,6 +7,7 @@
 mod calls;
 mod cell;
 mod fleet;
+mod kept_engine;
 mod launch;
 mod plan;
 mod ready;
--- a/src/poison.rs
+++ b/src/poison.rs
@@ -17,15 +17,18 @@
 //! the greater one counts, in whatever order and however often they come; what
 //! an entry does not know yet makes it count less and never more.
 
+mod admission;
 mod fingerprint;
+mod known;
 mod news;
 mod record;
 mod table;
 
+pub use self::admission::{Admission, Refusal, RefusalReason};
 pub use self::fingerprint::{Fingerprint, Identity};
 pub use self::news::PoisonNews;
 pub use self::record::{PoisonRecord, Suspicion};
-pub use self::table::{Admission, PoisonTable, Refusal, RefusalReason};
+pub use self::table::PoisonTable;
 
 #[cfg(test)]
 mod fingerprint_tests;
--- a/src/poison/table.rs
+++ b/src/poison/table.rs
@@ -2,137 +2,13 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap};
-use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{Fingerprint, PoisonRecord, Suspicion};
+use super::known::Known;
+use super::{Admission, Fingerprint, PoisonRecord, RefusalReason, Suspicion};
 use crate::{Digest, Time};
 
-/// Whether a request may be sent to a replica.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Admission {
-    /// It may, and this was known of it then.
-    Sent(Suspicion),
-    /// It may not.
-    Refused(Refusal),
-}
-
-/// Why a request may not be sent.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Refusal {
-    /// What keeps it back.
-    pub reason: RefusalReason,
-    /// The replicas that ended under it.
-    pub replicas: Vec<Arc<str>>,
-    /// How long ago that became known here.
-    pub age: Duration,
-    /// When it may be sent again.
-    pub back: Duration,
-}
-
-/// What keeps a request back.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum RefusalReason {
-    /// Replicas ended under it up to the limit.
-    Quarantined,
-    /// It is one short of that, and runs just now.
-    OnTrial,
-}
-
-impl fmt::Display for RefusalReason {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            RefusalReason::Quarantined => "this same request ended",
-            RefusalReason::OnTrial => {
-                "this same request is just being tried after it ended"
-            }
-        })
-    }
-}
-
-impl fmt::Display for Refusal {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let replicas = self.replicas.join(", ");
-        write!(f, "{} the replicas {replicas}", self.reason)
-    }
-}
-
-/// What is known of one request.
-#[derive(Clone, Debug)]
-struct Known {
-    suspicion: Suspicion,
-    replicas: Vec<Arc<str>>,
-    /// When it last changed here, and how old it was then.
-    changed: Time,
-    before: Duration,
-    /// When it last came here, if it did.
-    seen: Option<Time>,
-    /// Whether others are told of it.
-    told: bool,
-    /// Until when no other run of it may begin.
-    alone_until: Option<Time>,
-}
-
-impl Known {
-    fn new(now: Time) -> Known {
-        Known {
-            suspicion: Suspicion::default(),
-            replicas: Vec::new(),
-            changed: now,
-            before: Duration::ZERO,
-            seen: None,
-            told: false,
-            alone_until: None,
-        }
-    }
-
-    fn age(&self, now: Time) -> Duration {
-        self.before.saturating_add(now.since(self.changed))
-    }
-
-    fn change(&mut self, now: Time) {
-        self.changed = now;
-        self.before = Duration::ZERO;
-    }
-
-    /// Returns how long it is kept from now on.
-    fn kept(&self, now: Time) -> Duration {
-        let (span, age) = if self.suspicion.is_quarantined() {
-            let seen = self.seen.map_or(Duration::MAX, |at| now.since(at));
-            (PoisonTable::QUARANTINE_KEPT, seen.min(self.age(now)))
-        } else if self.suspicion.ended > 0 {
-            (PoisonTable::SUSPECT_KEPT, self.age(now))
-        } else {
-            (PoisonTable::CLEARED_KEPT, self.age(now))
-        };
-        span.saturating_sub(age)
-    }
-
-    /// Returns when it may be tried again; zero if now.
-    fn back(&self, now: Time) -> Duration {
-        let trials = usize::from(self.suspicion.trials);
-        match PoisonTable::HOLDS.get(trials) {
-            Some(hold) => hold.saturating_sub(self.age(now)),
-            None => self.kept(now),
-        }
-    }
-
-    fn refusal(
-        &self,
-        reason: RefusalReason,
-        back: Duration,
-        now: Time,
-    ) -> Admission {
-        Admission::Refused(Refusal {
-            reason,
-            replicas: self.replicas.clone(),
-            age: self.age(now),
-            back,
-        })
-    }
-}
-
 /// The requests under which replicas have ended.
 #[derive(Clone, Debug, Default)]
 pub struct PoisonTable {
