--- a/crates/shell/src/decisions_tests.rs
+++ b/crates/shell/src/decisions_tests.rs
@@ -103,6 +103,21 @@
             replica: "i-b",
             after_event: Some(3),
         },
+        Decision::PoisonSuspected {
+            request: "r1",
+            fingerprint: "0123456789abcdef0123456789abcdef",
+            replica: "i-a",
+            ended: 1,
+            cleared: 0,
+            quarantined: false,
+        },
+        Decision::PoisonRefused {
+            request: "r1",
+            fingerprint: "0123456789abcdef0123456789abcdef",
+            replicas: &["i-a".into()],
+            age_ms: 40,
+            back_ms: 599_960,
+        },
         ENDED,
         Decision::Cancelled { request: "r1", took_ms: 7 },
     ];
--- a/src/explanation/cause.rs
+++ b/src/explanation/cause.rs
@@ -48,6 +48,15 @@
         /// What it brought.
         reason: Arc<str>,
     },
+    /// It is kept from replicas, since some ended under it.
+    Quarantined {
+        /// These replicas.
+        replicas: Vec<Arc<str>>,
+        /// How long that had been known, in milliseconds.
+        age_ms: u64,
+        /// When it may be sent again, in milliseconds.
+        back_ms: u64,
+    },
     /// It was refused before a replica was looked for.
     Rule {
         /// The numbered code.
@@ -102,6 +111,7 @@
             Cause::NoSuitableReplica { .. } => "no suitable replica",
             Cause::NoRoom { .. } => "no room",
             Cause::AttemptFailed { .. } => "attempt failed",
+            Cause::Quarantined { .. } => "ends replicas",
             Cause::Rule { .. } => "not allowed",
             Cause::CallerLeft { sent: true, .. } => "left while served",
             Cause::CallerLeft { sent: false, .. } => "left while waiting",
@@ -154,7 +164,7 @@
 }
 
 fn failed(history: &RequestHistory) -> Cause {
-    // The last of these two is what the answer says.
+    // The last of these is what the answer says.
     let cause = find(history, |d| match d {
         LoggedDecision::NoReplica { listed, suitable: 0, .. } => {
             Some(Cause::NoSuitableReplica { listed: *listed })
@@ -163,6 +173,13 @@
             let (suitable, waited_ms) = (*suitable, *waited_ms);
             Some(Cause::NoRoom { suitable, waited_ms })
         }
+        LoggedDecision::PoisonRefused {
+            replicas, age_ms, back_ms, ..
+        } => Some(Cause::Quarantined {
+            replicas: replicas.clone(),
+            age_ms: *age_ms,
+            back_ms: *back_ms,
+        }),
         LoggedDecision::AttemptFailed { replica, reason, .. } => {
             Some(Cause::AttemptFailed {
                 replica: Arc::clone(replica),
@@ -226,6 +243,11 @@
             Cause::AttemptFailed { replica, reason } => {
                 write!(f, "replica {replica} failed: {reason}")
             }
+            Cause::Quarantined { replicas, age_ms, back_ms } => {
+                let replicas = replicas.join(", ");
+                write!(f, "replicas {replicas} ended under it, known for ")?;
+                write!(f, "{age_ms} ms; it is sent again in {back_ms} ms")
+            }
             Cause::Rule { code, reason, routes_age_ms } => {
                 write!(f, "refused by rule, code {code}: {reason}")?;
                 match routes_age_ms {
--- a/src/explanation/log_line.rs
+++ b/src/explanation/log_line.rs
@@ -120,6 +120,36 @@
         /// What follows.
         next: Arc<str>,
     },
+    /// A replica ended under a request.
+    PoisonSuspected {
+        /// The request's id.
+        request: Arc<str>,
+        /// The replica's incarnation.
+        replica: Arc<str>,
+        /// Replicas that ended under it, one after the other.
+        ended: u8,
+    },
+    /// A request was refused, since it ends the replicas that it runs on.
+    PoisonRefused {
+        /// The request's id.
+        request: Arc<str>,
+        /// The replicas that ended under it.
+        replicas: Vec<Arc<str>>,
+        /// How long that had been known, in milliseconds.
+        age_ms: u64,
+        /// When it may be sent again, in milliseconds.
+        back_ms: u64,
+    },
+    /// A request that was kept from replicas was tried again.
+    PoisonTried {
+        /// The request's id.
+        request: Arc<str>,
+    },
+    /// A request under which replicas ended had its whole answer.
+    PoisonCleared {
+        /// The request's id.
+        request: Arc<str>,
+    },
     /// A stream was taken up at another replica.
     Resumed {
         /// The request's id.
@@ -186,6 +216,10 @@
             LoggedDecision::Sent { request, .. }
             | LoggedDecision::NoReplica { request, .. }
             | LoggedDecision::AttemptFailed { request, .. }
+            | LoggedDecision::PoisonSuspected { request, .. }
+            | LoggedDecision::PoisonRefused { request, .. }
+            | LoggedDecision::PoisonTried { request }
+            | LoggedDecision::PoisonCleared { request }
             | LoggedDecision::Resumed { request, .. }
             | LoggedDecision::Ended { request, .. }
             | LoggedDecision::Cancelled { request, .. } => Some(request),
@@ -198,6 +232,7 @@
         match self {
             LoggedDecision::Sent { replica, .. }
             | LoggedDecision::AttemptFailed { replica, .. }
+            | LoggedDecision::PoisonSuspected { replica, .. }
             | LoggedDecision::Resumed { replica, .. }
             | LoggedDecision::ReplicaListed { replica, .. }
             | LoggedDecision::ReplicaUnlisted { replica, .. }
--- a/src/explanation/tests.rs
+++ b/src/explanation/tests.rs
@@ -85,6 +85,18 @@
     assert!(found.to_string().ends_with("all known 2400 ms before"));
 }
 
+#[test]
+fn a_request_that_ends_replicas_is_refused_for_these() {
+    let held = r#"{"wall":1900,"ms":900,"event":"poison_refused",
+        "request":"r1","fingerprint":"00","replicas":["i-a","i-b"],
+        "age_ms":700,"back_ms":599300}"#;
+    let refused = ended(503, 3020, "this same request ended the replicas");
+    let (outcome, found) = cause(&[START, held, &refused]);
+    assert_eq!(outcome, Outcome::Refused);
+    assert_eq!(found.kind(), "ends replicas");
+    assert!(found.to_string().contains("i-a, i-b ended under it"));
+}
+
 #[test]
 fn an_answer_that_breaks_off_names_its_replica() {
     let broken = ended(200, 3011, "no event for 1200 ms");
