A message of poisoned requests fits into a datagram whatever replicas are called; attempts in short steps

Long names of replicas could make a message larger than the 4,096 bytes that are read, so that nobody would be told: names are cut to 64 bytes.

--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -12,8 +12,8 @@
 use stairhinge::{Code, Error};
 use stairhinge_shell::http::{Body, Failed};
 
-use super::Forwarder;
 use super::refuse::{lost, quarantined, refused};
+use super::{Forwarder, Missed};
 use crate::connect::has_ended;
 use crate::dispatch::Place;
 use crate::request_context::RequestContext;
@@ -41,14 +41,8 @@
         let mut ran = false;
         let mut attempt = 1;
         loop {
-            let admitted = self.poison.admit(&context);
-            let suspicion = admitted.map_err(|r| quarantined(&r, ran))?;
-            need.suspicion = suspicion;
-            let place = self.place(&context, &need, ran).await;
-            let place =
-                place.inspect_err(|_| self.poison.released(&context))?;
-            let admitted = self.poison.still_admits(&context, suspicion);
-            admitted.map_err(|r| quarantined(&r, ran))?;
+            let place = self.admitted_place(&context, &mut need, ran).await?;
+            let suspicion = need.suspicion;
             need.tried.push(Arc::clone(&place.replica.incarnation));
             let sent = Instant::now();
             let replica = Arc::clone(&place.replica);
@@ -65,9 +59,8 @@
                 Err(missed) => missed,
             };
             ran |= matches!(missed.result, AttemptResult::Silent);
-            let cut = missed.cut;
             let (replica_ended, known) =
-                self.examine(&context, &replica, cut, suspicion).await;
+                self.examine(&context, &replica, missed.cut, suspicion).await;
             let may = attempt < context.route.attempts
                 && !known.is_quarantined()
                 && !context.left().is_zero()
@@ -83,21 +76,30 @@
             self.log_failed(&context, &failed, next);
             match next {
                 NextStep::Retry => self.metrics.retries.inc(),
-                NextStep::Refuse => {
-                    let why = format!("declined: {}", missed.reason);
-                    let error = Error::new(Code::NoBackend, why);
-                    let shortage = match missed.result {
-                        AttemptResult::Unsent => Shortage::Unreachable,
-                        _ => Shortage::Declined,
-                    };
-                    return Err(refused(error, shortage));
-                }
+                NextStep::Refuse => return Err(declined(&missed)),
                 NextStep::Fail => return Err(lost(&context, &missed)),
             };
             attempt += 1;
         }
     }
 
+    /// Waits for a place at a replica, for a request that may be sent on both
+    /// before and after that. `need` gets what is known of it.
+    async fn admitted_place(
+        &self,
+        context: &RequestContext,
+        need: &mut Need,
+        ran: bool,
+    ) -> Result<Place, Failed> {
+        let admitted = self.poison.admit(context);
+        need.suspicion = admitted.map_err(|r| quarantined(&r, ran))?;
+        let place = self.place(context, need, ran).await;
+        let place = place.inspect_err(|_| self.poison.released(context))?;
+        let admitted = self.poison.still_admits(context, need.suspicion);
+        admitted.map_err(|r| quarantined(&r, ran))?;
+        Ok(place)
+    }
+
     /// Waits for a place at a replica.
     async fn place(
         &self,
@@ -151,6 +153,16 @@
     }
 }
 
+/// Returns the refusal of a request that no replica has run.
+fn declined(missed: &Missed) -> Failed {
+    let why = format!("declined: {}", missed.reason);
+    let shortage = match missed.result {
+        AttemptResult::Unsent => Shortage::Unreachable,
+        _ => Shortage::Declined,
+    };
+    refused(Error::new(Code::NoBackend, why), shortage)
+}
+
 fn need(context: &RequestContext) -> Need {
     Need {
         service: Arc::clone(&context.service),
--- a/src/poison/news.rs
+++ b/src/poison/news.rs
@@ -24,7 +24,7 @@
 }
 
 impl PoisonNews {
-    /// The most records in one message: with three replicas each of these
-    /// takes 220 bytes of JSON, and a datagram 4,096 at most.
+    /// The most records in one message: with the longest names of three
+    /// replicas each takes 350 bytes of JSON, and a datagram 4,096 at most.
     pub const MOST_RECORDS: usize = 8;
 }
--- a/src/poison/record.rs
+++ b/src/poison/record.rs
@@ -100,6 +100,20 @@
 }
 
 impl PoisonRecord {
+    /// The most bytes of a replica's name that are told: with
+    /// [`PoisonNews::MOST_RECORDS`](super::PoisonNews::MOST_RECORDS) records
+    /// of three names each a message stays within a datagram.
+    const MOST_NAME: usize = 64;
+
+    /// Returns a replica's name as it is told.
+    pub(super) fn name(replica: &Arc<str>) -> Arc<str> {
+        if replica.len() <= PoisonRecord::MOST_NAME {
+            return Arc::clone(replica);
+        }
+        let end = replica.floor_char_boundary(PoisonRecord::MOST_NAME);
+        Arc::from(&replica[..end])
+    }
+
     /// Returns how long ago it changed.
     pub(super) const fn age(&self) -> Duration {
         Duration::from_millis(self.age_ms)
--- a/src/poison/table.rs
+++ b/src/poison/table.rs
@@ -138,7 +138,7 @@
             return current;
         }
         if next > current {
-            known.replicas.push(Arc::clone(replica));
+            known.replicas.push(PoisonRecord::name(replica));
             known.alone_until = None;
         }
         known.suspicion = next;
@@ -218,8 +218,8 @@
             return false;
         }
         let before = record.age();
-        let mut replicas = record.replicas;
-        replicas.truncate(usize::from(Suspicion::LIMIT));
+        let told = record.replicas.iter().take(Suspicion::LIMIT.into());
+        let replicas = told.map(PoisonRecord::name).collect();
         let known = Known {
             suspicion: record.suspicion,
             replicas,
--- a/src/poison/table_tests.rs
+++ b/src/poison/table_tests.rs
@@ -9,10 +9,11 @@
 use rand::rngs::StdRng;
 
 use super::{
-    Admission, Fingerprint, Identity, PoisonRecord, PoisonTable,
+    Admission, Fingerprint, Identity, PoisonNews, PoisonRecord, PoisonTable,
     RefusalReason, Suspicion,
 };
 use crate::Time;
+use crate::placing::Message;
 
 fn request(name: &str) -> Fingerprint {
     let body = name.as_bytes();
@@ -241,6 +242,24 @@
     assert_eq!(table.len(), before);
 }
 
+#[test]
+fn a_message_of_the_longest_names_fits_into_a_datagram() {
+    let mut table = PoisonTable::default();
+    let long: Arc<str> = Arc::from("\u{e9}".repeat(400));
+    for index in 0..PoisonNews::MOST_RECORDS {
+        let name = request(&format!("r{index}"));
+        for _ in 0..3 {
+            let known = sent(&mut table, name, at(0));
+            table.ended_under(name, known, &long, at(0));
+        }
+    }
+    let records = table.next_part(PoisonNews::MOST_RECORDS, at(0));
+    assert_eq!(records.len(), PoisonNews::MOST_RECORDS);
+    let news = PoisonNews::Differs { digest: u64::MAX, records };
+    let json = serde_json::to_vec(&Message::Poison(news)).unwrap();
+    assert!(json.len() <= 4_096, "{} bytes", json.len());
+}
+
 /// A hall of replicas on which a request of many callers runs, with racks
 /// that fail at random: it is never quarantined.
 #[test]
