--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -72,7 +72,7 @@
 /// Why a replica's answer is not read to its end.
 struct Broke {
     reason: String,
-    /// Whether the connection ended, or the replica is said to be down.
+    /// Whether the connection ended.
     cut: bool,
 }
 
@@ -200,8 +200,9 @@
             }
             let replica = &upstream.place.replica.incarnation;
             if self.forwarder.dispatcher.is_down(replica) {
+                // Asking a replica that is silent would hold the stream up.
                 let why = "its agent reports it down";
-                return Read::Broke(Broke::cut(why));
+                return Read::Broke(Broke::silent(why));
             }
             if since.elapsed() > SILENCE {
                 let why = format!("no event for {} ms", SILENCE.as_millis());
