Failing test: a trial that an entry admits is refused by its agent

Read in the diff: the agent runs the entry's admission again on a table into which it has just merged the trial, whose hold begins anew with it. So behind agents no trial reaches an engine.

--- a/crates/local/tests/poison.rs
+++ b/crates/local/tests/poison.rs
@@ -8,13 +8,18 @@
 use std::time::Duration;
 
 use stairhinge::Ran;
+use stairhinge::poison::PoisonRecord;
 use stairhinge_local::{Answer, Caller, Plan, Trial};
-use stairhinge_shell::http::Client;
+use stairhinge_shell::control::PoisonTold;
+use stairhinge_shell::http::{Client, full, headers};
 
 /// The engines that a request may end before all know of it: three, and those
 /// that it was on its way to.
 const MOST_ENDS: u32 = 4;
 
+/// Names a request.
+const REQUEST: &str = "0123456789abcdef0123456789abcdef";
+
 const LONG: Duration = Duration::from_secs(60);
 
 fn plan() -> Plan {
@@ -103,3 +108,41 @@
     let last = caller.chat(&client, trial.local.entries()[0], "matcher");
     assert!(last.await.good());
 }
+
+/// Sends a request straight to an agent, as an entry does that knows so much
+/// of it, and returns the code of its answer; 0 is the engine's.
+async fn at_agent(trial: &mut Trial, attempt: &str, suspicion: &str) -> u64 {
+    let report = trial.local.report("agent-0-0").await.unwrap();
+    let addr = trial.local.member("agent-0-0").http();
+    let request = hyper::Request::post("/v1/chat/completions")
+        .header(headers::ATTEMPT, attempt)
+        .header(headers::INCARNATION, report.incarnation)
+        .header(headers::REVISION, trial.local.revision())
+        .header(headers::MODEL, "matcher")
+        .header(headers::FINGERPRINT, REQUEST)
+        .header(headers::SUSPICION, suspicion)
+        .body(full("{\"messages\":[{\"content\":\"direct\"}]}"))
+        .unwrap();
+    let sent = Client::new().send(addr, request, LONG).await.unwrap();
+    let code = sent.headers().get(headers::CODE);
+    code.map_or(0, |code| code.to_str().unwrap().parse().unwrap())
+}
+
+/// The entry decides on a trial: its agent, which knows no more than that the
+/// request is quarantined, lets it through, and refuses who has not heard.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_trial_that_an_entry_admits_reaches_the_engine() {
+    let plan = Plan { halls: 1, replicas: 1, ..Plan::default() };
+    let mut trial = Trial::start(plan).await.unwrap();
+    let control = trial.local.member("agent-0-0").control();
+    let record = PoisonRecord {
+        request: REQUEST.parse().unwrap(),
+        suspicion: "0.3.0".parse().unwrap(),
+        age_ms: 0,
+        replicas: Vec::new(),
+    };
+    let told = PoisonTold { digest: 0, records: vec![record], about: None };
+    trial.local.wire().poison(control, LONG, told).await.unwrap();
+    assert_eq!(at_agent(&mut trial, "a.1.1", "0.0.0").await, 3020);
+    assert_eq!(at_agent(&mut trial, "a.1.2", "0.3.1").await, 0);
+}
