An agent lets through a trial that its entry has admitted

Cause: admission stood twice on one path: the entry decided on a trial, and the agent, having merged the entry's word, decided again and found the hold just begun. Change: the agent only looks whether it knows more than its entry (still_admits), and counts ends on what both know. Its own keeping apart of runs goes with that: the entry does it.

--- a/crates/agent/src/poison.rs
+++ b/crates/agent/src/poison.rs
@@ -1,8 +1,9 @@
 //! Requests that end the backend server.
 //!
 //! The agent stays while its backend server ends, so it is the one to see
-//! under which requests that happened. What it knows of a request when it
-//! admits it, with the entry's word, is what an end is counted on.
+//! under which requests that happened. Whether a request is sent, and tried
+//! again, is the entry's to decide; the agent refuses what its entry has not
+//! heard of. What both know of a request is what an end is counted on.
 
 use std::time::Duration;
 
@@ -53,8 +54,11 @@
         };
         let mut table = self.node.poison();
         table.merge(vec![record], now);
-        match table.admit(request, now) {
-            Admission::Sent(sent) => Ok(Some(Suspect { request, sent })),
+        match table.still_admits(request, told, now) {
+            Admission::Sent(_) => {
+                let sent = table.suspicion(request);
+                Ok(Some(Suspect { request, sent }))
+            }
             Admission::Refused(refusal) => {
                 let err = Error::new(Code::Quarantined, &refusal);
                 Err(Failed::new(err).with_back(refusal.back))
@@ -76,11 +80,4 @@
             self.node.answered_whole(suspect.request);
         }
     }
-
-    /// Takes note that a request has left the backend server.
-    pub(crate) fn release(&self, suspect: Option<Suspect>) {
-        if let Some(suspect) = suspect {
-            self.node.poison().released(suspect.request);
-        }
-    }
 }
--- a/crates/agent/src/proxy.rs
+++ b/crates/agent/src/proxy.rs
@@ -99,7 +99,6 @@
 
 impl Drop for Started {
     fn drop(&mut self) {
-        self.agent.release(self.suspect);
         let now = self.agent.node.now();
         self.agent.attempts().end(&self.attempt, self.ran, now);
         if let Some(held) = self.held.take() {
--- a/crates/model/src/quarantine.rs
+++ b/crates/model/src/quarantine.rs
@@ -122,11 +122,6 @@
     table
 }
 
-fn known(table: &PoisonTable) -> Suspicion {
-    let records = table.records(&[request()], NOW);
-    records.first().map_or(Suspicion::default(), |r| r.suspicion)
-}
-
 impl Quarantine {
     fn learn(&self, state: &mut State, entry: usize, next: Suspicion) {
         state.known[entry] = next;
@@ -173,7 +168,7 @@
             };
             let replica = Arc::from("i");
             table.ended_under(request(), sent, &replica, NOW);
-            self.learn(&mut to, run.entry, known(&table));
+            self.learn(&mut to, run.entry, table.suspicion(request()));
         }
         next.push(("its replicas end".to_string(), to));
     }
@@ -190,7 +185,7 @@
             if self.without != Without::Clearing {
                 let mut table = table(to.known[run.entry]);
                 table.answered(request(), NOW);
-                self.learn(&mut to, run.entry, known(&table));
+                self.learn(&mut to, run.entry, table.suspicion(request()));
             }
             next.push((format!("entry {} has its answer", run.entry), to));
         }
@@ -206,7 +201,7 @@
             table.merge(vec![record(*word)], NOW);
             to.known[*entry] = match self.without {
                 Without::Order => *word,
-                _ => known(&table),
+                _ => table.suspicion(request()),
             };
             to.knew[*entry] |= to.known[*entry].is_quarantined();
             next.push((format!("entry {entry} hears a word"), to));
--- a/crates/shell/src/node/poison.rs
+++ b/crates/shell/src/node/poison.rs
@@ -115,7 +115,13 @@
         about: Fingerprint,
     ) {
         let own = self.poison_part(Some(about));
-        match self.wire().poison(addr, WITHIN, own).await {
+        self.exchange_poison(addr, own).await;
+    }
+
+    /// Tells a peer, and learns what it answers. One that cannot be reached
+    /// hears at the next meeting.
+    async fn exchange_poison(&self, addr: SocketAddr, told: PoisonTold) {
+        match self.wire().poison(addr, WITHIN, told).await {
             Ok(theirs) => {
                 self.learn_poison(theirs.records);
             }
@@ -166,12 +172,7 @@
         return;
     }
     let own = node.poison_part(None);
-    match node.wire().poison(addr, WITHIN, own).await {
-        Ok(told) => {
-            node.learn_poison(told.records);
-        }
-        Err(err) => log::debug!("poison: {err}"),
-    }
+    node.exchange_poison(addr, own).await;
 }
 
 async fn tell(
@@ -184,12 +185,7 @@
             let digest = node.poison().digest();
             let told =
                 PoisonTold { digest, records: part.to_vec(), about: None };
-            match node.wire().poison(addr, WITHIN, told).await {
-                Ok(theirs) => {
-                    node.learn_poison(theirs.records);
-                }
-                Err(err) => log::debug!("poison: {err}"),
-            }
+            node.exchange_poison(addr, told).await;
         }
     });
     futures::future::join_all(told).await;
--- a/src/poison/table.rs
+++ b/src/poison/table.rs
@@ -69,6 +69,12 @@
         known.filter(|k| k.suspicion.is_quarantined()).count()
     }
 
+    /// Returns how far a request is suspected.
+    pub fn suspicion(&self, request: Fingerprint) -> Suspicion {
+        let known = self.known.get(&request);
+        known.map_or(Suspicion::default(), |known| known.suspicion)
+    }
+
     /// Says whether a request may be sent to a replica now.
     pub fn admit(&mut self, request: Fingerprint, now: Time) -> Admission {
         let Some(known) = self.known.get_mut(&request) else {
