An empty replica takes what its hall serves while the newest is far

Cause: a replica that starts empty after a version was named fetched that version only, however long its chunks took. Even where it was asked for, its chunks were gone: an agent that fetches a version writes its chunks over those that lie at the engine, and forgot all of them at the start of the fetch.

Change: what the hall serves is a choice beside the versions named, if it can be here a second sooner than the newest; how long the newest takes counts the origin's link, which the platform publishes. Agents keep the version in force in memory while they write over it; a hall's cache takes manifest and chunks from who serves them and does not drop such a version for a newer one.

Ruled out: nobody in the hall held it (45 replicas served it).

--- a/crates/chunks/src/cache.rs
+++ b/crates/chunks/src/cache.rs
@@ -240,10 +240,14 @@
     }
 
     /// Ends once a newer version is asked for while a good part of this one
-    /// has yet to come: both would come over the origin's link.
+    /// has yet to come: both would come over the origin's link. One that
+    /// replicas of the hall serve comes from these.
     async fn superseded(&self, key: &Version) {
         loop {
             tokio::time::sleep(LOOK).await;
+            if !self.site.holders(&key.0, key.1).is_empty() {
+                continue;
+            }
             let newer = self
                 .lock()
                 .keys()
@@ -298,8 +302,8 @@
         Vec::new()
     }
 
-    fn holders(&self, manifest: &VersionManifest) -> Vec<SocketAddr> {
-        self.cache.site.holders(&manifest.model, manifest.version)
+    fn holders(&self, model: &str, version: u64) -> Vec<SocketAddr> {
+        self.cache.site.holders(model, version)
     }
 
     // Few entries draw at a time, so each chunk has its share of the
--- a/crates/chunks/src/find_manifest.rs
+++ b/crates/chunks/src/find_manifest.rs
@@ -20,8 +20,8 @@
 /// How long a question of one waits that also asks the origin.
 const SHORT_HOLD: Duration = Duration::from_millis(100);
 
-/// How many caches are asked before the ranks of peers are gone through.
-const CACHES_ASKED: usize = 2;
+/// How many of the hall are asked before the ranks of peers are gone through.
+const NEAR_ASKED: usize = 2;
 
 /// Returns the manifest of a version, from whoever has it.
 pub async fn find_manifest(
@@ -64,18 +64,27 @@
         round: usize,
         waited: Duration,
     ) -> Result<VersionManifest, Error> {
-        let caches = self.owner.caches();
-        let asked = caches.len().min(CACHES_ASKED);
-        let found = if round < asked {
-            let me = self.score(self.drawing.addr) as usize;
-            let cache = caches[me.wrapping_add(round) % caches.len()];
-            self.of(cache, HOLD).await?
-        } else {
-            self.of_ranks(round - asked, waited).await?
+        let near = self.near();
+        let found = match near.get(round) {
+            Some(addr) => self.of(*addr, HOLD).await?,
+            None => self.of_ranks(round - near.len(), waited).await?,
         };
         self.check(found)
     }
 
+    /// Returns those of the hall that are asked before the ranks of peers are
+    /// gone through: caches, and for a cache who serves the version, since
+    /// the origin may be away and hand out the newest one only.
+    fn near(&self) -> Vec<SocketAddr> {
+        let mut near = self.owner.caches();
+        near.extend(self.owner.holders(self.model, self.version));
+        let me = self.score(self.drawing.addr) as usize;
+        let start = me % near.len().max(1);
+        near.rotate_left(start);
+        near.truncate(NEAR_ASKED);
+        near
+    }
+
     /// Asks the origin or a peer, as ranks have it.
     async fn of_ranks(
         &self,
--- a/crates/chunks/src/holdings.rs
+++ b/crates/chunks/src/holdings.rs
@@ -144,9 +144,40 @@
         }
     }
 
-    /// Forgets all chunks that only lie at the engine.
-    pub fn forget_staged(&self) {
-        self.lock().held.retain(|_, h| matches!(h, Held::Bytes(_)));
+    /// Forgets the chunks of a version that only lie at the engine.
+    pub fn forget_staged(&self, manifest: &VersionManifest) {
+        let mut inner = self.lock();
+        for digest in &manifest.digests {
+            if let Some(Held::Staged(..)) = inner.held.get(digest) {
+                inner.held.remove(digest);
+            }
+        }
+    }
+
+    /// Returns the chunk that is held at a place at the engine.
+    pub fn staged_at(&self, model: &str, index: u32) -> Option<Digest> {
+        let inner = self.lock();
+        let mut held = inner.held.iter();
+        let found = held.find(|(_, held)| match held {
+            Held::Staged(m, i) => **m == *model && *i == index,
+            Held::Bytes(_) => false,
+        });
+        found.map(|(digest, _)| *digest)
+    }
+
+    /// Drops all versions of a model before one, with the chunks that no
+    /// other version has.
+    pub fn drop_before(&self, model: &str, version: u64) {
+        let older: Vec<u64> = {
+            let inner = self.lock();
+            let of_model =
+                inner.manifests.iter().filter(|m| &*m.model == model);
+            let versions = of_model.map(|m| m.version);
+            versions.filter(|v| *v < version).collect()
+        };
+        for version in older {
+            self.drop_version(model, version);
+        }
     }
 
     /// Returns a future that ends when the next chunk or manifest arrives.
--- a/crates/chunks/src/owner.rs
+++ b/crates/chunks/src/owner.rs
@@ -62,7 +62,7 @@
 
     /// Returns the processes of its hall that hold all of a version, and are
     /// asked before anybody outside the hall.
-    fn holders(&self, manifest: &VersionManifest) -> Vec<SocketAddr>;
+    fn holders(&self, model: &str, version: u64) -> Vec<SocketAddr>;
 
     /// Returns how long the origin's link is taken to be busy with a chunk.
     fn origin_pace(&self, chunk_bytes: u32) -> Duration;
--- a/crates/chunks/src/sources.rs
+++ b/crates/chunks/src/sources.rs
@@ -43,7 +43,7 @@
         Sources {
             peers: owner.peers(),
             caches: owner.caches(),
-            holders: owner.holders(manifest),
+            holders: owner.holders(&manifest.model, manifest.version),
         }
     }
 
--- a/crates/loader/src/drive.rs
+++ b/crates/loader/src/drive.rs
@@ -193,7 +193,9 @@
         if settled.state.borrow().as_ref().and_then(|s| s.version)
             == Some(manifest.version)
         {
+            let version = manifest.version;
             settled.holdings.settle(&manifest);
+            settled.holdings.drop_before(&manifest.model, version);
         }
     });
     Ok(())
--- a/crates/loader/src/fetch_owner.rs
+++ b/crates/loader/src/fetch_owner.rs
@@ -11,6 +11,7 @@
 
 use crate::agent::Agent;
 use crate::peer_list::{Relist, peers};
+use crate::staging::stage;
 
 /// How much sooner than it can be sent a chunk is asked of the origin, as a
 /// part of the time that it takes there. A little ahead, so that the origin's
@@ -45,7 +46,7 @@
         caches(&self.agent)
     }
 
-    fn holders(&self, _: &VersionManifest) -> Vec<SocketAddr> {
+    fn holders(&self, _: &str, _: u64) -> Vec<SocketAddr> {
         Vec::new()
     }
 
@@ -69,10 +70,7 @@
         bytes: Bytes,
     ) -> BoxFuture<'a, ()> {
         Box::pin(async move {
-            // What cannot be staged now is staged before the load.
-            let staged =
-                self.agent.engine.write(&manifest.model, index, bytes);
-            let _ = staged.await;
+            stage(&self.agent, manifest, index, bytes).await;
         })
     }
 
--- a/crates/loader/src/staging.rs
+++ b/crates/loader/src/staging.rs
@@ -5,6 +5,7 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use stairhinge::{Code, Digest, Error};
 use stairhinge_chunks::{Held, VersionManifest, find_manifest};
 
@@ -36,7 +37,7 @@
 
 /// Takes over good chunks that lie at the engine from before a restart.
 pub(crate) async fn take_staged(agent: &Agent, manifest: &VersionManifest) {
-    agent.holdings.forget_staged();
+    agent.holdings.forget_staged(manifest);
     let model = &manifest.model;
     let Ok(staged) = agent.engine.staged(model).await else { return };
     for index in staged {
@@ -57,6 +58,39 @@
     }
 }
 
+/// Stages a chunk of a version that is being fetched.
+///
+/// The engine has one place for each chunk, so what lies there of the version
+/// in force is taken into memory first: as long as the fetch lasts, replicas
+/// of the hall that start empty can have the version in force from here only.
+/// Its bytes go once the new version is loaded.
+pub(crate) async fn stage(
+    agent: &Agent,
+    manifest: &VersionManifest,
+    index: u32,
+    bytes: Bytes,
+) {
+    let model = &manifest.model;
+    let before = agent.holdings.staged_at(model, index);
+    let before = before.filter(|d| Digest::sha256(&bytes) != *d);
+    if let Some(digest) = before {
+        save(agent, model, index, &digest).await;
+    }
+    // What cannot be staged now is staged before the load.
+    let _ = agent.engine.write(model, index, bytes).await;
+}
+
+async fn save(agent: &Agent, model: &str, index: u32, digest: &Digest) {
+    let read = agent.engine.read(model, index).await;
+    match read {
+        Ok(bytes) if Digest::sha256(&bytes) == *digest => {
+            agent.holdings.keep(*digest, Held::Bytes(bytes));
+        }
+        // Gone or spoilt there: peers are to look elsewhere.
+        Ok(_) | Err(_) => agent.holdings.drop_chunk(digest),
+    }
+}
+
 /// Reads every chunk back and writes those again that have turned bad.
 pub(crate) async fn verify_staged(
     agent: &Agent,
--- a/crates/loader/src/succession.rs
+++ b/crates/loader/src/succession.rs
@@ -1,11 +1,12 @@
-//! Which version the engine is to take next, where several are named.
+//! Which version the engine is to take next, where there are several.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use stairhinge::weights::{Prospect, choose_version};
+use stairhinge::weights::{ChunkTimes, Prospect, choose_version};
 use stairhinge_chunks::{Standing, standing};
+use stairhinge_shell::directory;
 
 use crate::agent::Agent;
 use crate::fetch_owner::caches;
@@ -27,10 +28,10 @@
     pub version: u64,
 }
 
-/// Returns the version to take next: the newest, or one named before it that
-/// the hall's cache holds and that can be here sooner.
+/// Returns the version to take next: the newest, or an older one that can be
+/// here sooner, because the hall's cache holds it or the hall serves it.
 pub(crate) async fn weigh(agent: &Agent, newest: Wanted) -> Wanted {
-    let versions = named(agent, &newest);
+    let versions = choices(agent, &newest);
     let Some(cache) = caches(agent).first().copied() else { return newest };
     if versions.len() < 2 {
         return newest;
@@ -45,33 +46,52 @@
     if prospects.first().is_none_or(|p| p.version != newest.version) {
         return newest;
     }
-    let chunk = chunk_time(agent, &newest);
-    let version = choose_version(&prospects, chunk);
+    let times = chunk_times(agent, &newest);
+    let version = choose_version(&prospects, times);
     let version = version.unwrap_or(newest.version);
     Wanted { version, ..newest }
 }
 
 /// Whether there is more than one version to choose from.
 pub(crate) fn is_open(agent: &Agent, newest: &Wanted) -> bool {
-    named(agent, newest).len() > 1
+    choices(agent, newest).len() > 1
 }
 
-/// Returns the versions that the engine could take, the newest first.
-fn named(agent: &Agent, newest: &Wanted) -> Vec<u64> {
+/// Returns the versions that the engine could take, the newest first: those
+/// named, and what its hall serves.
+fn choices(agent: &Agent, newest: &Wanted) -> Vec<u64> {
     let state = agent.state.borrow();
     let own = state.as_ref().and_then(|s| s.version).unwrap_or(0);
     let view = agent.facts.view();
-    let mut versions = Vec::new();
+    let mut versions = served_near(agent, newest);
     for (model, version, _) in view.targets.all() {
-        if *model == newest.model && version > own {
+        if *model == newest.model {
             versions.push(version);
         }
     }
+    versions.retain(|v| (own + 1..=newest.version).contains(v));
     versions.sort_unstable_by(|a, b| b.cmp(a));
+    versions.dedup();
     versions.truncate(MOST_WEIGHED);
     versions
 }
 
+/// Returns the versions that other replicas of the hall serve.
+fn served_near(agent: &Agent, wanted: &Wanted) -> Vec<u64> {
+    let layers = agent.engine_kind().map_or(0, |kind| kind.layers);
+    let view = agent.facts.view();
+    let mut versions = Vec::new();
+    for (replica, standing) in view.of_service(&agent.settings.service) {
+        let near = replica.hall == agent.settings.hall
+            && replica.addr != agent.settings.engine;
+        if !near || *standing != directory::Standing::Listed {
+            continue;
+        }
+        versions.extend(replica.version(&wanted.model, layers));
+    }
+    versions
+}
+
 async fn prospect(
     agent: &Agent,
     cache: SocketAddr,
@@ -90,11 +110,14 @@
     let here = manifest.map_or(0, |m| agent.holdings.count(&m));
     let now = agent.facts.now();
     let turn = Turn::new(agent, model, version, Duration::ZERO);
+    let stuck = is_stuck(&near);
+    let served = !stuck && served_near(agent, wanted).contains(&version);
+    let held = if served { chunks } else { near.held.max(here) };
     Some(Prospect {
         version,
         missing: chunks.saturating_sub(here),
-        outside: chunks.saturating_sub(near.held.max(here)),
-        stuck: is_stuck(&near),
+        outside: chunks.saturating_sub(held),
+        stuck,
         due: turn.pauses_at().map_or(Duration::ZERO, |at| at.since(now)),
         left,
     })
@@ -114,10 +137,15 @@
     }
 }
 
-/// Returns how long the link takes for a chunk.
-fn chunk_time(agent: &Agent, wanted: &Wanted) -> Duration {
+/// Returns how long links take for a chunk. An origin that does not tell what
+/// its link carries is taken to have one like this instance's.
+fn chunk_times(agent: &Agent, wanted: &Wanted) -> ChunkTimes {
     let (model, version) = (&wanted.model, wanted.version);
     let manifest = agent.holdings.manifest(model, version);
     let bytes = manifest.map_or(0, |m| m.chunk_bytes);
-    agent.live.get().transfer(bytes)
+    let link = agent.live.get().transfer(bytes);
+    let view = agent.facts.view();
+    let origin = view.routes.as_ref().and_then(|r| r.origin());
+    let origin = origin.and_then(|o| o.transfer(bytes)).unwrap_or(link);
+    ChunkTimes { link, origin }
 }
--- a/src/direct/route_table.rs
+++ b/src/direct/route_table.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::Deserialize;
 
@@ -57,10 +58,23 @@
 }
 
 /// Where the weights of models come from.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
 pub struct Origin {
     /// Its address.
     pub addr: SocketAddr,
+    /// What its link carries for all who draw together, in megabits a
+    /// second, if that is told.
+    #[serde(default)]
+    pub link_mbps: Option<f64>,
+}
+
+impl Origin {
+    /// Returns how long its link takes for some bytes, if that is known.
+    pub fn transfer(&self, bytes: u32) -> Option<Duration> {
+        let mbps = self.link_mbps.filter(|mbps| *mbps > 0.0)?;
+        let seconds = f64::from(bytes) * 8.0 / (mbps * 1e6);
+        Duration::try_from_secs_f64(seconds).ok()
+    }
 }
 
 /// A service that routes send to.
--- a/src/weights.rs
+++ b/src/weights.rs
@@ -34,7 +34,7 @@
 pub use self::puller::Puller;
 pub use self::question_queue::QuestionQueue;
 pub use self::store::Store;
-pub use self::succession::{Prospect, choose_version};
+pub use self::succession::{ChunkTimes, Prospect, choose_version};
 pub use self::walk::{Source, Walk};
 
 #[cfg(test)]
--- a/src/weights/succession.rs
+++ b/src/weights/succession.rs
@@ -1,10 +1,12 @@
-//! Which of several named versions a replica takes next.
+//! Which of several versions a replica takes next.
 //!
 //! The newest named version is what is wanted in the end. But while its
 //! chunks cannot come, because the origin is away or because it was named a
 //! moment ago, a version named before it may be within reach, and the one in
 //! force may be near the end of its time. Each replica therefore takes the
-//! newest version that can be here by its turn.
+//! newest version that can be here by its turn. One that holds nothing has
+//! its turn at once: it takes what its hall serves, where that can be here
+//! well before the newest.
 
 use std::time::Duration;
 
@@ -25,19 +27,29 @@
     pub left: Duration,
 }
 
+/// How long links take for one chunk of a version.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ChunkTimes {
+    /// The link of the replica's instance.
+    pub link: Duration,
+    /// The origin's link, over which a chunk comes once for all halls.
+    pub origin: Duration,
+}
+
 impl Prospect {
     /// A version has to serve at least this long to be worth a load, which
     /// takes 0.3 s beside what the replica finishes for it. More would leave
     /// the last turns of a hall without any version while the newest is away.
     pub const WORTH: Duration = Duration::from_millis(1_000);
 
-    /// Returns how long until all chunks are here, if they can come, where
-    /// the link takes `chunk` for each.
-    pub fn whole_in(&self, chunk: Duration) -> Option<Duration> {
+    /// Returns how long until all chunks are here, if they can come.
+    pub fn whole_in(&self, times: ChunkTimes) -> Option<Duration> {
         if self.stuck && self.outside > 0 {
             return None;
         }
-        Some(chunk * self.missing.max(self.outside) as u32)
+        let to_hall = times.origin * self.outside as u32;
+        let to_here = times.link * self.missing.max(self.outside) as u32;
+        Some(to_here.max(to_hall))
     }
 
     /// Whether it may stand in for a newer one: nothing more has to be drawn
@@ -48,15 +60,18 @@
 }
 
 /// Returns the version to take: the newest that will be here by its turn;
-/// else the one that is here soonest, or the newest if none can come.
+/// else the one that is here soonest, or the newest if none can come. An
+/// older one has to be here sooner by [`Prospect::WORTH`].
 ///
-/// `prospects` has the newest version first; `chunk` is how long the link
-/// takes for a chunk.
-pub fn choose_version(prospects: &[Prospect], chunk: Duration) -> Option<u64> {
+/// `prospects` has the newest version first.
+pub fn choose_version(
+    prospects: &[Prospect],
+    times: ChunkTimes,
+) -> Option<u64> {
     let newest = prospects.first()?;
     let mut soonest: Option<(Duration, u64)> = None;
     for prospect in prospects {
-        let Some(whole_in) = prospect.whole_in(chunk) else { continue };
+        let Some(whole_in) = prospect.whole_in(times) else { continue };
         let last = prospect.version == newest.version;
         if !last && !prospect.bridges(whole_in) {
             continue;
@@ -64,7 +79,8 @@
         if whole_in <= prospect.due {
             return Some(prospect.version);
         }
-        if soonest.is_none_or(|(least, _)| whole_in < least) {
+        let sooner = |least| whole_in + Prospect::WORTH <= least;
+        if soonest.is_none_or(|(least, _)| sooner(least)) {
             soonest = Some((whole_in, prospect.version));
         }
     }
--- a/src/weights/succession_tests.rs
+++ b/src/weights/succession_tests.rs
@@ -4,9 +4,12 @@
 
 use proptest::prelude::*;
 
-use super::{Prospect, choose_version};
+use super::{ChunkTimes, Prospect, choose_version};
 
-const CHUNK: Duration = Duration::from_millis(35);
+const CHUNK: ChunkTimes = ChunkTimes {
+    link: Duration::from_millis(35),
+    origin: Duration::from_millis(35),
+};
 
 fn prospect(version: u64, missing: usize, outside: usize) -> Prospect {
     Prospect {
@@ -57,6 +60,26 @@
     assert_eq!(choose_version(&[], CHUNK), None);
 }
 
+/// One that starts empty serves what its hall holds until the newest is here,
+/// where that takes long.
+#[test]
+fn an_empty_replica_takes_what_its_hall_serves_where_the_origin_is_slow() {
+    let due = Duration::ZERO;
+    let newest = Prospect { due, ..prospect(2, 96, 96) };
+    let served = Prospect { due, ..prospect(1, 96, 0) };
+    let link = Duration::from_millis(27);
+    let fast = ChunkTimes { link, origin: link };
+    assert_eq!(choose_version(&[newest, served], fast), Some(2));
+    let slow = ChunkTimes { origin: Duration::from_millis(45), ..fast };
+    assert_eq!(choose_version(&[newest, served], slow), Some(1));
+    let half = Prospect { outside: 40, ..newest };
+    assert_eq!(choose_version(&[half, served], slow), Some(2));
+    let stuck = Prospect { stuck: true, ..half };
+    assert_eq!(choose_version(&[stuck, served], slow), Some(1));
+    let ending = Prospect { left: Duration::from_millis(3_500), ..served };
+    assert_eq!(choose_version(&[stuck, ending], slow), Some(2));
+}
+
 proptest! {
     #[test]
     fn an_older_one_is_only_taken_where_the_newest_would_be_late(
