What an entry has drawn outlasts it and its turn

Draws logged by chunk showed two reasons. Agents turned to the next entries of their hall, which began from nothing though agents held a fourth of the version; and these dropped what they had drawn 1.2 s after the agents turned back to the first ones.

Change: an entry that begins to draw a version named over a second before asks the agents of its hall what they hold, again each second, and takes that from them; what an entry has drawn it holds for 12 s though nobody asks for it, and goes on if somebody does. One who is known to hold chunks is asked for four of them, so that others who hold them too are asked at the same time.

--- a/crates/chunks/src/cache.rs
+++ b/crates/chunks/src/cache.rs
@@ -51,6 +51,10 @@
 /// about as often as chunks come over an origin's link of 9.9 Mbit/s.
 const LOOK_CLOSELY: Duration = Duration::from_millis(25);
 
+/// How long after its naming a version is drawn that agents may hold in part:
+/// all entries learn of it within half of that.
+const LATE: Duration = Duration::from_millis(1_000);
+
 /// The most versions that are held at a time: the one in force, the one that
 /// comes, and one that was named in between.
 const MOST_VERSIONS: usize = 3;
@@ -62,6 +66,9 @@
 
     /// Returns the agents of the own hall whose engines serve a version.
     fn holders(&self, model: &str, version: u64) -> Vec<SocketAddr>;
+
+    /// Returns all agents of the own hall.
+    fn agents(&self) -> Vec<SocketAddr>;
 }
 
 type Version = (Arc<str>, u64);
@@ -188,18 +195,36 @@
     /// Draws a version and holds it as long as it is asked for.
     async fn hold(self: Arc<Self>, key: Version) {
         tokio::select! {
-            () = self.draw(&key) => self.unasked(&key, HELD_FOR).await,
-            () = self.unasked(&key, DRAWN_FOR) => {}
+            () = self.draw_while_asked(&key) => {}
+            () = self.unasked(&key, HELD_FOR) => {}
             () = self.superseded(&key) => {}
         }
         self.lock().remove(&key);
         self.drawing.holdings.drop_version(&key.0, key.1);
     }
 
+    /// Draws a version as long as it is asked for, and ends once it is held
+    /// and nobody asks for it any more.
+    ///
+    /// What has come is held meanwhile: agents turn to other entries while
+    /// those that they ask are away, and back again. Entries that dropped it
+    /// then had the origin send a version 2.5 times.
+    async fn draw_while_asked(&self, key: &Version) {
+        loop {
+            tokio::select! {
+                () = self.draw(key) => break,
+                () = self.unasked(key, DRAWN_FOR) => {}
+            }
+            self.asked(key).await;
+        }
+        self.unasked(key, HELD_FOR).await;
+    }
+
     async fn draw(&self, key: &Version) {
         self.let_older_end(key).await;
         let (model, version) = (&key.0, key.1);
-        let owner = CacheOwner { cache: self, key };
+        let late = self.is_late(key);
+        let owner = CacheOwner { cache: self, key, late };
         loop {
             let manifest =
                 find_manifest(&self.drawing, &owner, model, version).await;
@@ -221,6 +246,25 @@
         }
     }
 
+    /// Ends once a version is asked for.
+    async fn asked(&self, key: &Version) {
+        loop {
+            let at = self.lock().get(key).map(|draw| draw.asked);
+            if at.is_some_and(|at| at.elapsed() < DRAWN_FOR) {
+                return;
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    /// Whether others may have drawn some of a version before.
+    fn is_late(&self, key: &Version) -> bool {
+        let facts = &self.drawing.facts;
+        let view = facts.view();
+        let named = view.targets.named_at(&key.0, key.1);
+        named.is_none_or(|at| facts.now().since(at) > LATE)
+    }
+
     /// Waits for an older version of which little is missing, for a moment:
     /// it is whole soon if it has the origin's link for itself.
     async fn let_older_end(&self, key: &Version) {
@@ -283,6 +327,8 @@
 struct CacheOwner<'a> {
     cache: &'a ChunkCache,
     key: &'a Version,
+    /// Whether agents may hold some of the version.
+    late: bool,
 }
 
 impl ChunkOwner for CacheOwner<'_> {
@@ -306,6 +352,10 @@
         self.cache.site.holders(model, version)
     }
 
+    fn lenders(&self) -> Vec<SocketAddr> {
+        if self.late { self.cache.site.agents() } else { Vec::new() }
+    }
+
     // Few entries draw at a time, so each chunk has its share of the
     // origin's link at once.
     fn origin_pace(&self, _: u32) -> Duration {
--- a/crates/chunks/src/owner.rs
+++ b/crates/chunks/src/owner.rs
@@ -64,6 +64,12 @@
     /// asked before anybody outside the hall.
     fn holders(&self, model: &str, version: u64) -> Vec<SocketAddr>;
 
+    /// Returns the processes of its hall that may hold some of a version from
+    /// before the draw began.
+    fn lenders(&self) -> Vec<SocketAddr> {
+        Vec::new()
+    }
+
     /// Returns how long the origin's link is taken to be busy with a chunk.
     fn origin_pace(&self, chunk_bytes: u32) -> Duration;
 
--- a/crates/chunks/src/sources.rs
+++ b/crates/chunks/src/sources.rs
@@ -32,6 +32,7 @@
     peers: Vec<Peer>,
     caches: Vec<SocketAddr>,
     holders: Vec<SocketAddr>,
+    lenders: Vec<SocketAddr>,
 }
 
 impl Sources {
@@ -44,13 +45,14 @@
             peers: owner.peers(),
             caches: owner.caches(),
             holders: owner.holders(&manifest.model, manifest.version),
+            lenders: owner.lenders(),
         }
     }
 
     /// Returns how many there are, with the origin.
     pub(crate) fn count(&self) -> usize {
-        let others = self.peers.len() + self.caches.len() + self.holders.len();
-        others.max(1) + 1
+        let near = self.caches.len() + self.holders.len() + self.lenders.len();
+        (self.peers.len() + near).max(1) + 1
     }
 
     /// Returns whether a cache of the hall holds chunks for this process.
@@ -79,6 +81,7 @@
             .with_fanout(FANOUT)
             .with_caches(names(&self.caches))
             .with_holders(names(&self.holders))
+            .with_lenders(names(&self.lenders))
     }
 
     /// Returns a puller of what is missing of a version.
--- a/crates/gateway/src/cache_site.rs
+++ b/crates/gateway/src/cache_site.rs
@@ -27,4 +27,14 @@
         holders.sort();
         holders
     }
+
+    fn agents(&self) -> Vec<SocketAddr> {
+        let mut agents = Vec::new();
+        for addr in self.dispatcher.engines_near() {
+            agents.push(SocketAddr::new(addr.ip(), self.agent_port));
+        }
+        agents.sort();
+        agents.dedup();
+        agents
+    }
 }
--- a/crates/gateway/src/dispatch/news.rs
+++ b/crates/gateway/src/dispatch/news.rs
@@ -26,6 +26,19 @@
         told.max_by_key(|news| news.revision).cloned()
     }
 
+    /// Returns where the engines of the own hall are.
+    pub(crate) fn engines_near(&self) -> Vec<SocketAddr> {
+        let view = self.facts.view();
+        let mut engines = Vec::new();
+        for (replica, _) in view.replicas.values() {
+            let near = replica.hall == self.hall;
+            if near && view.engine(&replica.service).is_some() {
+                engines.push(replica.addr);
+            }
+        }
+        engines
+    }
+
     /// Returns the replicas of the own hall that serve a version, by the
     /// reports of their agents.
     pub(crate) fn serving(
--- a/src/weights/outage_tests.rs
+++ b/src/weights/outage_tests.rs
@@ -209,8 +209,8 @@
             let place = |d: &Digest| {
                 self.list.iter().position(|c| c.digest() == *d).unwrap()
             };
-            let wanted = ask.want().iter().map(place);
-            let found = wanted.filter(|c| self.held[other].contains(c)).next();
+            let mut wanted = ask.want().iter().map(place);
+            let found = wanted.find(|c| self.held[other].contains(c));
             if found.is_none() && ms < until {
                 self.out.push((me, other, ask, until));
                 continue;
@@ -244,3 +244,52 @@
     let all = (0..96).filter(|c| drawn(*c)).count();
     assert!(held.iter().all(|count| *count == all), "{held:?} of {all}");
 }
+
+/// An entry that takes the place of one that has ended draws only what no
+/// agent of its hall holds, also what an agent got since it was first asked.
+#[test]
+fn what_lenders_hold_is_not_drawn_from_the_origin() {
+    let all = halls(1, 1);
+    let list = chunks(96);
+    let name = |i: usize| Arc::from(format!("lender-{i}"));
+    let lenders: Vec<Arc<str>> = (0..5).map(name).collect();
+    let walk = walk(&all, 0, 0).with_lenders(lenders.clone());
+    let patience = Patience::new().with_waiting(Duration::from_secs(3_600));
+    let mut puller = Puller::new(walk, &list, patience, 0, |_| false);
+    let mut drawn = HashSet::new();
+    for ms in (0..6_000).step_by(20) {
+        let now = Time::from_millis(ms);
+        // The second half of what the lenders hold comes to them later.
+        let until = if ms < 100 { 30 } else { 60 };
+        for ask in puller.poll(now) {
+            let place = |d: &Digest| {
+                list.iter().position(|c| c.digest() == *d).unwrap()
+            };
+            if *ask.source() == Source::Origin {
+                // The origin takes long for each of its chunks.
+                if ms % 100 == 0 {
+                    let digest = ask.want()[0];
+                    drawn.insert(place(&digest));
+                    puller.got(ask.source(), &digest);
+                } else {
+                    puller.waited(ask.source(), now);
+                }
+                continue;
+            }
+            let lender =
+                lenders.iter().position(|l| **l == *ask.source().name());
+            let lender = lender.unwrap();
+            let holds = |c: usize| c < until && c % 5 == lender;
+            puller.learn(ask.source(), (0..list.len()).map(holds));
+            let found = ask.want().iter().find(|d| holds(place(d)));
+            match found.filter(|_| !ask.tell()) {
+                Some(digest) => puller.got(ask.source(), digest),
+                None => puller.waited(ask.source(), now),
+            }
+        }
+    }
+    assert!(puller.done());
+    let lent = drawn.iter().filter(|c| **c < 30).count();
+    assert_eq!(lent, 0, "{drawn:?}");
+    assert!(drawn.len() <= 36 + 15, "{} draws", drawn.len());
+}
--- a/src/weights/puller.rs
+++ b/src/weights/puller.rs
@@ -103,6 +103,15 @@
     /// to 48 each after 6 s without the origin.
     pub const MOST_WANT: usize = 128;
 
+    /// How often those who may hold chunks are asked anew what they hold: they
+    /// draw too while no entry of the hall answers them. A question and its
+    /// answer are 0.6 KB.
+    const LENDER_AGAIN: Duration = Duration::from_millis(1_000);
+
+    /// The most chunks named to one who is known to hold them: each answer
+    /// brings one, and the others are left for those who hold them too.
+    const MOST_SURE: usize = 4;
+
     /// Returns a puller of `chunks`; those for which `held` says yes are here
     /// already. `turn` spreads where pullers of one hall begin.
     pub fn new(
@@ -150,6 +159,7 @@
     pub fn poll(&mut self, now: Time) -> Vec<ChunkRequest> {
         self.started.get_or_insert(now);
         self.compare(now);
+        let mut asks = self.greetings(now);
         let plan = self.plan(now);
         // What peers of the hall hold is to be known before anything is
         // drawn from outside: this agent may have restarted.
@@ -157,7 +167,6 @@
         let started = self.started.unwrap_or(now);
         let greet = now.since(started) < Puller::GREETING
             && (self.greets() || plan.keys().any(|s| self.unmet(s)));
-        let mut asks = Vec::new();
         for (source, want) in plan {
             let near = matches!(source, Source::Near(_));
             if self.suspect(&source, now) || (greet && !near) {
@@ -224,6 +233,34 @@
         *source == Source::Origin && now < due
     }
 
+    /// Returns the questions to those who may hold some of the chunks: they
+    /// are to say at once what they hold, and again from time to time.
+    fn greetings(&mut self, now: Time) -> Vec<ChunkRequest> {
+        let want: Vec<usize> = self.missing().take(1).collect();
+        let mut asks = Vec::new();
+        if want.is_empty() {
+            return asks;
+        }
+        let lenders: Vec<Source> = self.walk.lenders().collect();
+        for source in lenders {
+            let busy = self.asked.contains_key(&source);
+            let standing = self.standing.get(&source);
+            let due = standing.is_none_or(|s| {
+                !s.met || now.since(s.asked_at) >= Puller::LENDER_AGAIN
+            });
+            if busy || !due || self.suspect(&source, now) {
+                continue;
+            }
+            let mut ask = self.ask(source, want.clone(), Duration::ZERO, now);
+            ask.tell = true;
+            if let Some(asked) = self.asked.get_mut(&ask.source) {
+                asked.tell = true;
+            }
+            asks.push(ask);
+        }
+        asks
+    }
+
     /// Returns the chunks that may still come from where they were asked for.
     ///
     /// While no chunk comes at all, a question that waits at a source which
@@ -264,7 +301,7 @@
             let mut want = Vec::new();
             for i in &standing.holds {
                 let open = !self.held[*i] && !fresh.contains(i);
-                if open && want.len() < Puller::MOST_WANT {
+                if open && want.len() < Puller::MOST_SURE {
                     want.push(*i);
                 }
             }
@@ -302,6 +339,7 @@
         let hello = !standing.met;
         let hold = if hello { Duration::ZERO } else { hold };
         standing.met = true;
+        standing.asked_at = now;
         standing.asked |= !hello;
         standing.hello = hello;
         let digests = want.iter().map(|i| self.chunks[*i].digest()).collect();
--- a/src/weights/puller/standing.rs
+++ b/src/weights/puller/standing.rs
@@ -19,6 +19,8 @@
     pub(super) met: bool,
     pub(super) hello: bool,
     pub(super) holds: HashSet<usize>,
+    /// When it was last asked.
+    pub(super) asked_at: Time,
 }
 
 impl Puller {
--- a/src/weights/walk.rs
+++ b/src/weights/walk.rs
@@ -45,6 +45,8 @@
     caches: Vec<Arc<str>>,
     /// Processes of the hall that hold all of the version.
     holders: Vec<Arc<str>>,
+    /// Processes of the hall that may hold some of it.
+    lenders: Vec<Arc<str>>,
 }
 
 impl Walk {
@@ -96,6 +98,7 @@
             fanout: None,
             caches: Vec::new(),
             holders: Vec::new(),
+            lenders: Vec::new(),
         }
     }
 
@@ -116,6 +119,14 @@
         self
     }
 
+    /// Returns the walk in which those who may hold some of the version are
+    /// asked what they hold, and for it, before anybody outside the hall.
+    #[must_use]
+    pub fn with_lenders(mut self, lenders: Vec<Arc<str>>) -> Walk {
+        self.lenders = lenders;
+        self
+    }
+
     /// Returns the walk in which a chunk passes from its seed through a tree
     /// of the hall's agents, each of which sends it to `fanout` others.
     ///
@@ -216,6 +227,12 @@
                 return Some(source);
             }
         }
+        for name in spread(&self.lenders, index) {
+            let source = Source::Near(Arc::clone(name));
+            if holds(&source) && !suspect(&source) {
+                return Some(source);
+            }
+        }
         None
     }
 
@@ -306,6 +323,11 @@
         self.caches.iter().map(|name| Source::Near(Arc::clone(name)))
     }
 
+    /// Returns those of the hall who may hold some of the version.
+    pub fn lenders(&self) -> impl Iterator<Item = Source> {
+        self.lenders.iter().map(|name| Source::Near(Arc::clone(name)))
+    }
+
     /// Returns the other agents of the hall.
     pub fn fellows(&self) -> impl Iterator<Item = Source> {
         let others = self.halls[self.mine].iter().filter(|n| **n != self.me);
