--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -70,11 +70,15 @@
     pub reason: String,
     /// Whether the connection ended under it.
     pub cut: bool,
+    /// The replica's own answer, if it came whole: another replica may do
+    /// better, and if none does it is the caller's.
+    pub failure: Option<Response<Body>>,
 }
 
 impl Missed {
     fn new(result: AttemptResult, reason: impl ToString) -> Missed {
-        Missed { result, reason: reason.to_string(), cut: false }
+        let reason = reason.to_string();
+        Missed { result, reason, cut: false, failure: None }
     }
 
     fn cut(reason: impl ToString) -> Missed {
@@ -257,24 +261,27 @@
         if is_framed(&head.headers) {
             self.poison.answered(context);
         }
+        let mut retried = false;
         let failed = status.is_server_error();
         if failed && context.route.repeat != Repeat::Never {
-            let why = format!("the replica answered {status}");
-            if self.has_retry_left(context, &place) {
-                return Err(Missed::new(AttemptResult::Silent, why));
-            }
+            retried = self.has_retry_left(context, &place);
         } else {
             place.note(Outcome::Succeeded);
         }
+        let why = format!("the replica answered {status}");
+        let missed = Missed::new(AttemptResult::Silent, why);
         if promises(status.as_u16()) {
             // It may have run, and this status would say that it did not.
-            let why = format!("the replica answered {status}");
-            return Err(Missed::new(AttemptResult::Silent, why));
+            return Err(missed);
         }
         strip(&mut head.headers);
         head.headers.remove(CONTENT_LENGTH);
+        let response = Response::from_parts(head, full(bytes));
+        if retried {
+            return Err(Missed { failure: Some(response), ..missed });
+        }
         self.log_ended(context, status.as_u16(), 0, "", None);
-        Ok(Response::from_parts(head, full(bytes)))
+        Ok(response)
     }
 
     /// Whether a failed answer is worth another replica.
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -33,34 +33,58 @@
 }
 
 impl Forwarder {
+    /// Sends a request to one replica after the other. If none does better,
+    /// the caller gets the failure that a replica answered, as it is: it tells
+    /// more than that the backend was lost.
     pub(super) async fn attempts(
         self: Arc<Self>,
         context: Arc<RequestContext>,
     ) -> Result<Response<Body>, Failed> {
-        let mut need = need(&context);
+        let mut failure = None;
+        let tried = self.try_replicas(&context, &mut failure).await;
+        match (tried, failure) {
+            (Err(_), Some(response)) => {
+                let status = response.status().as_u16();
+                self.log_ended(&context, status, 0, "", None);
+                Ok(response)
+            }
+            (tried, _) => tried,
+        }
+    }
+
+    /// Sends a request to one replica after the other, and keeps the last
+    /// failure that one of them answered.
+    async fn try_replicas(
+        self: &Arc<Self>,
+        context: &Arc<RequestContext>,
+        failure: &mut Option<Response<Body>>,
+    ) -> Result<Response<Body>, Failed> {
+        let mut need = need(context);
         let mut ran = false;
         let mut attempt = 1;
         loop {
-            let place = self.admitted_place(&context, &mut need, ran).await?;
+            let place = self.admitted_place(context, &mut need, ran).await?;
             let suspicion = need.suspicion;
             need.tried.push(Arc::clone(&place.replica.incarnation));
             let sent = Instant::now();
             let replica = Arc::clone(&place.replica);
             let after = context.caller.after_event;
-            let missed = match self.send(&context, place, attempt, after).await
-            {
-                Ok(answered) => {
-                    let passed = self.pass_on(&context, answered, suspicion);
-                    match passed.await {
-                        Ok(response) => return Ok(response),
-                        Err(missed) => missed,
+            let mut missed =
+                match self.send(context, place, attempt, after).await {
+                    Ok(answered) => {
+                        let passed =
+                            self.pass_on(context, answered, suspicion);
+                        match passed.await {
+                            Ok(response) => return Ok(response),
+                            Err(missed) => missed,
+                        }
                     }
-                }
-                Err(missed) => missed,
-            };
+                    Err(missed) => missed,
+                };
+            *failure = missed.failure.take().or(failure.take());
             ran |= matches!(missed.result, AttemptResult::Silent);
             let (replica_ended, known) =
-                self.examine(&context, &replica, missed.cut, suspicion).await;
+                self.examine(context, &replica, missed.cut, suspicion).await;
             let may = attempt < context.route.attempts
                 && !known.is_quarantined()
                 && !context.left().is_zero()
@@ -73,11 +97,11 @@
                 reason: missed.reason.clone(),
                 replica_ended,
             };
-            self.log_failed(&context, &failed, next);
+            self.log_failed(context, &failed, next);
             match next {
                 NextStep::Retry => self.metrics.retries.inc(),
                 NextStep::Refuse => return Err(declined(&missed)),
-                NextStep::Fail => return Err(lost(&context, &missed)),
+                NextStep::Fail => return Err(lost(context, &missed)),
             };
             attempt += 1;
         }
