--- a/crates/chunks/src/cache.rs
+++ b/crates/chunks/src/cache.rs
@@ -5,27 +5,26 @@
 //! entry has a link several times as wide: it draws what agents ask it for,
 //! once for all of them, and holds it as long as they ask.
 
+mod owner;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
-use futures::future::BoxFuture;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use stairhinge::direct::HallEntry;
-use stairhinge::weights::Source;
 use stairhinge::{Code, Error};
 use stairhinge_shell::Shaper;
 use stairhinge_shell::http::{Body, answer};
 use tokio::time::Instant;
 
+use self::owner::CacheOwner;
 use crate::answer::{ChunkServer, span, version_path};
 use crate::fetch::fetch;
 use crate::find_manifest::find_manifest;
-use crate::manifest::VersionManifest;
-use crate::owner::{ChunkOwner, Drawing, Peer, log_failure};
+use crate::owner::{Drawing, log_failure};
 use crate::peers::{ANY, DRAW, STANDING, Standing};
 
 /// How long a version is drawn on though nobody asks for it: questions wait
@@ -322,72 +321,3 @@
         self.draws.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// A cache as one that draws chunks.
-struct CacheOwner<'a> {
-    cache: &'a ChunkCache,
-    key: &'a Version,
-    /// Whether agents may hold some of the version.
-    late: bool,
-}
-
-impl ChunkOwner for CacheOwner<'_> {
-    fn peers(&self) -> Vec<Peer> {
-        let me = self.cache.drawing.addr;
-        let mut peers = Vec::new();
-        for entry in self.cache.site.entries() {
-            if entry.addr != me {
-                peers.push((entry.hall, entry.addr));
-            }
-        }
-        peers.sort();
-        peers
-    }
-
-    fn caches(&self) -> Vec<SocketAddr> {
-        Vec::new()
-    }
-
-    fn holders(&self, model: &str, version: u64) -> Vec<SocketAddr> {
-        self.cache.site.holders(model, version)
-    }
-
-    fn lenders(&self) -> Vec<SocketAddr> {
-        if self.late { self.cache.site.agents() } else { Vec::new() }
-    }
-
-    // Few entries draw at a time, so each chunk has its share of the
-    // origin's link at once.
-    fn origin_pace(&self, _: u32) -> Duration {
-        Duration::ZERO
-    }
-
-    fn questions(&self, most: usize) -> usize {
-        most
-    }
-
-    fn moved(&self, source: &Source) {
-        self.cache.note(self.key, |draw| {
-            draw.moved = Instant::now();
-            draw.origin_lost &= *source != Source::Origin;
-        });
-    }
-
-    fn origin_failed(&self) {
-        self.cache.note(self.key, |draw| draw.origin_lost = true);
-    }
-
-    fn idle(&self) -> Duration {
-        let at = self.cache.lock().get(self.key).map(|draw| draw.asked);
-        at.map_or(HELD_FOR, |at| at.elapsed())
-    }
-
-    fn kept<'a>(
-        &'a self,
-        _: &'a VersionManifest,
-        _: u32,
-        _: Bytes,
-    ) -> BoxFuture<'a, ()> {
-        Box::pin(std::future::ready(()))
-    }
-}
