--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,8 @@
 
 mod cmd;
 
+use std::process::ExitCode;
+
 use argh::FromArgs;
 use cmd::{
     check, demo, diff, docs, drain, explain, explain_request, status, timeline,
@@ -30,9 +32,23 @@
 }
 
 #[tokio::main]
-async fn main() -> eyre::Result<()> {
+async fn main() -> ExitCode {
     let args: Args = argh::from_env();
-    let good = match args.command {
+    match run(args.command).await {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        // One line with its causes: where it arose in the code helps no
+        // operator.
+        Err(report) => {
+            eprintln!("{report:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs a command, and says whether all was well.
+async fn run(command: Command) -> eyre::Result<bool> {
+    let good = match command {
         Command::Check(args) => check::run(&args),
         Command::Diff(args) => diff::run(&args)?,
         Command::Status(args) => status::run(&args).await?,
@@ -43,8 +59,5 @@
         Command::Demo(args) => demo::run(&args).await?,
         Command::Docs(args) => docs::run(&args),
     };
-    if !good {
-        std::process::exit(1);
-    }
-    Ok(())
+    Ok(good)
 }
--- a/crates/cli/tests/check.rs
+++ b/crates/cli/tests/check.rs
@@ -70,3 +70,29 @@
     let (good, said) = run(&["diff", name, name]);
     assert!(!good && said.contains("REFUSED"), "{said}");
 }
+
+/// A file that cannot be read has no line.
+#[test]
+fn a_missing_file_is_named_without_a_line() {
+    let (good, said) = run(&["check", "/nowhere/fleet.yaml"]);
+    assert!(!good);
+    assert!(said.contains("2009"), "{said}");
+    assert!(said.contains("/nowhere/fleet.yaml"), "{said}");
+    assert!(!said.contains("line 0"), "{said}");
+}
+
+/// Nobody listens on the port of a listener that has just been dropped.
+#[test]
+fn a_refused_connection_is_told_in_one_line() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap().to_string();
+    drop(listener);
+    let out = Command::new(env!("CARGO_BIN_EXE_stairhinge"))
+        .args(["status", "--at", &addr])
+        .output()
+        .unwrap();
+    let said = String::from_utf8_lossy(&out.stderr).into_owned();
+    assert!(!out.status.success());
+    assert!(said.contains("5003") && said.contains(&addr), "{said}");
+    assert_eq!(said.lines().count(), 1, "{said}");
+}
--- a/src/declaration/fault.rs
+++ b/src/declaration/fault.rs
@@ -51,7 +51,10 @@
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Fault { code, line, field, value, allowed } = self;
-        write!(f, "line {line}: {code} {field}: {value}; allowed: {allowed}")
+        if *line > 0 {
+            write!(f, "line {line}: ")?;
+        }
+        write!(f, "{code} {field}: {value}; allowed: {allowed}")
     }
 }
 
