--- a/crates/chunks/src/cache/owner.rs
+++ b/crates/chunks/src/cache/owner.rs
@@ -41,7 +41,7 @@
         self.cache.site.holders(model, version)
     }
 
-    fn lenders(&self) -> Vec<SocketAddr> {
+    fn part_holders(&self) -> Vec<SocketAddr> {
         if self.late { self.cache.site.agents() } else { Vec::new() }
     }
 
--- a/crates/chunks/src/owner.rs
+++ b/crates/chunks/src/owner.rs
@@ -66,7 +66,7 @@
 
     /// Returns the processes of its hall that may hold some of a version from
     /// before the draw began.
-    fn lenders(&self) -> Vec<SocketAddr> {
+    fn part_holders(&self) -> Vec<SocketAddr> {
         Vec::new()
     }
 
--- a/crates/chunks/src/sources.rs
+++ b/crates/chunks/src/sources.rs
@@ -32,7 +32,7 @@
     peers: Vec<Peer>,
     caches: Vec<SocketAddr>,
     holders: Vec<SocketAddr>,
-    lenders: Vec<SocketAddr>,
+    part_holders: Vec<SocketAddr>,
 }
 
 impl Sources {
@@ -45,13 +45,14 @@
             peers: owner.peers(),
             caches: owner.caches(),
             holders: owner.holders(&manifest.model, manifest.version),
-            lenders: owner.lenders(),
+            part_holders: owner.part_holders(),
         }
     }
 
     /// Returns how many there are, with the origin.
     pub(crate) fn count(&self) -> usize {
-        let near = self.caches.len() + self.holders.len() + self.lenders.len();
+        let near =
+            self.caches.len() + self.holders.len() + self.part_holders.len();
         (self.peers.len() + near).max(1) + 1
     }
 
@@ -81,7 +82,7 @@
             .with_fanout(FANOUT)
             .with_caches(names(&self.caches))
             .with_holders(names(&self.holders))
-            .with_lenders(names(&self.lenders))
+            .with_part_holders(names(&self.part_holders))
     }
 
     /// Returns a puller of what is missing of a version.
--- a/src/weights/outage_tests.rs
+++ b/src/weights/outage_tests.rs
@@ -248,18 +248,18 @@
 /// An entry that takes the place of one that has ended draws only what no
 /// agent of its hall holds, also what an agent got since it was first asked.
 #[test]
-fn what_lenders_hold_is_not_drawn_from_the_origin() {
+fn what_part_holders_hold_is_not_drawn_from_the_origin() {
     let all = halls(1, 1);
     let list = chunks(96);
-    let name = |i: usize| Arc::from(format!("lender-{i}"));
-    let lenders: Vec<Arc<str>> = (0..5).map(name).collect();
-    let walk = walk(&all, 0, 0).with_lenders(lenders.clone());
+    let name = |i: usize| Arc::from(format!("part-{i}"));
+    let part_holders: Vec<Arc<str>> = (0..5).map(name).collect();
+    let walk = walk(&all, 0, 0).with_part_holders(part_holders.clone());
     let patience = Patience::new().with_waiting(Duration::from_secs(3_600));
     let mut puller = Puller::new(walk, &list, patience, 0, |_| false);
     let mut drawn = HashSet::new();
     for ms in (0..6_000).step_by(20) {
         let now = Time::from_millis(ms);
-        // The second half of what the lenders hold comes to them later.
+        // The second half of what the part holders hold comes to them later.
         let until = if ms < 100 { 30 } else { 60 };
         for ask in puller.poll(now) {
             let place = |d: &Digest| {
@@ -276,10 +276,10 @@
                 }
                 continue;
             }
-            let lender =
-                lenders.iter().position(|l| **l == *ask.source().name());
-            let lender = lender.unwrap();
-            let holds = |c: usize| c < until && c % 5 == lender;
+            let holder =
+                part_holders.iter().position(|l| **l == *ask.source().name());
+            let holder = holder.unwrap();
+            let holds = |c: usize| c < until && c % 5 == holder;
             puller.learn(ask.source(), (0..list.len()).map(holds));
             let found = ask.want().iter().find(|d| holds(place(d)));
             match found.filter(|_| !ask.tell()) {
--- a/src/weights/puller.rs
+++ b/src/weights/puller.rs
@@ -107,7 +107,7 @@
     /// How often those who may hold chunks are asked anew what they hold: they
     /// draw too while no entry of the hall answers them. A question and its
     /// answer are 0.6 KB.
-    const LENDER_AGAIN: Duration = Duration::from_millis(1_000);
+    const ASK_AGAIN: Duration = Duration::from_millis(1_000);
 
     /// The most chunks named to one who is known to hold them: each answer
     /// brings one, and the others are left for those who hold them too.
--- a/src/weights/puller/holders.rs
+++ b/src/weights/puller/holders.rs
@@ -16,12 +16,12 @@
         if want.is_empty() {
             return asks;
         }
-        let lenders: Vec<Source> = self.walk.lenders().collect();
-        for source in lenders {
+        let part_holders: Vec<Source> = self.walk.part_holders().collect();
+        for source in part_holders {
             let busy = self.asked.contains_key(&source);
             let standing = self.standing.get(&source);
             let due = standing.is_none_or(|s| {
-                !s.met || now.since(s.asked_at) >= Puller::LENDER_AGAIN
+                !s.met || now.since(s.asked_at) >= Puller::ASK_AGAIN
             });
             if busy || !due || self.suspect(&source, now) {
                 continue;
--- a/src/weights/walk.rs
+++ b/src/weights/walk.rs
@@ -46,7 +46,7 @@
     /// Processes of the hall that hold all of the version.
     holders: Vec<Arc<str>>,
     /// Processes of the hall that may hold some of it.
-    lenders: Vec<Arc<str>>,
+    part_holders: Vec<Arc<str>>,
 }
 
 impl Walk {
@@ -98,7 +98,7 @@
             fanout: None,
             caches: Vec::new(),
             holders: Vec::new(),
-            lenders: Vec::new(),
+            part_holders: Vec::new(),
         }
     }
 
@@ -122,8 +122,8 @@
     /// Returns the walk in which those who may hold some of the version are
     /// asked what they hold, and for it, before anybody outside the hall.
     #[must_use]
-    pub fn with_lenders(mut self, lenders: Vec<Arc<str>>) -> Walk {
-        self.lenders = lenders;
+    pub fn with_part_holders(mut self, part_holders: Vec<Arc<str>>) -> Walk {
+        self.part_holders = part_holders;
         self
     }
 
@@ -227,7 +227,7 @@
                 return Some(source);
             }
         }
-        for name in spread(&self.lenders, index) {
+        for name in spread(&self.part_holders, index) {
             let source = Source::Near(Arc::clone(name));
             if holds(&source) && !suspect(&source) {
                 return Some(source);
@@ -324,8 +324,8 @@
     }
 
     /// Returns those of the hall who may hold some of the version.
-    pub fn lenders(&self) -> impl Iterator<Item = Source> {
-        self.lenders.iter().map(|name| Source::Near(Arc::clone(name)))
+    pub fn part_holders(&self) -> impl Iterator<Item = Source> {
+        self.part_holders.iter().map(|name| Source::Near(Arc::clone(name)))
     }
 
     /// Returns the other agents of the hall.
