One way to ask a source what it holds; no second digest of a verified chunk

Found on reading the diff: setting a question to bring no chunk stood twice in the puller, and staging a chunk hashed bytes again that the manifest names. Behaviour is as before.

--- a/crates/loader/src/staging.rs
+++ b/crates/loader/src/staging.rs
@@ -72,7 +72,8 @@
 ) {
     let model = &manifest.model;
     let before = agent.holdings.staged_at(model, index);
-    let before = before.filter(|d| Digest::sha256(&bytes) != *d);
+    let named = manifest.digests.get(index as usize);
+    let before = before.filter(|d| named != Some(d));
     if let Some(digest) = before {
         save(agent, model, index, &digest).await;
     }
--- a/src/weights/puller.rs
+++ b/src/weights/puller.rs
@@ -187,11 +187,11 @@
         }
         for late in self.stalled(now) {
             let hold = self.patience.hold;
-            let mut ask = self.ask(late.source, late.want, hold, now);
-            ask.tell = late.tell;
-            if let Some(asked) = self.asked.get_mut(&ask.source) {
-                asked.tell = late.tell;
-            }
+            let ask = if late.tell {
+                self.ask_to_tell(late.source, late.want, hold, now)
+            } else {
+                self.ask(late.source, late.want, hold, now)
+            };
             asks.push(ask);
         }
         asks
@@ -268,6 +268,22 @@
         ChunkRequest { source, want: digests, hold, hello, tell: false }
     }
 
+    /// Asks a source to say what it holds, and to send nothing.
+    fn ask_to_tell(
+        &mut self,
+        source: Source,
+        want: Vec<usize>,
+        hold: Duration,
+        now: Time,
+    ) -> ChunkRequest {
+        let mut ask = self.ask(source, want, hold, now);
+        ask.tell = true;
+        if let Some(asked) = self.asked.get_mut(&ask.source) {
+            asked.tell = true;
+        }
+        ask
+    }
+
     fn source(&self, i: usize, now: Time) -> Source {
         self.walk.first(
             i,
--- a/src/weights/puller/holders.rs
+++ b/src/weights/puller/holders.rs
@@ -26,12 +26,8 @@
             if busy || !due || self.suspect(&source, now) {
                 continue;
             }
-            let mut ask = self.ask(source, want.clone(), Duration::ZERO, now);
-            ask.tell = true;
-            if let Some(asked) = self.asked.get_mut(&ask.source) {
-                asked.tell = true;
-            }
-            asks.push(ask);
+            let want = want.clone();
+            asks.push(self.ask_to_tell(source, want, Duration::ZERO, now));
         }
         asks
     }
