Numbers of settings and configurations may be written in any way

Cause: bounds were read as whole numbers of a fixed width, while the platform tells any number: the small twin of the whole fleet has a retry minimum of 34.42, and every entry ended at its start ('invalid u32') and was started again each half second.

Not changed: entries of the replicas' list, where another type is another writer's.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -305,7 +305,7 @@
         act: impl FnOnce(&mut RetryShare) -> T,
     ) -> T {
         let bound = self.settings.get().retry;
-        let window = Duration::from_secs(bound.window_s);
+        let window = Duration::from_secs_f64(bound.window_s);
         let mut shares =
             self.shares.lock().unwrap_or_else(PoisonError::into_inner);
         let share = shares.entry(Arc::clone(service)).or_default();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use stairhinge::{Code, Error};
-use stairhinge_shell::{LinkMbps, Settings};
+use stairhinge::Error;
+use stairhinge::number::whole;
+use stairhinge_shell::{LinkMbps, Settings, read_settings};
 
 /// The bound on retries over all entries together.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
@@ -14,9 +15,9 @@
     /// Retries against requests.
     pub ratio: f64,
     /// The sliding window, in seconds.
-    pub window_s: u64,
+    pub window_s: f64,
     /// Retries that are allowed beside the ratio.
-    pub minimum: u32,
+    pub minimum: f64,
 }
 
 /// The settings of an entry that sends straight to replicas.
@@ -45,19 +46,23 @@
     #[serde(default = "default_link_mbps")]
     pub link_mbps: LinkMbps,
     /// How long a planned stop may take, in seconds.
+    #[serde(deserialize_with = "whole")]
     pub grace_s: u64,
     /// How long a leaving replica may get new requests, in milliseconds.
+    #[serde(deserialize_with = "whole")]
     pub drain_ms: u64,
     /// Within which published routes have to be in force, in milliseconds.
-    #[serde(default = "default_routes_ms")]
+    #[serde(default = "default_routes_ms", deserialize_with = "whole")]
     pub routes_ms: u64,
     /// How often a listed replica renews its entry, in milliseconds.
-    #[serde(default = "default_heartbeat_ms")]
+    #[serde(default = "default_heartbeat_ms", deserialize_with = "whole")]
     pub heartbeat_ms: u64,
     /// Within which a named version has to serve, in milliseconds.
+    #[serde(deserialize_with = "whole")]
     pub version_ms: u64,
     /// How long a process may need to be up to date again after a start or
     /// a cut, in milliseconds.
+    #[serde(deserialize_with = "whole")]
     pub contact_ms: u64,
     /// The bound on retries.
     pub retry: RetryBound,
@@ -75,6 +80,9 @@
     pub connections: usize,
 }
 
+/// The largest span in seconds, or number of requests, of a bound.
+const MOST_BOUND: f64 = 1e6;
+
 const fn default_hall_placing() -> bool {
     true
 }
@@ -109,8 +117,7 @@
 
 impl Settings for EntrySettings {
     fn parse(text: &str) -> Result<EntrySettings, Error> {
-        let settings: EntrySettings = serde_saphyr::from_str(text)
-            .map_err(|e| Error::new(Code::BadSettings, e))?;
+        let settings: EntrySettings = read_settings(text)?;
         if settings.grace_s == 0 {
             return Err(Error::range("grace_s", 0, "1 or more"));
         }
@@ -119,6 +126,15 @@
             let ratio = settings.retry.ratio;
             return Err(Error::range("retry.ratio", ratio, "0 to 1"));
         }
+        for (field, value) in [
+            ("retry.window_s", settings.retry.window_s),
+            ("retry.minimum", settings.retry.minimum),
+        ] {
+            if !(0.0..=MOST_BOUND).contains(&value) {
+                let allowed = format_args!("0 to {MOST_BOUND}");
+                return Err(Error::range(field, value, allowed));
+            }
+        }
         Ok(settings)
     }
 
--- a/crates/loader/src/settings.rs
+++ b/crates/loader/src/settings.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use stairhinge::{Code, Error};
-use stairhinge_shell::{LinkMbps, Settings};
+use stairhinge::Error;
+use stairhinge::number::whole;
+use stairhinge_shell::{LinkMbps, Settings, read_settings};
 
 /// The settings of an agent beside an engine.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -22,11 +23,14 @@
     /// The engine's service.
     pub service: Arc<str>,
     /// How long a planned stop may take, in seconds.
+    #[serde(deserialize_with = "whole")]
     pub grace_s: u64,
     /// Within which a named version has to serve, in milliseconds.
+    #[serde(deserialize_with = "whole")]
     pub version_ms: u64,
     /// How long a process may need to be up to date again after a start or
     /// a cut, in milliseconds.
+    #[serde(deserialize_with = "whole")]
     pub contact_ms: u64,
     /// What the instance's link carries, in megabits a second.
     pub link_mbps: LinkMbps,
@@ -43,8 +47,7 @@
 
 impl Settings for AgentSettings {
     fn parse(text: &str) -> Result<AgentSettings, Error> {
-        let settings: AgentSettings = serde_saphyr::from_str(text)
-            .map_err(|e| Error::new(Code::BadSettings, e))?;
+        let settings: AgentSettings = read_settings(text)?;
         settings.link_mbps.check()?;
         if settings.poll_ms == 0 {
             return Err(Error::range("poll_ms", 0, "1 or more"));
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -22,6 +22,7 @@
 mod logs;
 mod metrics;
 mod rate;
+mod read_settings;
 mod refused;
 mod settings_watch;
 mod shutdown;
@@ -32,6 +33,7 @@
 pub use self::logs::{start as start_logs, to_report};
 pub use self::metrics::Metrics;
 pub use self::rate::Shaper;
+pub use self::read_settings::read_settings;
 pub use self::refused::is_refused;
 pub use self::settings_watch::{SettingsSource, SettingsWatch};
 pub use self::shutdown::{
--- a/src/direct/retry_share.rs
+++ b/src/direct/retry_share.rs
@@ -30,17 +30,17 @@
 
     /// Returns the share of a bound: `ratio` of the requests and `minimum`
     /// retries in each `window`, over all entries.
-    pub fn new(window: Duration, ratio: f64, minimum: u32) -> RetryShare {
+    pub fn new(window: Duration, ratio: f64, minimum: f64) -> RetryShare {
         let mut share = RetryShare::default();
         share.set_bound(window, ratio, minimum);
         share
     }
 
     /// Keeps another bound from now on; what was spent stays spent.
-    pub fn set_bound(&mut self, window: Duration, ratio: f64, minimum: u32) {
+    pub fn set_bound(&mut self, window: Duration, ratio: f64, minimum: f64) {
         self.window = window;
         self.ratio = ratio * RetryShare::SAFETY;
-        self.allowance = f64::from(minimum) / RetryShare::ENTRIES;
+        self.allowance = minimum / RetryShare::ENTRIES;
     }
 
     /// Counts a request's first attempt.
--- a/src/direct/tests.rs
+++ b/src/direct/tests.rs
@@ -141,7 +141,7 @@
 #[test]
 fn shares_of_many_entries_keep_the_bound_together() {
     let window = Duration::from_secs(10);
-    let (ratio, minimum) = (0.2, 100);
+    let (ratio, minimum) = (0.2, 100.0);
     let entries = 8;
     let mut spent = 0;
     let mut requests = 0;
@@ -153,14 +153,14 @@
             spent += u32::from(share.spend(at(step * 10)));
         }
     }
-    let most = f64::from(requests) * ratio + f64::from(minimum);
+    let most = f64::from(requests) * ratio + minimum;
     assert!(f64::from(spent) <= most, "{spent} of {most}");
     assert!(f64::from(spent) >= most * 0.6, "{spent} of {most}");
 }
 
 #[test]
 fn retries_come_back_as_the_window_slides() {
-    let mut share = RetryShare::new(Duration::from_secs(10), 0.0, 80);
+    let mut share = RetryShare::new(Duration::from_secs(10), 0.0, 80.0);
     assert!(share.spend(at(0)));
     assert!(share.spend(at(0)));
     assert!(!share.spend(at(9_000)));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 * [`placing`] is how one entry of a hall picks replicas for all of them.
 * [`event`] is the time line over all processes.
 * [`explanation`] is why a request ended as it did, from logs alone.
+* [`number`] is how numbers of settings and documents are read.
 
 # Example
 
@@ -62,6 +63,7 @@
 pub mod document;
 pub mod event;
 pub mod explanation;
+pub mod number;
 pub mod placing;
 pub mod poison;
 pub mod rank;
