Regions, evacuations and cold replicas bind the choice of a replica

What was missing: no code read allowedRegions, op/evacuate/ or the time that a replica stays cold.

AllowedRegions of route and workspace bind together and travel with the need of a request: first tries, further tries, streams taken up, requests that wait and placers' choices are one decision (Dispatcher::terms), and an entry checks a placer's choice again. Nothing in reach: 503 with 3021 at once. Halls get their region from the settings.

Evacuations come with the declarations, by list, watch, other entries and after a time out of touch; each is dated by when the process last knew all.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -14,9 +14,11 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::{Duration, Instant};
 
-use stairhinge::direct::{Contention, HallEntry};
-use stairhinge::placing::{Lack, Need};
-use stairhinge_shell::directory::Facts;
+use stairhinge::direct::{
+    AllowedRegions, Contention, EvacuationBound, HallEntry, HallRegions,
+};
+use stairhinge::placing::{ColdAccess, Lack, Need};
+use stairhinge_shell::directory::{Facts, FactsView};
 
 use self::find::layers;
 use self::known::{Known, Reported};
@@ -24,6 +26,7 @@
 pub(crate) use self::queue::Found;
 use self::queue::Queue;
 use crate::report::EngineReport;
+use crate::settings::ColdLimits;
 
 #[derive(Debug, Default)]
 struct State {
@@ -37,10 +40,16 @@
 }
 
 /// How far the dispatcher looks back and ahead.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct DispatchBounds {
     /// Within which a named version has to serve.
     pub version: Duration,
+    /// Within which an evacuated hall gets nothing more.
+    pub evacuation: EvacuationBound,
+    /// The bound on requests to a cold replica.
+    pub cold: ColdLimits,
+    /// The region of each hall.
+    pub regions: HallRegions,
 }
 
 /// How long a replica that had no room is spared.
@@ -90,9 +99,10 @@
         &self,
         need: Need,
         until: Instant,
+        access: ColdAccess,
     ) -> Result<Place, Lack> {
         let wait = until.saturating_duration_since(Instant::now());
-        match self.request(need, !wait.is_zero()) {
+        match self.request(need, !wait.is_zero(), access) {
             Found::Place(place) => Ok(place),
             Found::Nothing(lack) => Err(lack),
             Found::Waits(found) => found.within(wait).await.ok_or(Lack::Room),
@@ -101,22 +111,41 @@
 
     /// Returns a place at a replica; where there is no room now, it waits for
     /// some if the caller does.
-    pub(crate) fn request(&self, need: Need, waits: bool) -> Found {
+    pub(crate) fn request(
+        &self,
+        need: Need,
+        waits: bool,
+        access: ColdAccess,
+    ) -> Found {
         let mut state = self.lock();
         let view = self.facts.view();
         let ahead = state.waiting.goes_before(&need);
         if !ahead
-            && let Some(place) = self.find(&mut state, &view, &need, None)
+            && let Some(place) =
+                self.find(&mut state, &view, &need, access, None)
         {
             return Found::Place(place);
         }
         if !self.exists(&state, &view, &need) {
-            return Found::Nothing(Lack::Replica);
+            return Found::Nothing(self.lack(&state, &view, need));
         }
         if !waits {
             return Found::Nothing(Lack::Room);
         }
-        Found::Waits(state.waiting.join(need))
+        Found::Waits(state.waiting.join(need, access))
+    }
+
+    /// Returns why no replica serves what is needed.
+    fn lack(&self, state: &State, view: &FactsView, mut need: Need) -> Lack {
+        if !need.regions.is_bound() {
+            return Lack::Replica;
+        }
+        need.regions = AllowedRegions::default();
+        if self.exists(state, view, &need) {
+            Lack::Region
+        } else {
+            Lack::Replica
+        }
     }
 
     /// Returns how many replicas of a service are listed, and how many of
@@ -146,7 +175,8 @@
         let view = self.facts.view();
         let mut given = Vec::new();
         for waiter in state.waiting.take() {
-            match self.find(&mut state, &view, &waiter.need, only) {
+            let (need, access) = (&waiter.need, waiter.access);
+            match self.find(&mut state, &view, need, access, only) {
                 Some(place) => given.push((waiter, place)),
                 None => state.waiting.keep(waiter),
             }
--- a/crates/gateway/src/dispatch/find.rs
+++ b/crates/gateway/src/dispatch/find.rs
@@ -5,8 +5,9 @@
 
 use stairhinge::direct::Replica;
 use stairhinge::direct::balance::{Candidate, Pace, choose};
-use stairhinge::placing::Need;
+use stairhinge::placing::{ColdAccess, Need};
 use stairhinge::rank;
+use stairhinge_shell::decisions::Decision;
 use stairhinge_shell::directory::{FactsView, Standing};
 
 use super::terms::Terms;
@@ -20,6 +21,9 @@
 /// began them after 0.8 s.
 const BACKLOG_PART: f64 = 0.5;
 
+/// The data halls that are reckoned with where the settings name none.
+const MOST_HALLS: usize = 20;
+
 /// Replicas that could take a request, of one kind.
 #[derive(Debug, Default)]
 struct Offered {
@@ -95,22 +99,23 @@
         state: &mut State,
         view: &FactsView,
         need: &Need,
+        access: ColdAccess,
         only: Option<&Arc<str>>,
     ) -> Option<Place> {
         let offers = match only {
             Some(only) if self.may_fill(state, view, need, only) => {
-                self.offers(state, view, need, view.replicas.get(only))
+                self.offers(state, view, need, access, view.replicas.get(only))
             }
             Some(_) => return None,
             None => {
                 let all = view.of_service(&need.service);
-                self.offers(state, view, need, all)
+                self.offers(state, view, need, access, all)
             }
         };
         let (replica, terms) = offers.chosen()?;
         let known =
             state.known.entry(Arc::clone(&replica.incarnation)).or_default();
-        known.given(need);
+        known.given(need, self.facts.now());
         let reported = known.reported.as_ref();
         Some(Place {
             version: terms.version.or(need.version),
@@ -134,6 +139,7 @@
         state: &mut State,
         view: &FactsView,
         need: &Need,
+        access: ColdAccess,
         replicas: impl IntoIterator<Item = &'a (Arc<Replica>, Standing)>,
     ) -> Offers {
         let now = self.facts.now();
@@ -148,7 +154,7 @@
             }
             let terms = self.terms(state, view, need, replica, layers, now);
             let Some(terms) = terms else { continue };
-            let candidate = self.candidate(state, view, need, replica);
+            let candidate = self.candidate(state, view, need, access, replica);
             let Some((candidate, fitness)) = candidate else { continue };
             let offered = offers.of(fitness);
             offered.candidates.push(candidate);
@@ -158,20 +164,35 @@
     }
 
     /// Returns a replica as a candidate, and what speaks against it; `None` if
-    /// it has just said that it had no room, or if both it and the request
+    /// it has just said that it had no room or is cold and has had its share,
+    /// or if both it and the request
     /// have to be kept apart from others that may end replicas.
     fn candidate(
         &self,
         state: &mut State,
         view: &FactsView,
         need: &Need,
+        access: ColdAccess,
         replica: &Replica,
     ) -> Option<(Candidate, Fitness)> {
         let engine = view.engine(&need.service);
         let entries = state.contention.entries();
         let known =
             state.known.entry(Arc::clone(&replica.incarnation)).or_default();
-        known.meet(replica);
+        let now = self.facts.now();
+        let cold = known.meet(replica, now);
+        if known.is_cold(now)
+            && let Some(share) = self.cold_share(view, access, replica)
+        {
+            if let Some(for_ms) = cold {
+                let replica = &replica.incarnation;
+                let line = Decision::ReplicaCold { replica, for_ms, share };
+                self.facts.log().write(&line);
+            }
+            if !known.cold_sent.has_room(share, now) {
+                return None;
+            }
+        }
         if known.full_until.is_some_and(|at| at > Instant::now()) {
             return None;
         }
@@ -188,15 +209,17 @@
         let offset = *known
             .offset
             .get_or_insert_with(|| self.offset(&replica.incarnation));
+        let room = self.evacuation_room(view, &replica.hall);
+        let slots = (f64::from(replica.slots) * room) as u32;
         let pace = engine.map_or_else(
-            || Pace::plain(replica.slots),
-            |engine| Pace { entries, ..engine.pace(replica.slots) },
+            || Pace::plain(slots),
+            |engine| Pace { entries, ..engine.pace(slots) },
         );
         let candidate = Candidate {
             load: known.load,
             pace,
             near: replica.hall == self.hall,
-            queue: queue_room(replica.slots, engine.is_some()),
+            queue: queue_room(slots, engine.is_some()),
             offset,
             delay_ms: known.delay_ms(),
             slowdown: known.slowdown(),
@@ -205,6 +228,21 @@
         Some((candidate, fitness))
     }
 
+    /// Returns how many requests in a second this entry may choose a replica
+    /// for while that is cold; `None` where there is no bound.
+    fn cold_share(
+        &self,
+        view: &FactsView,
+        access: ColdAccess,
+        replica: &Replica,
+    ) -> Option<usize> {
+        let service = view.routes.as_ref()?.service(&replica.service)?;
+        let bound = self.bounds.cold.bound(service.cold_per_s)?;
+        let near = replica.hall == self.hall;
+        let halls = self.bounds.regions.halls().unwrap_or(MOST_HALLS);
+        Some(bound.share(access, near, halls))
+    }
+
     /// Returns this entry's leaning towards a replica, from 0 to 1.
     fn offset(&self, incarnation: &str) -> f64 {
         let score = rank::score(self.instance.as_bytes(), incarnation);
--- a/crates/gateway/src/dispatch/hall.rs
+++ b/crates/gateway/src/dispatch/hall.rs
@@ -86,7 +86,10 @@
     ) -> Option<Place> {
         let view = self.facts.view();
         let (replica, _) = view.replicas.get(&placed.replica)?;
-        if replica.state == ReplicaState::Draining {
+        if replica.state == ReplicaState::Draining
+            || !self.is_allowed(need, &replica.hall)
+            || self.evacuation_room(&view, &replica.hall) <= 0.0
+        {
             return None;
         }
         let now = self.facts.now();
@@ -99,7 +102,7 @@
         }
         let mut state = self.lock();
         let incarnation = Arc::clone(&replica.incarnation);
-        state.known.entry(incarnation).or_default().given(need);
+        state.known.entry(incarnation).or_default().given(need, now);
         Some(Place {
             replica: Arc::clone(replica),
             version: placed.version,
--- a/crates/gateway/src/dispatch/known.rs
+++ b/crates/gateway/src/dispatch/known.rs
@@ -2,9 +2,10 @@
 
 use std::time::{Duration, Instant};
 
+use stairhinge::Time;
 use stairhinge::direct::Replica;
 use stairhinge::direct::balance::Load;
-use stairhinge::placing::Need;
+use stairhinge::placing::{ColdWindow, Need};
 use stairhinge::poison::PoisonTable;
 use stairhinge::routing::Health;
 
@@ -72,6 +73,12 @@
     pub slow_at: Option<Instant>,
     pub reported: Option<Reported>,
     pub full_until: Option<Instant>,
+    /// How long it was cold by its last entry, in milliseconds, and until
+    /// when.
+    pub cold_ms: u64,
+    pub cold_until: Option<Time>,
+    /// What it was sent of late.
+    pub cold_sent: ColdWindow,
     /// What it last said not to be.
     pub misdirected: Option<Misdirected>,
     /// Until when it may end under a request that it was given.
@@ -83,21 +90,46 @@
 impl Known {
     /// Forgets what was held against an earlier process of the replica. The
     /// requests there end by themselves, and its agent goes on.
-    pub(super) fn meet(&mut self, replica: &Replica) {
-        if self.born == replica.born {
-            return;
+    /// Returns for how long it is cold, in milliseconds, where that is news.
+    pub(super) fn meet(
+        &mut self,
+        replica: &Replica,
+        now: Time,
+    ) -> Option<u64> {
+        if self.born != replica.born {
+            self.begin_anew(replica);
         }
+        if self.cold_ms == replica.cold_ms {
+            return None;
+        }
+        let was_cold = self.is_cold(now);
+        self.cold_ms = replica.cold_ms;
+        let span = Duration::from_millis(replica.cold_ms);
+        self.cold_until = Some(now.after(span));
+        (!was_cold && self.is_cold(now)).then_some(replica.cold_ms)
+    }
+
+    /// Whether it bears few requests now.
+    pub(super) fn is_cold(&self, now: Time) -> bool {
+        self.cold_until.is_some_and(|until| now < until)
+    }
+
+    fn begin_anew(&mut self, replica: &Replica) {
         *self = Known {
             born: replica.born,
             load: self.load,
             offset: self.offset,
             reported: self.reported.take(),
+            cold_sent: std::mem::take(&mut self.cold_sent),
             ..Known::default()
         };
     }
 
     /// Takes note of a request that it is given.
-    pub(super) fn given(&mut self, need: &Need) {
+    pub(super) fn given(&mut self, need: &Need, now: Time) {
+        if self.is_cold(now) {
+            self.cold_sent.note(now);
+        }
         self.load.own_pending += 1;
         self.load.own_pending_tokens += need.prompt_tokens;
         let until = Some(Instant::now() + PoisonTable::TRIAL);
--- a/crates/gateway/src/dispatch/queue.rs
+++ b/crates/gateway/src/dispatch/queue.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use stairhinge::placing::{Lack, Need};
+use stairhinge::placing::{ColdAccess, Lack, Need};
 use tokio::sync::oneshot;
 
 use super::Place;
@@ -40,6 +40,7 @@
 #[derive(Debug)]
 pub(super) struct Waiter {
     pub need: Need,
+    pub access: ColdAccess,
     pub found: oneshot::Sender<Place>,
 }
 
@@ -60,11 +61,11 @@
     }
 
     /// Adds a request.
-    pub(super) fn join(&mut self, need: Need) -> Waiting {
+    pub(super) fn join(&mut self, need: Need, access: ColdAccess) -> Waiting {
         let (found, receiver) = oneshot::channel();
         let priority = need.priority;
         let at = self.waiters.partition_point(|w| w.need.priority <= priority);
-        self.waiters.insert(at, Waiter { need, found });
+        self.waiters.insert(at, Waiter { need, access, found });
         Waiting(receiver)
     }
 
--- a/crates/gateway/src/dispatch/terms.rs
+++ b/crates/gateway/src/dispatch/terms.rs
@@ -47,6 +47,11 @@
         {
             return None;
         }
+        if !self.is_allowed(need, &replica.hall)
+            || self.evacuation_room(view, &replica.hall) <= 0.0
+        {
+            return None;
+        }
         let known = state.known.get(&replica.incarnation);
         if known.is_some_and(Known::is_misdirected) {
             return None;
@@ -83,6 +88,18 @@
         Some(Terms { version: insist.then_some(held), begin_by })
     }
 
+    /// Returns whether a request may be served in a hall.
+    pub(super) fn is_allowed(&self, need: &Need, hall: &str) -> bool {
+        need.regions.allows(self.bounds.regions.region(hall))
+    }
+
+    /// Returns the part of a hall's room that may be used: 1 unless the hall
+    /// is evacuated.
+    pub(super) fn evacuation_room(&self, view: &FactsView, hall: &str) -> f64 {
+        let Some(since) = view.evacuations.since(hall) else { return 1.0 };
+        self.bounds.evacuation.room(since, self.facts.now())
+    }
+
     /// Returns until when a request may begin on a version outdated since
     /// `since`, or `None` if nothing more may be sent to it.
     pub(super) fn begin_by(
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -68,7 +68,12 @@
     let ready = bind(settings.ready).await?;
     let facts = Arc::new(Facts::new(log.clone(), settings.presumed_age()));
     let metrics = Arc::new(EntryMetrics::new());
-    let bounds = DispatchBounds { version: settings.version_bound() };
+    let bounds = DispatchBounds {
+        version: settings.version_bound(),
+        evacuation: settings.evacuation_bound(),
+        cold: settings.cold,
+        regions: settings.regions.clone().unwrap_or_default(),
+    };
     let hall = Arc::clone(&settings.hall);
     let instance = Arc::clone(&settings.instance);
     let dispatcher =
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -199,11 +199,14 @@
             .as_ref()
             .and_then(|w| w.priority)
             .unwrap_or(route.priority);
+        let of_workspace = workspace.as_ref().map(|w| w.regions.clone());
+        let regions = route.regions.and(&of_workspace.unwrap_or_default());
         let context = Arc::new(RequestContext {
             caller,
             service,
             workspace: workspace.map(|w| Arc::clone(&w.name)),
             priority,
+            regions,
             revision: routes.revision(),
             started,
             deadline,
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -144,14 +144,15 @@
             Ok(place) => return Ok(place),
             Err(lack) => lack,
         };
-        let shortage = match lack {
-            Lack::Room => Shortage::NoRoom,
-            Lack::Replica => Shortage::NoReplica,
-        };
         if ran {
             return Err(Failed::new(Error::new(Code::LostBackend, lack)));
         }
-        Err(refused(Error::new(Code::NoBackend, lack), shortage))
+        let (code, shortage) = match lack {
+            Lack::Room => (Code::NoBackend, Shortage::NoRoom),
+            Lack::Replica => (Code::NoBackend, Shortage::NoReplica),
+            Lack::Region => (Code::NoRegion, Shortage::NoReplica),
+        };
+        Err(refused(Error::new(code, lack), shortage))
     }
 
     /// Looks at a replica from which no whole answer came: whether its process
@@ -196,6 +197,7 @@
         priority: context.priority,
         prompt_tokens: context.caller.prompt_tokens,
         objective: context.route.objective(),
+        regions: context.regions.clone(),
         suspicion: Suspicion::default(),
     }
 }
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -94,7 +94,9 @@
         left: Duration,
     ) -> Result<Place, Lack> {
         let Some(peers) = self.peers.as_ref().filter(|p| p.places) else {
-            return self.own(need, until, Chooser::Alone).await;
+            let alone = self.peers.is_none();
+            let chooser = if alone { Chooser::Alone } else { Chooser::Apart };
+            return self.own(need, until, chooser).await;
         };
         let ranked = self.dispatcher.ranked();
         let mut why = Chooser::NoPlacer;
@@ -112,7 +114,7 @@
                 Ok(place) => return Ok(place),
                 Err(Asked::Refused(Lack::Room)) => return Err(Lack::Room),
                 // What this entry knows of may still do.
-                Err(Asked::Refused(Lack::Replica)) => break,
+                Err(Asked::Refused(_)) => break,
                 Err(Asked::Nothing(reason)) => why = reason,
             }
         }
@@ -125,7 +127,8 @@
         until: Instant,
         chooser: Chooser,
     ) -> Result<Place, Lack> {
-        let mut place = self.dispatcher.place(need, until).await?;
+        let access = chooser.cold_access();
+        let mut place = self.dispatcher.place(need, until, access).await?;
         place.chooser = chooser;
         Ok(place)
     }
--- a/crates/gateway/src/placing/chooser.rs
+++ b/crates/gateway/src/placing/chooser.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use stairhinge::placing::ColdAccess;
+
 /// Who chose a request's replica, and why.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Chooser {
@@ -11,6 +13,8 @@
     IsPlacer,
     /// The entry itself: entries do not reach one another.
     Alone,
+    /// The entry itself: its settings say so.
+    Apart,
     /// The entry itself: it knows of no placer that is well.
     NoPlacer,
     /// The entry itself: the placer did not answer in time.
@@ -30,12 +34,22 @@
         }
     }
 
+    /// Returns how much of what cold replicas bear is for this choice.
+    pub(crate) const fn cold_access(self) -> ColdAccess {
+        match self {
+            Chooser::Alone => ColdAccess::All,
+            Chooser::IsPlacer => ColdAccess::Placer,
+            _ => ColdAccess::Nobody,
+        }
+    }
+
     /// Returns why the entry chose by itself, if it did.
     pub(crate) const fn own_choice(self) -> Option<&'static str> {
         match self {
             Chooser::Placer(_) => None,
             Chooser::IsPlacer => Some("places for the hall"),
             Chooser::Alone => Some("reaches no other entry"),
+            Chooser::Apart => Some("does not place with others"),
             Chooser::NoPlacer => Some("knows no placer"),
             Chooser::Silent => Some("the placer is silent"),
             Chooser::Unready => Some("the placer is not ready"),
--- a/crates/gateway/src/placing/placer.rs
+++ b/crates/gateway/src/placing/placer.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use stairhinge::placing::{
-    Lack, Message, Outcome, PlaceEvent, PlaceKey, PlaceTable, Placed,
-    Question, Verdict,
+    ColdAccess, Lack, Message, Outcome, PlaceEvent, PlaceKey, PlaceTable,
+    Placed, Question, Verdict,
 };
 
 use crate::dispatch::{Dispatcher, Found, Place};
@@ -43,7 +43,11 @@
         }
         let wait = Duration::from_millis(u64::from(question.wait_ms));
         let left = Duration::from_millis(u64::from(question.left_ms));
-        match dispatcher.request(question.need, !wait.is_zero()) {
+        match dispatcher.request(
+            question.need,
+            !wait.is_zero(),
+            ColdAccess::Placer,
+        ) {
             Found::Place(place) => {
                 if let Some(placed) = self.give(dispatcher, key, place, left) {
                     say(placed);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -294,6 +294,7 @@
             priority: 0,
             prompt_tokens: self.context.caller.prompt_tokens,
             objective: self.context.route.objective(),
+            regions: self.context.regions.clone(),
             suspicion: self.suspicion,
         };
         let left = self.context.left();
--- a/crates/gateway/src/request_context.rs
+++ b/crates/gateway/src/request_context.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use hyper::header::HOST;
 use hyper::http::request::Parts;
-use stairhinge::direct::Route;
+use stairhinge::direct::{AllowedRegions, Route};
 use stairhinge::poison::{Fingerprint, Identity};
 
 use crate::dialect::CallerRequest;
@@ -18,6 +18,8 @@
     pub service: Arc<str>,
     pub workspace: Option<Arc<str>>,
     pub priority: u8,
+    /// Where it may be served.
+    pub regions: AllowedRegions,
     pub revision: u64,
     pub started: Instant,
     pub deadline: Instant,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -6,7 +6,9 @@
 
 use serde::{Deserialize, Serialize};
 use stairhinge::Error;
-use stairhinge::number::whole;
+use stairhinge::direct::{EvacuationBound, HallRegions};
+use stairhinge::number::{maybe_whole, whole};
+use stairhinge::placing::ColdBound;
 use stairhinge_shell::{LinkMbps, Settings, read_settings};
 
 /// The bound on retries over all entries together.
@@ -20,6 +22,26 @@
     pub minimum: f64,
 }
 
+/// The bound on requests to a cold replica, over all entries together.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+pub struct ColdLimits {
+    /// Times the requests a second that the replica bears; without a value
+    /// just as many.
+    #[serde(default)]
+    pub overage: Option<f64>,
+    /// Requests beside these.
+    #[serde(default)]
+    pub slack: Option<f64>,
+}
+
+impl ColdLimits {
+    /// Returns the bound for replicas that bear so many requests a second.
+    pub fn bound(self, per_s: f64) -> Option<ColdBound> {
+        let overage = self.overage.unwrap_or(1.0);
+        ColdBound::new(per_s, overage, self.slack.unwrap_or(0.0))
+    }
+}
+
 /// The settings of an entry that sends straight to replicas.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct EntrySettings {
@@ -27,6 +49,10 @@
     pub instance: Arc<str>,
     /// Its data hall.
     pub hall: Arc<str>,
+    /// The region of each data hall; where a hall is in none, requests that
+    /// are bound to regions are not sent there.
+    #[serde(default)]
+    pub regions: Option<HallRegions>,
     /// Where callers connect.
     pub listen: SocketAddr,
     /// Where the balancer asks whether the entry is ready.
@@ -64,6 +90,13 @@
     /// a cut, in milliseconds.
     #[serde(deserialize_with = "whole")]
     pub contact_ms: u64,
+    /// Within which nothing may be sent to an evacuated hall any more, in
+    /// milliseconds.
+    #[serde(default, deserialize_with = "maybe_whole")]
+    pub evacuate_ms: Option<u64>,
+    /// The bound on requests to a cold replica.
+    #[serde(default)]
+    pub cold: ColdLimits,
     /// The bound on retries.
     pub retry: RetryBound,
     /// The largest body of a request, in bytes.
@@ -83,6 +116,10 @@
 /// The largest span in seconds, or number of requests, of a bound.
 const MOST_BOUND: f64 = 1e6;
 
+/// Within which an evacuated hall gets nothing more, in milliseconds, if the
+/// settings do not say.
+const EVACUATE_MS: u64 = 5_000;
+
 const fn default_hall_placing() -> bool {
     true
 }
@@ -129,6 +166,8 @@
         for (field, value) in [
             ("retry.window_s", settings.retry.window_s),
             ("retry.minimum", settings.retry.minimum),
+            ("cold.overage", settings.cold.overage.unwrap_or(0.0)),
+            ("cold.slack", settings.cold.slack.unwrap_or(0.0)),
         ] {
             if !(0.0..=MOST_BOUND).contains(&value) {
                 let allowed = format_args!("0 to {MOST_BOUND}");
@@ -181,6 +220,12 @@
         Duration::from_millis(self.version_ms)
     }
 
+    /// Returns within which an evacuated hall gets nothing more.
+    pub fn evacuation_bound(&self) -> EvacuationBound {
+        let within = self.evacuate_ms.unwrap_or(EVACUATE_MS);
+        EvacuationBound::new(Duration::from_millis(within))
+    }
+
     /// Returns how old a version is taken to be that was named before the
     /// process began: old replicas are used only until it has to be up to
     /// date.
--- a/crates/shell/src/decisions/decision.rs
+++ b/crates/shell/src/decisions/decision.rs
@@ -82,6 +82,33 @@
         /// Who told it.
         source: &'static str,
     },
+    /// Operators have evacuated a data hall: its replicas get no requests.
+    HallEvacuated {
+        /// The hall.
+        hall: &'a str,
+        /// Who told it.
+        source: &'static str,
+        /// How long ago it was ordered at most, in milliseconds; absent where
+        /// that is not known.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        age_ms: Option<u64>,
+    },
+    /// The evacuation of a data hall was taken back.
+    HallRestored {
+        /// The hall.
+        hall: &'a str,
+        /// Who told it.
+        source: &'static str,
+    },
+    /// A replica is cold: it bears few requests for a while.
+    ReplicaCold {
+        /// Its incarnation.
+        replica: &'a str,
+        /// For how long, in milliseconds.
+        for_ms: u64,
+        /// The requests that this entry may send it in a second.
+        share: usize,
+    },
     /// A published record was not taken.
     RecordRefused {
         /// The numbered code.
--- a/crates/shell/src/directory.rs
+++ b/crates/shell/src/directory.rs
@@ -15,7 +15,7 @@
 mod sharing;
 mod source;
 
-pub use self::facts::{Facts, FactsView, Standing, TargetAge};
+pub use self::facts::{EvacuationAge, Facts, FactsView, Standing, TargetAge};
 pub use self::follow::{Follow, follow};
 pub use self::news::News;
 pub use self::records::{
--- a/crates/shell/src/directory/facts.rs
+++ b/crates/shell/src/directory/facts.rs
@@ -10,7 +10,8 @@
 use serde::{Deserialize, Serialize};
 use stairhinge::Time;
 use stairhinge::direct::{
-    Engine, Replica, ReplicaState, RouteTable, VersionTarget, VersionTargets,
+    Engine, Evacuations, Replica, ReplicaState, RouteTable, VersionTarget,
+    VersionTargets,
 };
 use tokio::sync::watch;
 
@@ -38,6 +39,15 @@
     pub age_ms: Option<u64>,
 }
 
+/// An evacuation in force, as one process tells another.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EvacuationAge {
+    /// The data hall.
+    pub hall: Arc<str>,
+    /// How long ago it was ordered at most, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// The beliefs of one moment.
 #[derive(Clone, Debug, Default)]
 pub struct FactsView {
@@ -47,6 +57,8 @@
     pub document: Bytes,
     /// The versions named of models.
     pub targets: VersionTargets,
+    /// The data halls that get no requests.
+    pub evacuations: Evacuations,
     /// The replicas by incarnation.
     pub replicas: HashMap<Arc<str>, (Arc<Replica>, Standing)>,
 }
@@ -139,17 +151,33 @@
             Record::Target(target) => {
                 self.learn_target(&target, source.way(), synced);
             }
+            Record::Evacuation(hall) => {
+                self.learn_evacuation(hall, source.way(), synced);
+            }
             Record::Replica(replica) => self.learn_replica(replica),
         }
     }
 
     /// Takes in a change; `reliable` says whether the platform has been well
-    /// enough for an absence to be believed.
-    pub fn apply(&self, change: Change, source: Source, reliable: bool) {
+    /// enough for an absence to be believed. It was made after `synced`, when
+    /// the process last knew all there was.
+    pub fn apply(
+        &self,
+        change: Change,
+        source: Source,
+        reliable: bool,
+        synced: Option<Time>,
+    ) {
         match change {
+            Change::Set(Record::Evacuation(hall)) => {
+                self.learn_evacuation(hall, source.way(), synced);
+            }
             Change::Set(record) => {
                 self.learn(record, source, Some(self.now()));
             }
+            Change::EvacuationEnded(hall) => {
+                self.end_evacuation(&hall, source.way());
+            }
             Change::Gone(incarnation) => self.remove(&incarnation, reliable),
             Change::Invalid(error) => self.refuse(&error),
         }
@@ -191,6 +219,38 @@
         ages
     }
 
+    /// Returns the evacuated halls, as this process tells others of them.
+    pub fn evacuation_ages(&self) -> Vec<EvacuationAge> {
+        let now = self.now();
+        let mut ages = Vec::new();
+        for (hall, since) in self.view().evacuations.all() {
+            let age_ms = now.since(since).as_millis() as u64;
+            ages.push(EvacuationAge { hall: Arc::clone(hall), age_ms });
+        }
+        ages
+    }
+
+    /// Takes in all evacuations that are in force: others have ended.
+    pub fn replace_evacuations(
+        &self,
+        told: &[EvacuationAge],
+        source: &'static str,
+    ) {
+        let mut ended = Vec::new();
+        for (hall, _) in self.view().evacuations.all() {
+            if told.iter().all(|t| t.hall != *hall) {
+                ended.push(Arc::clone(hall));
+            }
+        }
+        for told in told {
+            let since = self.ago(Duration::from_millis(told.age_ms));
+            self.learn_evacuation(Arc::clone(&told.hall), source, Some(since));
+        }
+        for hall in ended {
+            self.end_evacuation(&hall, source);
+        }
+    }
+
     /// Takes over versions that another process knows to be named.
     pub fn learn_targets(&self, told: &[TargetAge]) {
         for told in told.iter() {
@@ -324,6 +384,41 @@
         }
     }
 
+    /// Takes note of an evacuation. One of which this process can't tell when
+    /// it was ordered is taken for one whose time is over.
+    fn learn_evacuation(
+        &self,
+        hall: Arc<str>,
+        source: &'static str,
+        synced: Option<Time>,
+    ) {
+        let since = synced.unwrap_or(Time::from_millis(0));
+        let mut news = false;
+        self.change(|view| {
+            news = view.evacuations.begin(Arc::clone(&hall), since);
+            news
+        });
+        if news {
+            self.log.write(&Decision::HallEvacuated {
+                hall: &hall,
+                source,
+                age_ms: synced
+                    .map(|at| self.now().since(at).as_millis() as u64),
+            });
+        }
+    }
+
+    fn end_evacuation(&self, hall: &str, source: &'static str) {
+        let mut news = false;
+        self.change(|view| {
+            news = view.evacuations.end(hall);
+            news
+        });
+        if news {
+            self.log.write(&Decision::HallRestored { hall, source });
+        }
+    }
+
     fn learn_replica(&self, replica: Replica) {
         let replica = Arc::new(replica);
         let known = self
--- a/crates/shell/src/directory/follow.rs
+++ b/crates/shell/src/directory/follow.rs
@@ -159,11 +159,17 @@
             after: self.at,
             revision: self.facts.revision(),
             targets: self.facts.target_ages().len(),
+            evacuated: self.evacuated(),
             wait_ms: sharing.wait().as_millis() as u64,
             most_age_ms: sharing.most_age().as_millis() as u64,
         }
     }
 
+    fn evacuated(&self) -> Vec<Arc<str>> {
+        let view = self.facts.view();
+        view.evacuations.all().map(|(hall, _)| Arc::clone(hall)).collect()
+    }
+
     /// Asks the reader of the hall for what is published.
     async fn ask_hall(&mut self) -> Asked {
         let Some(sharing) = self.follow.sharing.clone() else {
@@ -206,6 +212,9 @@
     ) -> Result<(), Error> {
         let collection = self.follow.collection;
         self.facts.learn_targets(&answer.targets);
+        if let Some(evacuations) = &answer.evacuations {
+            self.facts.replace_evacuations(evacuations, "hall");
+        }
         if let Some(failed_ms) = answer.failed_ms {
             let ago = Duration::from_millis(failed_ms);
             self.failed = self.failed.max(Instant::now().checked_sub(ago));
@@ -224,7 +233,7 @@
                 share.note(&changes, answer.at);
                 let source = Source::new("hall");
                 for change in changes {
-                    self.facts.apply(change, source, reliable);
+                    self.facts.apply(change, source, reliable, self.synced);
                 }
             }
         }
--- a/crates/shell/src/directory/follow/read.rs
+++ b/crates/shell/src/directory/follow/read.rs
@@ -1,6 +1,7 @@
 //! Reading the platform: a list, then watches, and as little as possible of
 //! what is published in quick succession.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use stairhinge::direct::Replica;
@@ -8,7 +9,8 @@
 
 use super::Follower;
 use crate::directory::{
-    Change, Collection, Freshness, Listing, Record, Source, Watched,
+    Change, Collection, EvacuationAge, Freshness, Listing, Record, Source,
+    Watched,
 };
 
 /// Changes in one answer from which on routes come in quick succession.
@@ -40,7 +42,7 @@
                 let source = Source::platform("watch", took, routes);
                 self.facts.note_documents(routes);
                 for change in changes {
-                    self.facts.apply(change, source, reliable);
+                    self.facts.apply(change, source, reliable, self.synced);
                 }
                 self.reach(at, called);
             }
@@ -83,12 +85,15 @@
         let took = self.facts.now().since(called);
         let source = Source::platform("watch", took, 0);
         for change in changes {
-            self.facts.apply(change, source, true);
+            self.facts.apply(change, source, true, self.synced);
         }
         let routes = Collection::Routes;
         let listing = self.directory.list(routes, Freshness::Current).await?;
-        let at = listing.at.min(named_at);
+        let halls = Collection::Evacuations;
+        let evacuated = self.directory.list(halls, Freshness::Current).await?;
+        let at = listing.at.min(named_at).min(evacuated.at);
         self.take_list(listing, called);
+        self.take_evacuations(&evacuated);
         self.reach(at, called);
         self.rejoined = true;
         Ok(())
@@ -120,6 +125,9 @@
         let listing =
             self.directory.list(collection, Freshness::Current).await?;
         let at = listing.at;
+        if collection == Collection::Declarations {
+            self.take_evacuations(&listing);
+        }
         let replicas = self.take_list(listing, called);
         if collection == Collection::Replicas {
             let reliable = self.reliable();
@@ -143,6 +151,7 @@
         for record in listing.records {
             match record {
                 Ok(Record::Replica(replica)) => replicas.push(replica),
+                Ok(Record::Evacuation(_)) => {}
                 Ok(record) => self.facts.learn(record, source, self.synced),
                 Err(error) => self.facts.refuse(&error),
             }
@@ -150,6 +159,19 @@
         replicas
     }
 
+    /// Takes in the evacuations of a list that has all of them.
+    fn take_evacuations(&self, listing: &Listing) {
+        let now = self.facts.now();
+        let since = self.synced.unwrap_or(Time::from_millis(0));
+        let age_ms = now.since(since).as_millis() as u64;
+        let mut told = Vec::new();
+        for record in &listing.records {
+            let Ok(Record::Evacuation(hall)) = record else { continue };
+            told.push(EvacuationAge { hall: Arc::clone(hall), age_ms });
+        }
+        self.facts.replace_evacuations(&told, "list");
+    }
+
     /// Returns how long a watch waits: not for long after a failure, since
     /// doubts have to be settled in time.
     fn wait(&self) -> Duration {
--- a/crates/shell/src/directory/records.rs
+++ b/crates/shell/src/directory/records.rs
@@ -13,12 +13,15 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Collection {
-    /// All that operators publish: routes and versions named of models.
+    /// All that operators publish: routes, versions named of models, halls
+    /// evacuated.
     Declarations,
     /// Routes, services and workspaces.
     Routes,
     /// The versions named of models.
     Targets,
+    /// The halls that operators have evacuated.
+    Evacuations,
     /// The list of replicas.
     Replicas,
 }
@@ -30,6 +33,7 @@
             Collection::Declarations => "declarations",
             Collection::Routes => "routes",
             Collection::Targets => "targets",
+            Collection::Evacuations => "evacuations",
             Collection::Replicas => "replicas",
         }
     }
@@ -51,6 +55,8 @@
     Routes(Arc<RouteTable>, Bytes),
     /// A version named of a model.
     Target(VersionTarget),
+    /// A data hall that gets no requests.
+    Evacuation(Arc<str>),
     /// A replica.
     Replica(Replica),
 }
@@ -62,6 +68,8 @@
     Set(Record),
     /// The replica of this incarnation is listed no more.
     Gone(Arc<str>),
+    /// The evacuation of this data hall was taken back.
+    EvacuationEnded(Arc<str>),
     /// A record was written that cannot be taken.
     Invalid(Error),
 }
--- a/crates/shell/src/directory/share.rs
+++ b/crates/shell/src/directory/share.rs
@@ -171,13 +171,23 @@
         if question.collection != Collection::Replicas {
             let named = self.facts.target_ages().len();
             let newer = self.has_newer_routes(question);
-            return newer || named > question.targets;
+            return newer
+                || named > question.targets
+                || self.has_evacuations(question);
         }
         let state = self.lock();
         let published = &state.published;
         question.after.is_none_or(|after| published.changed_after(after))
     }
 
+    /// Returns whether evacuations have begun or ended since the asker knew
+    /// all.
+    fn has_evacuations(&self, question: &SharedQuestion) -> bool {
+        let at = self.lock().contact(question.collection).at;
+        let ahead = at > question.after;
+        ahead && !self.facts.view().evacuations.are_in(&question.evacuated)
+    }
+
     fn compose(&self, question: &SharedQuestion) -> Option<SharedAnswer> {
         let now = self.facts.now();
         let mut state = self.lock();
@@ -191,6 +201,7 @@
             revision: self.facts.revision(),
             routes: None,
             targets: Vec::new(),
+            evacuations: None,
             replicas: None,
         };
         if question.collection == Collection::Replicas {
@@ -204,6 +215,7 @@
         }
         drop(state);
         answer.targets = self.facts.target_ages();
+        answer.evacuations = Some(self.facts.evacuation_ages());
         answer.routes = self.routes_after(question.revision);
         Some(answer)
     }
--- a/crates/shell/src/directory/shared_messages.rs
+++ b/crates/shell/src/directory/shared_messages.rs
@@ -11,7 +11,7 @@
 use stairhinge::direct::{Replica, ReplicaChanges};
 use stairhinge::document::Patch;
 
-use super::{Collection, TargetAge};
+use super::{Collection, EvacuationAge, TargetAge};
 
 /// What a process asks the reader of its hall.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -24,6 +24,9 @@
     pub revision: u64,
     /// How many versions it knows to be named.
     pub targets: usize,
+    /// The halls that it takes for evacuated.
+    #[serde(default)]
+    pub evacuated: Vec<Arc<str>>,
     /// How long to wait for something new, in milliseconds.
     pub wait_ms: u64,
     /// From which age on an answer is of no use, in milliseconds.
@@ -47,6 +50,9 @@
     /// The versions named.
     #[serde(default)]
     pub targets: Vec<TargetAge>,
+    /// The evacuations in force, where declarations were asked for.
+    #[serde(default)]
+    pub evacuations: Option<Vec<EvacuationAge>>,
     /// Changes of replicas.
     #[serde(default)]
     pub replicas: Option<SharedReplicas>,
--- a/crates/shell/tests/share.rs
+++ b/crates/shell/tests/share.rs
@@ -39,6 +39,7 @@
         targets: 0,
         wait_ms: 100,
         most_age_ms: 1_000,
+        evacuated: Vec::new(),
     }
 }
 
--- a/crates/shell/tests/support/mod.rs
+++ b/crates/shell/tests/support/mod.rs
@@ -96,7 +96,7 @@
 impl Directory for Routes {
     fn list(
         &self,
-        _collection: Collection,
+        collection: Collection,
         _freshness: Freshness,
     ) -> BoxFuture<'_, Result<Listing, Error>> {
         self.calls.fetch_add(1, Ordering::Relaxed);
@@ -104,6 +104,10 @@
             return Box::pin(async { Err(lost()) });
         }
         let at = *self.newest.borrow();
+        if collection == Collection::Evacuations {
+            let records = Vec::new();
+            return Box::pin(async move { Ok(Listing { records, at }) });
+        }
         self.handed.fetch_add(1, Ordering::Relaxed);
         let records = vec![Ok(record(at))];
         Box::pin(async move { Ok(Listing { records, at }) })
@@ -193,6 +197,7 @@
         failed_ms: None,
         revision,
         routes,
+        evacuations: None,
         targets: Vec::new(),
         replicas: None,
     };
--- a/src/code.rs
+++ b/src/code.rs
@@ -194,6 +194,9 @@
     Quarantined = 3020, 503, NOT,
         "Backend servers ended, one after the other, as they ran this request.",
         "Mend the request; it is tried again after `Retry-After`.";
+    NoRegion = 3021, 503, NOT,
+        "No backend server in an allowed region can take the request now.",
+        "Come back after `Retry-After`, or allow the route more regions.";
     CorruptChunk = 4001, 502, None,
         "A chunk's bytes do not have the declared digest.",
         "None: it is drawn again elsewhere; see who sent it.";
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -10,6 +10,8 @@
 //! stream may be cut and taken up again; [`Contention`] how many entries
 //! choose among the same replicas; [`Rollout`] when a replica changes to new
 //! weights; [`ReaderChoice`] which entry reads the platform for the others;
+//! [`AllowedRegions`] where a request may be served; [`Evacuations`] which
+//! halls get no requests;
 //! and [`FirstReading`] how long one that has just started waits for them.
 
 pub mod balance;
@@ -17,11 +19,13 @@
 mod attempt_result;
 mod come_back;
 mod contention;
+mod evacuation;
 mod event_splitter;
 mod first_reading;
 mod layers;
 mod published_replicas;
 mod reader_choice;
+mod regions;
 mod replica;
 mod retry_share;
 mod rollout;
@@ -32,11 +36,13 @@
 pub use self::attempt_result::{AttemptResult, NextStep, next_step};
 pub use self::come_back::Shortage;
 pub use self::contention::Contention;
+pub use self::evacuation::{EvacuationBound, Evacuations};
 pub use self::event_splitter::{Event, EventSplitter};
 pub use self::first_reading::FirstReading;
 pub use self::layers::LayerRange;
 pub use self::published_replicas::{PublishedReplicas, ReplicaChanges};
 pub use self::reader_choice::{HallEntry, ReaderChoice};
+pub use self::regions::{AllowedRegions, HallRegions};
 pub use self::replica::{Replica, ReplicaState, ReplicaVersion};
 pub use self::retry_share::RetryShare;
 pub use self::rollout::Rollout;
@@ -53,6 +59,8 @@
 #[cfg(test)]
 mod overload_tests;
 #[cfg(test)]
+mod region_tests;
+#[cfg(test)]
 mod sharing_tests;
 #[cfg(test)]
 mod tests;
--- a/src/direct/overload_tests.rs
+++ b/src/direct/overload_tests.rs
@@ -72,6 +72,7 @@
         slots: 8,
         state: ReplicaState::Ready,
         listed_at,
+        cold_ms: 0,
         born: None,
         versions: Vec::new(),
     }
--- a/src/direct/replica.rs
+++ b/src/direct/replica.rs
@@ -53,6 +53,9 @@
     /// tells. One that starts again may keep its name.
     #[serde(default)]
     pub born: Option<u64>,
+    /// How much longer it was cold when this was written, in milliseconds.
+    #[serde(default)]
+    pub cold_ms: u64,
     /// The models that it holds; none for plain services.
     #[serde(default)]
     pub versions: Vec<ReplicaVersion>,
--- a/src/direct/route.rs
+++ b/src/direct/route.rs
@@ -5,6 +5,8 @@
 
 use serde::Deserialize;
 
+use super::AllowedRegions;
+
 /// What may be done with a request after an attempt may have run.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq)]
 #[serde(rename_all = "kebab-case")]
@@ -51,6 +53,9 @@
     /// Whether no key is needed.
     #[serde(default)]
     pub public: bool,
+    /// Where its requests may be served.
+    #[serde(default)]
+    pub regions: AllowedRegions,
 }
 
 impl Route {
--- a/src/direct/route_table.rs
+++ b/src/direct/route_table.rs
@@ -7,8 +7,8 @@
 
 use serde::Deserialize;
 
-use super::Route;
 use super::balance::Pace;
+use super::{AllowedRegions, Route};
 use crate::{Code, Error};
 
 /// What is known of a model engine's kind.
@@ -84,6 +84,10 @@
     pub name: Arc<str>,
     /// The most connections that one replica takes from all callers.
     pub connections: u32,
+    /// Requests a second that a replica bears while it is cold; 0 where it
+    /// bears as many as later.
+    #[serde(default)]
+    pub cold_per_s: f64,
     /// Its engine's kind, if it serves a model.
     #[serde(default)]
     pub engine: Option<Engine>,
@@ -102,6 +106,9 @@
     /// Goes before the route's priority.
     #[serde(default)]
     pub priority: Option<u8>,
+    /// Where its requests may be served.
+    #[serde(default)]
+    pub regions: AllowedRegions,
 }
 
 /// A published revision before it is checked.
--- a/src/direct/sharing_tests.rs
+++ b/src/direct/sharing_tests.rs
@@ -22,6 +22,7 @@
         state: ReplicaState::Ready,
         listed_at: 0,
         born: None,
+        cold_ms: 0,
         versions: Vec::new(),
     }
 }
--- a/src/placing.rs
+++ b/src/placing.rs
@@ -11,15 +11,18 @@
 //! Nothing is agreed upon and nothing is kept over a restart. [`ranked`] and
 //! [`Seat`] say who places, by an order that all entries see alike;
 //! [`PlacerChoice`] whom an entry asks and how long it waits; [`PlaceTable`]
-//! holds what a placer has given until it is over. Two placers at a time, or
+//! holds what a placer has given until it is over; [`ColdBound`] says how much
+//! of what a cold replica bears a placer may give. Two placers at a time, or
 //! none, cost quality and never safety: a replica refuses what does not fit,
 //! and an entry whose placer is silent picks by itself.
 
+mod cold_share;
 mod message;
 mod place_table;
 mod placer_choice;
 mod seat;
 
+pub use self::cold_share::{ColdAccess, ColdBound, ColdWindow};
 pub use self::message::{
     Lack, Message, Need, Outcome, PlaceEvent, Placed, Question, Verdict,
 };
@@ -27,6 +30,8 @@
 pub use self::placer_choice::{Placer, PlacerChoice};
 pub use self::seat::{LEADING, Seat, ranked};
 
+#[cfg(test)]
+mod cold_share_tests;
 #[cfg(test)]
 mod load_tests;
 #[cfg(test)]
--- /dev/null
+++ b/src/placing/cold_share_tests.rs
@@ -0,0 +1,99 @@
+//! A cold replica behind many placers that do not talk, in virtual time.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use rand::SeedableRng as _;
+use rand::rngs::SmallRng;
+
+use super::{ColdAccess, ColdBound, ColdWindow};
+use crate::Time;
+
+/// How long requests come, in milliseconds.
+const LASTS_MS: u64 = 8_000;
+
+/// The longest way to the replica, in milliseconds.
+const MOST_WAY_MS: u64 = 40;
+
+/// Sends as many requests as anybody may to one replica, by two placers in
+/// each hall and by entries without one, and returns the most that were sent
+/// and arrived within one second.
+fn busiest_second(bound: ColdBound, halls: usize, seed: u64) -> usize {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut choosers: Vec<(usize, ColdWindow)> = Vec::new();
+    for hall in 0..halls {
+        for _ in 0..2 {
+            let share = bound.share(ColdAccess::Placer, hall == 0, halls);
+            choosers.push((share, ColdWindow::default()));
+        }
+        for _ in 0..20 {
+            let share = bound.share(ColdAccess::Nobody, hall == 0, halls);
+            choosers.push((share, ColdWindow::default()));
+        }
+    }
+    let mut sent = Vec::new();
+    for ms in 0..LASTS_MS {
+        let now = Time::from_millis(ms);
+        for (share, window) in &mut choosers {
+            let wanted = rng.random_ratio(1, 8);
+            if wanted && window.has_room(*share, now) {
+                window.note(now);
+                sent.push((ms, ms + rng.random_range(0..MOST_WAY_MS)));
+            }
+        }
+    }
+    let within = |from: u64| {
+        let inside = |ms: u64| (from..from + 1_000).contains(&ms);
+        sent.iter().filter(|(at, came)| inside(*at) && inside(*came)).count()
+    };
+    (0..LASTS_MS).map(within).max().unwrap_or(0)
+}
+
+#[test]
+fn placers_that_do_not_talk_keep_the_bound_of_a_cold_replica() {
+    for halls in [1, 3, 5, 17] {
+        for per_s in [4.0, 14.0, 26.0, 90.0] {
+            let bound = ColdBound::new(per_s, 1.5, 5.0).unwrap();
+            let most = busiest_second(bound, halls, 7);
+            let case = format!("{halls} halls, {per_s} a second");
+            assert!(most as f64 <= bound.most(), "{case}: {most}");
+            assert!(most > 0, "{case}: nothing may be sent");
+        }
+    }
+}
+
+#[test]
+fn the_replicas_own_hall_has_the_larger_part() {
+    let bound = ColdBound::new(14.0, 1.5, 5.0).unwrap();
+    let near = bound.share(ColdAccess::Placer, true, 3);
+    let far = bound.share(ColdAccess::Placer, false, 3);
+    assert!(near > far && far > 0, "{near} and {far}");
+    assert_eq!(bound.share(ColdAccess::Nobody, true, 3), 0);
+    assert_eq!(bound.share(ColdAccess::All, true, 1), 26);
+    assert_eq!(ColdBound::new(0.0, 1.5, 5.0), None, "never cold");
+}
+
+proptest! {
+    #[test]
+    fn a_window_never_holds_more_than_its_share(
+        share in 0usize..30,
+        gaps in prop::collection::vec(0u64..200, 1..300),
+    ) {
+        let mut window = ColdWindow::default();
+        let (mut now, mut sent) = (0, Vec::new());
+        for gap in gaps {
+            now += gap;
+            if window.has_room(share, Time::from_millis(now)) {
+                window.note(Time::from_millis(now));
+                sent.push(now);
+            }
+        }
+        let second = Duration::from_secs(1).as_millis() as u64;
+        for from in &sent {
+            let inside = sent.iter().filter(|at| {
+                (*from..from + second).contains(at)
+            });
+            prop_assert!(inside.count() <= share);
+        }
+    }
+}
--- a/src/placing/message.rs
+++ b/src/placing/message.rs
@@ -12,6 +12,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::direct::AllowedRegions;
 use crate::poison::{PoisonNews, Suspicion};
 
 /// One datagram.
@@ -55,6 +56,9 @@
     pub prompt_tokens: u32,
     /// Within which its first token is to come.
     pub objective: Duration,
+    /// Where it may be served.
+    #[serde(default)]
+    pub regions: AllowedRegions,
     /// How far it is suspected of ending the replicas that it runs on.
     #[serde(default)]
     pub suspicion: Suspicion,
@@ -114,6 +118,8 @@
     Replica,
     /// None had room in time.
     Room,
+    /// Replicas serve it, but none where it may be served.
+    Region,
 }
 
 impl fmt::Display for Lack {
@@ -121,6 +127,7 @@
         f.write_str(match self {
             Lack::Replica => "no replica serves this",
             Lack::Room => "no replica had room in time",
+            Lack::Region => "no replica serves this in an allowed region",
         })
     }
 }
