Agents learn what is published from the entries of their hall

An agent asks an entry of its hall that listens to it (HallEntries, the same questions that entries ask each other) for versions and, beside a fetch, for the list of replicas, by changes.

Calls to the platform are counted and logged by collection and way (CountedDirectory; platform_called, stairhinge_entry_platform_calls).

Ruled out: entries pushing every version to all agents at once, since each entry of a hall would tell each agent.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -251,6 +251,13 @@
         (own as usize, state.waiting.len())
     }
 
+    /// Returns how many replicas bear few requests now.
+    pub(crate) fn cold(&self) -> usize {
+        let now = self.facts.now();
+        let state = self.lock();
+        state.known.values().filter(|k| k.is_cold(now)).count()
+    }
+
     /// Whether the replica's engine has been reported down since a moment.
     pub(crate) fn is_down(&self, incarnation: &str) -> bool {
         let state = self.lock();
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -8,7 +8,8 @@
 use stairhinge_chunks::{ChunkCache, Drawing, WeightOrigin};
 use stairhinge_shell::decisions::{Decision, DecisionLog};
 use stairhinge_shell::directory::{
-    Collection, Directory, Facts, Follow, HallReader, Share, Sharing, follow,
+    Collection, CountedDirectory, Directory, Facts, Follow, HallReader, Share,
+    Sharing, follow,
 };
 use stairhinge_shell::http::{Client, Limits, serve};
 use stairhinge_shell::{
@@ -64,6 +65,8 @@
         hall: &settings.hall,
         engine: None,
     });
+    let counted = Arc::new(CountedDirectory::new(directory, log.clone()));
+    let directory: Arc<dyn Directory> = Arc::clone(&counted) as _;
     let listener = bind(settings.listen).await?;
     let ready = bind(settings.ready).await?;
     let facts = Arc::new(Facts::new(log.clone(), settings.presumed_age()));
@@ -126,7 +129,7 @@
         Arc::clone(&metrics),
         shutdown.clone(),
     ));
-    tokio::spawn(keep_house(Arc::clone(&forwarder)));
+    tokio::spawn(keep_house(Arc::clone(&forwarder), counted));
     let desk = settings.peers.map(|addr| {
         (
             addr,
@@ -210,6 +213,7 @@
             share: Arc::clone(share),
             reader: Arc::clone(readers) as Arc<dyn HallReader>,
             bound,
+            watch: None,
         }),
     };
     let drain = Duration::from_millis(settings.drain_ms);
@@ -273,11 +277,15 @@
     Ok(stopper)
 }
 
-async fn keep_house(forwarder: Arc<Forwarder>) {
+async fn keep_house(
+    forwarder: Arc<Forwarder>,
+    directory: Arc<CountedDirectory>,
+) {
     let mut timer = tokio::time::interval(HOUSEKEEPING);
     loop {
         timer.tick().await;
         forwarder.keep_house();
+        forwarder.metrics.note_calls(&directory.counts());
     }
 }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -136,6 +136,8 @@
         self.metrics.taken_back.set(taken_back as i64);
         let view = self.facts.view();
         self.metrics.replicas.set(view.replicas.len() as i64);
+        self.metrics.evacuated.set(view.evacuations.all().count() as i64);
+        self.metrics.cold.set(self.dispatcher.cold() as i64);
         if let Some(age) = self.facts.routes_age() {
             self.metrics.routes_age.set(age.as_secs_f64());
         }
--- a/crates/gateway/src/hall_reader.rs
+++ b/crates/gateway/src/hall_reader.rs
@@ -8,23 +8,18 @@
 
 use bytes::Bytes;
 use futures::future::BoxFuture;
-use hyper::Request;
-use hyper::header::CONTENT_TYPE;
 use rand::RngExt as _;
+use stairhinge::Error;
 use stairhinge::direct::{HallEntry, ReaderChoice};
-use stairhinge::{Code, Error};
 use stairhinge_shell::decisions::Decision;
 use stairhinge_shell::directory::{
-    Collection, Facts, HallNews, HallReader, ReaderAnswer, SharedAnswer,
-    SharedQuestion,
+    Collection, Facts, HallNews, HallReader, ReaderAnswer, SharedQuestion,
 };
-use stairhinge_shell::http::{Client, full, read};
+use stairhinge_shell::http::Client;
 
 use crate::dispatch::Dispatcher;
 use crate::news::fetch_routes;
-
-/// The path at which an entry answers others of its hall.
-pub(crate) const PUBLISHED: &str = "/published";
+use crate::published::{Unheard, ask_published};
 
 /// The pause before an entry with old news is asked again; the question has
 /// waited there for up to an eighth of the bound that it serves.
@@ -36,9 +31,6 @@
 /// answered 2.8 s, so of a hall's 40 entries eight are reading at any moment.
 const READ_ANYWAY: u32 = 20;
 
-/// The largest answer, in bytes.
-const MOST_ANSWER: usize = 16 << 20;
-
 /// Asks the first in rank of the entries.
 pub(crate) struct HallReaders {
     dispatcher: Arc<Dispatcher>,
@@ -82,59 +74,13 @@
         entries
     }
 
-    /// Asks one entry, and takes nothing old from it.
-    async fn ask_entry(
-        &self,
-        entry: SocketAddr,
-        question: &SharedQuestion,
-    ) -> Result<SharedAnswer, Unheard> {
-        let wait = Duration::from_millis(question.wait_ms);
-        // An answer that takes twice as long as it waits at most has lost
-        // its way.
-        let within = wait * 2;
-        let json = serde_json::to_vec(question)
-            .map_err(|e| Error::new(Code::Internal, e))?;
-        let request = Request::post(PUBLISHED)
-            .header(CONTENT_TYPE, "application/json")
-            .body(full(json))
-            .map_err(|e| Error::new(Code::Internal, e))?;
-        let lost =
-            |why: String| Unheard::Lost(Error::new(Code::PeerLost, why));
-        let old = |why: String| Unheard::Old(Error::new(Code::PeerLost, why));
-        let response = self
-            .client
-            .send(entry, request, within)
-            .await
-            .map_err(|e| lost(e.to_string()))?;
-        if !response.status().is_success() {
-            return Err(old(format!("answers {}", response.status())));
-        }
-        let bytes = read(response.into_body(), MOST_ANSWER, within).await?;
-        let answer: SharedAnswer = serde_json::from_slice(&bytes)
-            .map_err(|e| Error::new(Code::MalformedJson, e))?;
-        if question.after.is_some_and(|after| after > answer.at) {
-            return Err(old(format!("it is behind, at {}", answer.at)));
-        }
-        // Newer routes are worth taking however old the rest is: they only
-        // go forward.
-        if answer.age_ms > question.most_age_ms
-            && !answer.has_newer_routes(question)
-        {
-            let (age, most) = (answer.age_ms, question.most_age_ms);
-            return Err(old(format!(
-                "its news are {age} ms old, over {most}"
-            )));
-        }
-        Ok(answer)
-    }
-
     /// Asks one entry, and notes how it stands.
     async fn hear(
         &self,
         entry: SocketAddr,
         question: &SharedQuestion,
     ) -> Option<ReaderAnswer> {
-        match self.ask_entry(entry, question).await {
+        match ask_published(&self.client, entry, question).await {
             Ok(shared) => {
                 self.answered(entry);
                 Some(ReaderAnswer { entry, shared })
@@ -165,7 +111,7 @@
         if !was_well {
             return;
         }
-        let (Unheard::Lost(error) | Unheard::Old(error)) = unheard;
+        let error = unheard.error();
         self.facts.log().write(&Decision::DependencyLost {
             dependency: &format!("hall reader {entry}"),
             code: error.code().number(),
@@ -187,20 +133,6 @@
     }
 }
 
-/// Why an entry told nothing of use.
-enum Unheard {
-    /// It did not answer.
-    Lost(Error),
-    /// It answered, and knows nothing new enough.
-    Old(Error),
-}
-
-impl From<Error> for Unheard {
-    fn from(error: Error) -> Unheard {
-        Unheard::Lost(error)
-    }
-}
-
 impl HallReader for HallReaders {
     fn ask(&self, question: SharedQuestion) -> BoxFuture<'_, HallNews> {
         Box::pin(async move {
--- a/crates/gateway/src/hall_reader/round.rs
+++ b/crates/gateway/src/hall_reader/round.rs
@@ -14,7 +14,8 @@
 use stairhinge::{Code, Error};
 use stairhinge_shell::directory::{ReaderAnswer, SharedQuestion};
 
-use super::{HallReaders, Unheard};
+use super::HallReaders;
+use crate::published::Unheard;
 
 /// How many silent ones are waited for one after the other. The others are
 /// asked at a time: with waits of an eighth of the bound and five entries,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod placing;
 mod poison;
 mod pool;
+mod published;
 mod ready;
 mod relay;
 mod report;
@@ -40,5 +41,6 @@
 };
 pub use self::entry::run;
 pub use self::news::fetch_routes;
+pub use self::published::{Unheard, ask_published};
 pub use self::report::EngineReport;
 pub use self::settings::{EntrySettings, RetryBound};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms of an entry.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 
@@ -12,6 +13,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
+use stairhinge_shell::directory::CallKind;
 use stairhinge_shell::http::{Body, Handler, full};
 
 /// How a request ended.
@@ -27,12 +29,20 @@
     by: &'static str,
 }
 
+/// A kind of call to the platform.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct CallLabels {
+    collection: &'static str,
+    way: &'static str,
+}
+
 /// The metrics of one entry.
 #[derive(Debug)]
 pub(crate) struct EntryMetrics {
     registry: Registry,
     answers: Family<EndLabels, Counter>,
     choices: Family<ChoiceLabels, Counter>,
+    calls: Family<CallLabels, Gauge>,
     first_byte: Histogram,
     waited: Histogram,
     pub attempts: Counter,
@@ -50,6 +60,8 @@
     pub replicas: Gauge,
     pub given: Gauge,
     pub taken_back: Gauge,
+    pub evacuated: Gauge,
+    pub cold: Gauge,
 }
 
 impl EntryMetrics {
@@ -60,6 +72,7 @@
             registry: Registry::with_prefix("stairhinge_entry"),
             answers: Family::default(),
             choices: Family::default(),
+            calls: Family::default(),
             first_byte: seconds(),
             waited: seconds(),
             attempts: Counter::default(),
@@ -77,6 +90,8 @@
             replicas: Gauge::default(),
             given: Gauge::default(),
             taken_back: Gauge::default(),
+            evacuated: Gauge::default(),
+            cold: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -143,6 +158,12 @@
         r.register("replicas", "Replicas listed", replicas);
         let choices = self.choices.clone();
         r.register("choices", "Replicas chosen, by whom", choices);
+        let calls = self.calls.clone();
+        r.register("platform_calls", "Calls since the start, by kind", calls);
+        let evacuated = self.evacuated.clone();
+        r.register("halls_evacuated", "Halls that get nothing", evacuated);
+        let cold = self.cold.clone();
+        r.register("replicas_cold", "Replicas that bear little", cold);
         let given = self.given.clone();
         r.register("places_given", "Places that others have", given);
         let taken_back = self.taken_back.clone();
@@ -153,6 +174,14 @@
         );
     }
 
+    /// Notes how many calls to the platform have begun.
+    pub(crate) fn note_calls(&self, counts: &BTreeMap<CallKind, u64>) {
+        for ((collection, way), count) in counts {
+            let labels = CallLabels { collection, way };
+            self.calls.get_or_create(&labels).set(*count as i64);
+        }
+    }
+
     /// Counts a final answer.
     pub(crate) fn ended(&self, status: u16, code: u16) {
         self.answers.get_or_create(&EndLabels { status, code }).inc();
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -26,7 +26,8 @@
 use stairhinge_shell::packed::unpack;
 
 use crate::dispatch::Dispatcher;
-use crate::hall_reader::{HallReaders, PUBLISHED};
+use crate::hall_reader::HallReaders;
+use crate::published::PUBLISHED;
 
 /// How long after a change others are told: most learn it by themselves.
 const TELL_AFTER: Duration = Duration::from_millis(150);
--- a/crates/loader/src/agent.rs
+++ b/crates/loader/src/agent.rs
@@ -14,7 +14,8 @@
 use stairhinge_gateway::EngineReport;
 use stairhinge_shell::decisions::{Decision, DecisionLog};
 use stairhinge_shell::directory::{
-    Collection, Directory, Facts, Follow, News, follow,
+    Collection, CountedDirectory, Directory, Facts, Follow, HallReader, News,
+    Share, Sharing, follow,
 };
 use stairhinge_shell::http::{Client, Limits, serve};
 use stairhinge_shell::{LiveSettings, SettingsWatch, Shaper, Shutdown};
@@ -23,6 +24,7 @@
 
 use crate::drive::drive;
 use crate::engine::{EngineState, StagedEngine};
+use crate::hall_entries::HallEntries;
 use crate::listeners::Listeners;
 use crate::read_routes::read_routes;
 use crate::serve::AgentServer;
@@ -36,6 +38,12 @@
 /// The most connections to an agent.
 const MOST_CONNECTIONS: usize = 512;
 
+/// How long a watch of the versions named waits at the platform. Longer than
+/// the history that the platform keeps, 20 s, and a version would be found by
+/// a list, which tells its naming's time no better than since the last answer:
+/// replicas then leave their version as if its bound were over.
+const WATCH: Duration = Duration::from_millis(10_000);
+
 /// How long connections to an agent may rest.
 const IDLE: Duration = Duration::from_secs(30);
 
@@ -62,6 +70,8 @@
     routes_doubted: Notify,
     /// The entries that listen, of any hall.
     pub listeners: Listeners,
+    /// Those of the own hall, as asked for what is published.
+    pub entries: Arc<HallEntries>,
     /// How long the newest probe of the link took, in milliseconds.
     pub link_ms: AtomicU32,
     /// When a chunk last came or went, in the process's time.
@@ -187,26 +197,38 @@
         hall: &settings.hall,
         engine: Some(settings.engine),
     });
+    let counted = CountedDirectory::new(directory, log.clone());
+    let directory: Arc<dyn Directory> = Arc::new(counted);
     let addr = settings.listen;
     let listener = TcpListener::bind(addr).await.map_err(|e| {
         Error::new(Code::CannotBind, format_args!("{addr}: {e}"))
     })?;
     let facts = Arc::new(Facts::new(log.clone(), settings.presumed_age()));
+    let client = Client::new();
+    let listeners = Listeners::default();
+    let own = SocketAddr::new(settings.engine.ip(), settings.listen.port());
+    let entries = Arc::new(HallEntries::new(
+        Arc::clone(&facts),
+        listeners.clone(),
+        Arc::clone(&settings.hall),
+        own,
+        client.clone(),
+    ));
     tokio::spawn(follow(
         Arc::clone(&directory),
         Arc::clone(&facts),
         Follow {
             collection: Collection::Targets,
-            // Entries tell of new versions too, and each call has a price.
-            // Longer than the history that the platform keeps, 20 s, and a
-            // version would be found by a list, which tells its naming's time
-            // no better than since the last answer: replicas then leave their
-            // version as if its bound were over.
-            wait: Duration::from_millis(10_000),
+            wait: WATCH,
             pace: Duration::from_millis(100),
             doubt: Duration::from_millis(4_000),
             burst_pace: Duration::ZERO,
-            sharing: None,
+            sharing: Some(Sharing {
+                share: Arc::new(Share::new(Arc::clone(&facts))),
+                reader: Arc::clone(&entries) as Arc<dyn HallReader>,
+                bound: settings.version_bound(),
+                watch: Some(WATCH),
+            }),
         },
         shutdown.clone(),
     ));
@@ -218,9 +240,9 @@
     let drawing = Drawing {
         facts: Arc::clone(&facts),
         holdings: Arc::default(),
-        client: Client::new(),
+        client,
         origin,
-        addr: SocketAddr::new(settings.engine.ip(), settings.listen.port()),
+        addr: own,
         hall: Arc::clone(&settings.hall),
     };
     let agent = Arc::new(Agent {
@@ -236,7 +258,8 @@
         share: Mutex::default(),
         told: Mutex::default(),
         routes_doubted: Notify::new(),
-        listeners: Listeners::default(),
+        listeners,
+        entries,
         link_ms: AtomicU32::new(0),
         moved: AtomicU64::new(0),
         state: watch::Sender::new(None),
--- a/crates/loader/src/drive.rs
+++ b/crates/loader/src/drive.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use stairhinge::direct::LayerRange;
 use stairhinge::{Code, Error};
@@ -23,6 +23,11 @@
 /// How long to wait before looking again.
 const PAUSE: Duration = Duration::from_millis(100);
 
+/// How long an agent that has just started waits to hear which versions are
+/// named, and how often it looks.
+const TARGETS: Duration = Duration::from_millis(2_500);
+const LOOK: Duration = Duration::from_millis(20);
+
 /// How often peers are asked for the ages of versions after a start.
 const AGE_ROUNDS: u32 = 30;
 
@@ -45,6 +50,7 @@
             return;
         }
     }
+    await_targets(&agent).await;
     list_peers(&agent).await;
     tokio::spawn(learn_ages(Arc::clone(&agent)));
     let mut shared: Option<Wanted> = None;
@@ -89,6 +95,15 @@
     }
 }
 
+/// Waits until it is known which versions are named: without that the engine
+/// would be given what was in force before.
+async fn await_targets(agent: &Agent) {
+    let begun = Instant::now();
+    while !agent.facts.knows_declarations() && begun.elapsed() < TARGETS {
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
 /// Asks peers how old the versions are that were named before this process
 /// began; until one says it they are presumed to be old.
 async fn learn_ages(agent: Arc<Agent>) {
--- /dev/null
+++ b/crates/loader/src/hall_entries.rs
@@ -0,0 +1,210 @@
+//! Learning from entries of the hall what is published.
+//!
+//! Entries follow the platform anyway, and each call there has a price that
+//! grows with the number of callers. So an agent asks an entry that listens
+//! to it, and the platform only while none has told it anything for a while.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use stairhinge::{Code, Error};
+use stairhinge_chunks::log_failure;
+use stairhinge_gateway::{Unheard, ask_published, fetch_routes};
+use stairhinge_shell::directory::{
+    Change, Collection, Facts, HallNews, HallReader, ReaderAnswer, Record,
+    SharedQuestion, Source,
+};
+use stairhinge_shell::http::Client;
+
+use crate::entry_turn::EntryTurn;
+use crate::listeners::Listeners;
+
+/// How long after its start, or since an entry told it something, an agent
+/// leaves the platform to entries. At its start they have to read the list of
+/// replicas first, by which they find it.
+const HOLD: Duration = Duration::from_millis(1_500);
+
+/// How long an agent waits for an entry that begins to listen.
+const LOOK: Duration = Duration::from_millis(150);
+
+/// The pause before entries are asked again beside a call to the platform.
+const ASK_AGAIN: Duration = Duration::from_millis(1_000);
+
+/// From when on an entry that has not answered is silent.
+const SILENCE: Duration = Duration::from_millis(1_000);
+
+/// How old a list of replicas may be.
+const LIST_AGE: Duration = Duration::from_secs(5);
+
+/// The entries of the hall that listen to an agent.
+pub(crate) struct HallEntries {
+    facts: Arc<Facts>,
+    listeners: Listeners,
+    hall: Arc<str>,
+    own: SocketAddr,
+    client: Client,
+    turn: Mutex<EntryTurn>,
+    /// When an entry last told something; at first, the start.
+    heard: Mutex<Instant>,
+    /// The platform's revision of the list of replicas; 0 without one.
+    listed_at: AtomicU64,
+}
+
+impl HallEntries {
+    /// Returns the entries of `hall` that listen to the agent at `own`.
+    pub(crate) fn new(
+        facts: Arc<Facts>,
+        listeners: Listeners,
+        hall: Arc<str>,
+        own: SocketAddr,
+        client: Client,
+    ) -> HallEntries {
+        HallEntries {
+            facts,
+            listeners,
+            hall,
+            own,
+            client,
+            turn: Mutex::default(),
+            heard: Mutex::new(Instant::now()),
+            listed_at: AtomicU64::new(0),
+        }
+    }
+
+    fn next(&self) -> Option<SocketAddr> {
+        let near = self.listeners.of_hall(&self.hall);
+        self.turn().entry(self.own, near)
+    }
+
+    /// Asks the entry whose turn it is.
+    async fn hear(
+        &self,
+        question: &SharedQuestion,
+    ) -> Result<ReaderAnswer, Error> {
+        let none =
+            || Error::new(Code::PeerLost, "no entry of the hall listens");
+        let entry = self.next().ok_or_else(none)?;
+        let asked = Instant::now();
+        let patience = Duration::from_millis(question.wait_ms).max(SILENCE);
+        match ask_published(&self.client, entry, question).await {
+            Ok(shared) => {
+                self.turn().heard();
+                *self.heard() = Instant::now();
+                Ok(ReaderAnswer { entry, shared })
+            }
+            Err(unheard) => {
+                // One with old news is passed over like a silent one.
+                let took = match &unheard {
+                    Unheard::Lost(_) => asked.elapsed(),
+                    Unheard::Old(_) => patience,
+                };
+                self.turn().failed(took, patience);
+                Err(unheard.error().clone())
+            }
+        }
+    }
+
+    /// Brings the list of replicas up to date by what an entry knows.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::PeerLost`] if no entry tells it.
+    pub(crate) async fn list_replicas(&self) -> Result<(), Error> {
+        let known = self.listed_at.load(Ordering::Relaxed);
+        let question = SharedQuestion {
+            collection: Collection::Replicas,
+            after: (known > 0).then_some(known),
+            revision: self.facts.revision(),
+            targets: 0,
+            evacuated: Vec::new(),
+            wait_ms: 0,
+            most_age_ms: LIST_AGE.as_millis() as u64,
+            for_itself: true,
+        };
+        let shared = self.hear(&question).await?.shared;
+        let Some(replicas) = shared.replicas else {
+            return Err(Error::new(
+                Code::PeerLost,
+                "an answer without a list",
+            ));
+        };
+        if replicas.whole {
+            self.facts.replace_replicas(replicas.listed, true);
+        } else {
+            let set = |replica| Change::Set(Record::Replica(replica));
+            let listed = replicas.listed.into_iter().map(set);
+            let gone = replicas.gone.into_iter().map(Change::Gone);
+            for change in listed.chain(gone) {
+                let source = Source::new("hall");
+                self.facts.apply(change, source, true, None);
+            }
+        }
+        self.listed_at.store(shared.at, Ordering::Relaxed);
+        Ok(())
+    }
+
+    /// Forgets which list is known: another one was read meanwhile.
+    pub(crate) fn forget_list(&self) {
+        self.listed_at.store(0, Ordering::Relaxed);
+    }
+
+    fn heard(&self) -> MutexGuard<'_, Instant> {
+        self.heard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn turn(&self) -> MutexGuard<'_, EntryTurn> {
+        self.turn.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl HallReader for HallEntries {
+    fn ask(&self, mut question: SharedQuestion) -> BoxFuture<'_, HallNews> {
+        question.for_itself = true;
+        Box::pin(async move {
+            if self.next().is_some() {
+                match self.hear(&question).await {
+                    Ok(answer) => return HallNews::Told(answer),
+                    Err(error) => log_failure(&self.facts, "entry", &error),
+                }
+            } else {
+                let entry = self.listeners.joined();
+                let _ = tokio::time::timeout(LOOK, entry).await;
+            }
+            if self.heard().elapsed() < HOLD {
+                return HallNews::Awaited;
+            }
+            HallNews::Nobody
+        })
+    }
+
+    fn news(
+        &self,
+        mut question: SharedQuestion,
+    ) -> BoxFuture<'_, ReaderAnswer> {
+        question.for_itself = true;
+        Box::pin(async move {
+            loop {
+                tokio::time::sleep(ASK_AGAIN).await;
+                if let Ok(answer) = self.hear(&question).await {
+                    return answer;
+                }
+            }
+        })
+    }
+
+    fn leads(&self) -> bool {
+        false
+    }
+
+    fn fetch_routes(
+        &self,
+        entry: SocketAddr,
+        within: Duration,
+    ) -> BoxFuture<'_, Result<Bytes, Error>> {
+        Box::pin(fetch_routes(&self.client, entry, within))
+    }
+}
--- a/crates/loader/src/lib.rs
+++ b/crates/loader/src/lib.rs
@@ -9,9 +9,11 @@
 mod agent;
 mod drive;
 mod engine;
+mod entry_turn;
 mod feed;
 mod fetch_owner;
 mod first_report;
+mod hall_entries;
 mod listeners;
 mod peer_list;
 mod read_routes;
--- a/crates/loader/src/peer_list.rs
+++ b/crates/loader/src/peer_list.rs
@@ -25,8 +25,13 @@
     peers
 }
 
-/// Reads the list of replicas, cheaply: what is a little old will do.
+/// Reads the list of replicas, of an entry of the hall or else of the
+/// platform, cheaply: what is a little old will do.
 pub(crate) async fn list_peers(agent: &Agent) {
+    if agent.entries.list_replicas().await.is_ok() {
+        return;
+    }
+    agent.entries.forget_list();
     let listed =
         agent.directory.list(Collection::Replicas, Freshness::Stale).await;
     match listed {
--- a/crates/loader/src/read_routes.rs
+++ b/crates/loader/src/read_routes.rs
@@ -5,19 +5,19 @@
 //! for seconds. They are read from there at the start only, and afterwards
 //! from an entry of the own hall, which has them packed.
 
-use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use rand::RngExt as _;
 use stairhinge::direct::FirstReading;
-use stairhinge::{Code, Error, rank};
+use stairhinge::{Code, Error};
 use stairhinge_chunks::log_failure;
 use stairhinge_gateway::fetch_routes;
 use stairhinge_shell::directory::{Collection, Freshness, Source};
 
 use crate::agent::Agent;
+use crate::entry_turn::EntryTurn;
 use crate::peer_list::Relist;
 
 /// How often the routes are read while nothing is wrong with them.
@@ -44,7 +44,7 @@
 /// origin cannot be reached and there are newer ones, in which it may stand
 /// elsewhere.
 pub(crate) async fn read_routes(agent: Arc<Agent>) {
-    let mut turn = Turn::default();
+    let mut turn = EntryTurn::default();
     if !ask_entries(&agent, &mut turn).await {
         read_first(&agent, &mut turn).await;
     }
@@ -58,59 +58,14 @@
     }
 }
 
-/// How many entries in a row are silent before the platform is asked in
-/// between. One that answers that it has no routes is not silent: where all
-/// processes have just started, the platform is left to the entries.
-const SILENT: usize = 2;
-
-/// Whose turn it is to be asked: after each failure the next in rank, since
-/// an entry that is frozen still listens.
-#[derive(Debug, Default)]
-struct Turn {
-    failures: usize,
-    /// Entries in a row that did not answer.
-    silent: usize,
-}
-
-impl Turn {
-    /// Returns the entry of the hall that is asked; each agent has an order
-    /// of its own.
-    fn entry(&self, agent: &Agent) -> Option<SocketAddr> {
-        let me = agent.addr().to_string();
-        let score = |entry: &SocketAddr| {
-            rank::score(me.as_bytes(), &entry.to_string())
-        };
-        let near = agent.listeners.of_hall(&agent.settings.hall);
-        let mut near: Vec<SocketAddr> =
-            near.into_iter().map(|entry| entry.addr).collect();
-        near.sort_by_key(|entry| Reverse(score(entry)));
-        let turn = self.failures.checked_rem(near.len())?;
-        near.get(turn).copied()
-    }
-
-    /// Returns whether the platform is asked in between, and if so begins
-    /// anew with entries.
-    const fn asks_platform(&mut self) -> bool {
-        if self.silent < SILENT {
-            return false;
-        }
-        self.silent = 0;
-        true
-    }
-
-    /// Takes in what an entry that was asked for `took` has brought.
-    fn heard<T>(&mut self, took: Duration, read: &Result<T, Error>) {
-        if read.is_ok() {
-            self.silent = 0;
-            return;
-        }
-        self.failures += 1;
-        self.silent = if took < WITHIN { 0 } else { self.silent + 1 };
-    }
+/// Returns the entry of the hall whose turn it is.
+fn next_entry(agent: &Agent, turn: &EntryTurn) -> Option<SocketAddr> {
+    let near = agent.listeners.of_hall(&agent.settings.hall);
+    turn.entry(agent.addr(), near)
 }
 
 /// Asks entries for the first routes, and returns whether one had them.
-async fn ask_entries(agent: &Arc<Agent>, turn: &mut Turn) -> bool {
+async fn ask_entries(agent: &Arc<Agent>, turn: &mut EntryTurn) -> bool {
     let reading = FirstReading::new(rand::rng().random());
     let begun = Instant::now();
     // The list is small, and it says how many read the routes.
@@ -118,7 +73,7 @@
     relist.start(agent);
     let listed = || agent.facts.view().replicas.len();
     while begun.elapsed() < reading.of_agent(listed()) {
-        if turn.entry(agent).is_some() {
+        if next_entry(agent, turn).is_some() {
             match from_entry(agent, turn).await {
                 Ok(()) => return true,
                 Err(error) => log_failure(&agent.facts, "entry", &error),
@@ -131,7 +86,7 @@
 }
 
 /// Reads the first routes from whoever has them.
-async fn read_first(agent: &Agent, turn: &mut Turn) {
+async fn read_first(agent: &Agent, turn: &mut EntryTurn) {
     let mut pause = AGAIN;
     while let Err(error) = first(agent, turn).await {
         log_failure(&agent.facts, "routes", &error);
@@ -142,8 +97,8 @@
 }
 
 /// Reads the first routes, from an entry if one listens already.
-async fn first(agent: &Agent, turn: &mut Turn) -> Result<(), Error> {
-    if turn.entry(agent).is_some() && !turn.asks_platform() {
+async fn first(agent: &Agent, turn: &mut EntryTurn) -> Result<(), Error> {
+    if next_entry(agent, turn).is_some() && !turn.asks_platform() {
         from_entry(agent, turn).await?;
     } else {
         from_platform(agent, Freshness::Current).await?;
@@ -155,7 +110,7 @@
 }
 
 /// Reads newer routes, if an entry has told of some.
-async fn newer(agent: &Agent, turn: &mut Turn) -> Result<(), Error> {
+async fn newer(agent: &Agent, turn: &mut EntryTurn) -> Result<(), Error> {
     if agent.news().revision <= agent.facts.revision() {
         return Ok(());
     }
@@ -183,12 +138,15 @@
 }
 
 /// Reads the routes of the entry whose turn it is.
-async fn from_entry(agent: &Agent, turn: &mut Turn) -> Result<(), Error> {
+async fn from_entry(agent: &Agent, turn: &mut EntryTurn) -> Result<(), Error> {
     let none = || Error::new(Code::PeerLost, "no entry of the hall listens");
-    let entry = turn.entry(agent).ok_or_else(none)?;
+    let entry = next_entry(agent, turn).ok_or_else(none)?;
     let called = Instant::now();
     let read = read_entry(agent, entry, called).await;
-    turn.heard(called.elapsed(), &read);
+    match &read {
+        Ok(()) => turn.heard(),
+        Err(_) => turn.failed(called.elapsed(), WITHIN),
+    }
     read
 }
 
@@ -203,7 +161,3 @@
     agent.facts.learn(record, source, None);
     Ok(())
 }
-
-#[cfg(test)]
-#[path = "read_routes_tests.rs"]
-mod tests;
--- a/crates/shell/src/decisions/decision.rs
+++ b/crates/shell/src/decisions/decision.rs
@@ -56,6 +56,18 @@
         /// How long it did not answer, in milliseconds.
         lost_ms: u64,
     },
+    /// A call to the platform has ended.
+    PlatformCalled {
+        /// What was read.
+        collection: &'static str,
+        /// Whether it was listed or watched.
+        way: &'static str,
+        /// How long it took, in milliseconds; of a watch, with its wait.
+        took_ms: u64,
+        /// The numbered code, if it failed.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        code: Option<u16>,
+    },
     /// Newer routes are in force.
     RoutesTaken {
         /// Their revision.
--- /dev/null
+++ b/crates/shell/src/directory/counted.rs
@@ -0,0 +1,94 @@
+//! Counting and logging the calls to the platform, each of which has a price.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use stairhinge::Error;
+
+use super::{Collection, Directory, Freshness, Listing, Record, Watched};
+use crate::decisions::{Decision, DecisionLog};
+
+/// A call to the platform, by what it is counted under: the collection, and
+/// whether it was listed or watched.
+pub type CallKind = (&'static str, &'static str);
+
+/// A directory whose calls are counted and logged.
+pub struct CountedDirectory {
+    inner: Arc<dyn Directory>,
+    log: DecisionLog,
+    counts: Mutex<BTreeMap<CallKind, u64>>,
+}
+
+impl CountedDirectory {
+    /// Returns a directory that counts the calls of `inner`.
+    pub fn new(
+        inner: Arc<dyn Directory>,
+        log: DecisionLog,
+    ) -> CountedDirectory {
+        CountedDirectory { inner, log, counts: Mutex::default() }
+    }
+
+    /// Returns how many calls of each kind have begun.
+    pub fn counts(&self) -> BTreeMap<CallKind, u64> {
+        self.lock().clone()
+    }
+
+    fn begin(&self, kind: CallKind) {
+        *self.lock().entry(kind).or_default() += 1;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<CallKind, u64>> {
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts a call, and logs it once it has ended.
+    async fn count<T>(
+        &self,
+        kind: CallKind,
+        call: BoxFuture<'_, Result<T, Error>>,
+    ) -> Result<T, Error> {
+        self.begin(kind);
+        let begun = Instant::now();
+        let ended = call.await;
+        let failed = ended.as_ref().err();
+        self.log.write(&Decision::PlatformCalled {
+            collection: kind.0,
+            way: kind.1,
+            took_ms: begun.elapsed().as_millis() as u64,
+            code: failed.map(|error| error.code().number()),
+        });
+        ended
+    }
+}
+
+impl Directory for CountedDirectory {
+    fn list(
+        &self,
+        collection: Collection,
+        freshness: Freshness,
+    ) -> BoxFuture<'_, Result<Listing, Error>> {
+        let way = match freshness {
+            Freshness::Current => "list",
+            Freshness::Stale => "stale list",
+        };
+        let call = self.inner.list(collection, freshness);
+        Box::pin(self.count((collection.name(), way), call))
+    }
+
+    fn parse_routes(&self, document: Bytes) -> Result<Record, Error> {
+        self.inner.parse_routes(document)
+    }
+
+    fn watch(
+        &self,
+        collection: Collection,
+        after: u64,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<Watched, Error>> {
+        let call = self.inner.watch(collection, after, wait);
+        Box::pin(self.count((collection.name(), "watch"), call))
+    }
+}
--- a/crates/shell/src/directory/facts.rs
+++ b/crates/shell/src/directory/facts.rs
@@ -288,6 +288,12 @@
         (at > 0).then(|| self.now().since(Time::from_millis(at)))
     }
 
+    /// Returns whether all that operators publish, as far as this process
+    /// follows it, was known at some time.
+    pub fn knows_declarations(&self) -> bool {
+        self.routes_known.load(Ordering::Relaxed) > 0
+    }
+
     /// Counts whole documents of routes that the platform has sent.
     pub fn note_documents(&self, count: usize) {
         self.documents.fetch_add(count as u64, Ordering::Relaxed);
--- a/crates/shell/src/directory/follow.rs
+++ b/crates/shell/src/directory/follow.rs
@@ -162,6 +162,7 @@
             evacuated: self.evacuated(),
             wait_ms: sharing.wait().as_millis() as u64,
             most_age_ms: sharing.most_age().as_millis() as u64,
+            for_itself: false,
         }
     }
 
--- a/crates/shell/src/directory/share.rs
+++ b/crates/shell/src/directory/share.rs
@@ -128,7 +128,9 @@
         &self,
         question: &SharedQuestion,
     ) -> Option<SharedAnswer> {
-        self.lock().asked = Some(Instant::now());
+        if !question.for_itself {
+            self.lock().asked = Some(Instant::now());
+        }
         let wait = Duration::from_millis(question.wait_ms).min(MOST_WAIT);
         let until = Instant::now() + wait;
         let most_age = Duration::from_millis(question.most_age_ms);
@@ -163,7 +165,7 @@
     }
 
     fn has_newer_routes(&self, question: &SharedQuestion) -> bool {
-        question.collection != Collection::Replicas
+        question.collection == Collection::Declarations
             && self.facts.revision() > question.revision
     }
 
@@ -171,9 +173,11 @@
         if question.collection != Collection::Replicas {
             let named = self.facts.target_ages().len();
             let newer = self.has_newer_routes(question);
-            return newer
-                || named > question.targets
-                || self.has_evacuations(question);
+            let named = named > question.targets;
+            if question.collection == Collection::Targets {
+                return named;
+            }
+            return newer || named || self.has_evacuations(question);
         }
         let state = self.lock();
         let published = &state.published;
@@ -215,6 +219,9 @@
         }
         drop(state);
         answer.targets = self.facts.target_ages();
+        if question.collection == Collection::Targets {
+            return Some(answer);
+        }
         answer.evacuations = Some(self.facts.evacuation_ages());
         answer.routes = self.routes_after(question.revision);
         Some(answer)
--- a/crates/shell/src/directory/shared_messages.rs
+++ b/crates/shell/src/directory/shared_messages.rs
@@ -31,6 +31,9 @@
     pub wait_ms: u64,
     /// From which age on an answer is of no use, in milliseconds.
     pub most_age_ms: u64,
+    /// Whether the asker hands nothing on, as an agent does not.
+    #[serde(default)]
+    pub for_itself: bool,
 }
 
 /// What the reader of a hall answers.
--- a/crates/shell/src/directory/sharing.rs
+++ b/crates/shell/src/directory/sharing.rs
@@ -16,6 +16,9 @@
     /// Within which a change has to be in force: what others are told must
     /// leave time to notice that the reader has failed.
     pub bound: Duration,
+    /// How long a watch waits at the platform, where that is not a share of
+    /// the bound: of a process that hands nothing on.
+    pub watch: Option<Duration>,
 }
 
 impl Sharing {
@@ -39,6 +42,9 @@
     /// platform, and one that is begun while the platform is silent gets no
     /// answer once that is over.
     pub(super) fn watch(&self) -> Duration {
+        if let Some(watch) = self.watch {
+            return watch;
+        }
         if self.share.reads_for_others() {
             self.bound / 6
         } else {
--- a/crates/shell/tests/share.rs
+++ b/crates/shell/tests/share.rs
@@ -40,6 +40,7 @@
         wait_ms: 100,
         most_age_ms: 1_000,
         evacuated: Vec::new(),
+        for_itself: false,
     }
 }
 
--- a/crates/shell/tests/support/mod.rs
+++ b/crates/shell/tests/support/mod.rs
@@ -167,7 +167,7 @@
         pace: Duration::from_millis(10),
         doubt: Duration::from_secs(4),
         burst_pace: Duration::from_millis(300),
-        sharing: Some(Sharing { share, reader, bound }),
+        sharing: Some(Sharing { share, reader, bound, watch: None }),
     };
     tokio::spawn(follow(directory, Arc::clone(&facts), plan, shutdown));
     (facts, stopper)
