The allowance of retries is shared among as many entries as there are

Cause: each entry took a fortieth of the fixed allowance, whatever the number of entries. 327 of them may spend 8 times what the bound allows (5,346 of 654 beside the ratio) once attempts fail all over the fleet; 7 left most of it unused.

Agents tell how many entries of their hall listen, rounded up to a power of two, since each one that joins would else be news to all others. An entry's share is the allowance by that number and the number of halls; where halls differ, each hall's entries share a hall's part. Until an agent has told, forty are reckoned with: what an entry retries in that time is bounded by what it has been asked.

Test first: shares_of_a_whole_fleet_keep_the_bound_together (7, 327 and 1,000 entries), which with the share of a fortieth spends 4,905 of 1,700 at 327 entries, and 28 of 124 at 7 (run both ways).

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -35,6 +35,9 @@
     contention: Contention,
     /// The entries that agents of the own hall tell of.
     entries: Arc<Vec<HallEntry>>,
+    /// How many entries the own hall has at most, by its agents; 0 if none
+    /// has told.
+    listening: usize,
     /// The leading ones of the own hall, the first to place in front.
     ranked: Arc<Vec<SocketAddr>>,
 }
--- a/crates/gateway/src/dispatch/hall.rs
+++ b/crates/gateway/src/dispatch/hall.rs
@@ -1,7 +1,7 @@
 //! What an entry knows of its hall's other entries, and places that one of
 //! them has given.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant};
@@ -24,18 +24,39 @@
         Arc::clone(&self.lock().ranked)
     }
 
+    /// Returns how many entries the fleet has, if agents have told of those of
+    /// the own hall: as many in each hall. Where halls differ, each hall's
+    /// entries share what is for one hall, and the sum is the same.
+    pub(crate) fn fleet_entries(&self) -> Option<usize> {
+        let listening = self.lock().listening;
+        let halls =
+            self.bounds.regions.halls().unwrap_or_else(|| self.halls());
+        (listening > 0).then_some(listening * halls.max(1))
+    }
+
+    /// Returns how many data halls have replicas.
+    fn halls(&self) -> usize {
+        let view = self.facts.view();
+        let halls = view.replicas.values().map(|(r, _)| &r.hall);
+        halls.collect::<HashSet<_>>().len()
+    }
+
     /// Works out who the entries are after agents have told of others.
     pub(super) fn rank_entries(&self, state: &mut State) {
         let mut entries: Vec<HallEntry> = Vec::new();
         let mut leading: Vec<SocketAddr> = Vec::new();
+        let mut listening = 0;
         for known in state.known.values() {
             let Some(reported) = &known.reported else { continue };
             entries.extend(reported.report.entries.iter().flatten().cloned());
             leading.extend(reported.report.leading.iter().flatten());
+            let told = reported.report.listening.unwrap_or_default();
+            listening = listening.max(told);
         }
         entries.sort_unstable();
         entries.dedup();
         state.ranked = Arc::new(ranked(leading));
+        state.listening = listening;
         state.entries = Arc::new(entries);
     }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -311,10 +311,11 @@
     ) -> T {
         let bound = self.settings.get().retry;
         let window = Duration::from_secs_f64(bound.window_s);
+        let entries = self.dispatcher.fleet_entries();
         let mut shares =
             self.shares.lock().unwrap_or_else(PoisonError::into_inner);
         let share = shares.entry(Arc::clone(service)).or_default();
-        share.set_bound(window, bound.ratio, bound.minimum);
+        share.set_bound(window, bound.ratio, bound.minimum, entries);
         act(share)
     }
 }
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -43,6 +43,10 @@
     /// with `entries`.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub leading: Option<Vec<SocketAddr>>,
+    /// How many entries of the agent's hall listen, rounded up to a power of
+    /// two; told with `entries`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub listening: Option<usize>,
 }
 
 impl EngineReport {
@@ -63,6 +67,7 @@
         if self.leading.is_none() {
             self.leading = earlier.leading.take();
         }
+        self.listening = self.listening.or(earlier.listening);
         if self.news.is_none() {
             self.news = earlier.news.take();
         }
--- a/crates/loader/src/feed.rs
+++ b/crates/loader/src/feed.rs
@@ -86,6 +86,7 @@
 struct Others {
     entries: Vec<HallEntry>,
     leading: Vec<SocketAddr>,
+    listening: usize,
 }
 
 impl Told {
@@ -140,6 +141,7 @@
         let same = told.is_some_and(|told| told.others == now.others);
         report.entries = (!same).then(|| now.others.entries.clone());
         report.leading = (!same).then(|| now.others.leading.clone());
+        report.listening = (!same).then_some(now.others.listening);
         let same = told.is_some_and(|told| told.has_news_of(&now));
         report.news = (!same).then(|| News {
             targets: self.facts.target_ages(),
@@ -156,7 +158,11 @@
 /// other halls hear of none.
 fn others(hall: Option<&str>, listeners: &Listeners) -> Others {
     let Some(hall) = hall else { return Others::default() };
-    Others { entries: listeners.first(), leading: listeners.leading(hall) }
+    Others {
+        entries: listeners.first(),
+        leading: listeners.leading(hall),
+        listening: listeners.count(hall),
+    }
 }
 
 fn targets(facts: &Facts) -> Vec<(Arc<str>, u64, bool)> {
--- a/crates/loader/src/listeners.rs
+++ b/crates/loader/src/listeners.rs
@@ -51,6 +51,12 @@
         ranked(self.of_hall(hall).into_iter().map(|entry| entry.addr))
     }
 
+    /// Returns how many of a hall's entries listen now, rounded up to a power
+    /// of two: each one that joins or leaves is no news to all others.
+    pub(crate) fn count(&self, hall: &str) -> usize {
+        self.of_hall(hall).len().next_power_of_two()
+    }
+
     /// Ends when the next entry begins to listen.
     pub(crate) async fn joined(&self) {
         self.joined.notified().await;
--- a/crates/loader/src/watch_engine.rs
+++ b/crates/loader/src/watch_engine.rs
@@ -71,5 +71,6 @@
         // Added as they are sent, to those who may know.
         entries: None,
         leading: None,
+        listening: None,
     }
 }
--- a/src/direct/retry_share.rs
+++ b/src/direct/retry_share.rs
@@ -25,22 +25,41 @@
     /// edges of windows that do not fall together.
     const SAFETY: f64 = 0.8;
 
-    /// The bound's fixed allowance is shared among this many entries.
-    const ENTRIES: f64 = 40.0;
+    /// The part of the fixed allowance that is spent: entries that have just
+    /// begun are not counted yet.
+    const ALLOWED: f64 = 0.8;
+
+    /// Entries that are reckoned with until their number is known. An entry
+    /// that has just begun has seen few requests, and retries no more than
+    /// these.
+    const UNKNOWN: f64 = 40.0;
 
     /// Returns the share of a bound: `ratio` of the requests and `minimum`
-    /// retries in each `window`, over all entries.
-    pub fn new(window: Duration, ratio: f64, minimum: f64) -> RetryShare {
+    /// retries in each `window`, over all of the fleet's `entries`.
+    pub fn new(
+        window: Duration,
+        ratio: f64,
+        minimum: f64,
+        entries: Option<usize>,
+    ) -> RetryShare {
         let mut share = RetryShare::default();
-        share.set_bound(window, ratio, minimum);
+        share.set_bound(window, ratio, minimum, entries);
         share
     }
 
     /// Keeps another bound from now on; what was spent stays spent.
-    pub fn set_bound(&mut self, window: Duration, ratio: f64, minimum: f64) {
+    pub fn set_bound(
+        &mut self,
+        window: Duration,
+        ratio: f64,
+        minimum: f64,
+        entries: Option<usize>,
+    ) {
+        let entries =
+            entries.map_or(RetryShare::UNKNOWN, |count| count.max(1) as f64);
         self.window = window;
         self.ratio = ratio * RetryShare::SAFETY;
-        self.allowance = minimum / RetryShare::ENTRIES;
+        self.allowance = minimum * RetryShare::ALLOWED / entries;
     }
 
     /// Counts a request's first attempt.
--- a/src/direct/tests.rs
+++ b/src/direct/tests.rs
@@ -138,33 +138,56 @@
     }
 }
 
-#[test]
-fn shares_of_many_entries_keep_the_bound_together() {
+/// Returns the retries that entries spend and those that the bound allows in
+/// one window in which every attempt fails, each entry with so many requests.
+fn spent_by_all(
+    (ratio, minimum): (f64, f64),
+    entries: usize,
+    requests: u64,
+) -> (f64, f64) {
     let window = Duration::from_secs(10);
-    let (ratio, minimum) = (0.2, 100.0);
-    let entries = 8;
-    let mut spent = 0;
-    let mut requests = 0;
+    let (mut spent, mut all) = (0, 0);
     for _ in 0..entries {
-        let mut share = RetryShare::new(window, ratio, minimum);
-        for step in 0..1_000u64 {
-            share.request(at(step * 10));
-            requests += 1;
-            spent += u32::from(share.spend(at(step * 10)));
+        let mut share = RetryShare::new(window, ratio, minimum, Some(entries));
+        for step in 0..requests {
+            let now = at(step * 10_000 / requests);
+            share.request(now);
+            all += 1;
+            spent += u32::from(share.spend(now));
         }
     }
-    let most = f64::from(requests) * ratio + minimum;
-    assert!(f64::from(spent) <= most, "{spent} of {most}");
-    assert!(f64::from(spent) >= most * 0.6, "{spent} of {most}");
+    (f64::from(spent), f64::from(all) * ratio + minimum)
+}
+
+#[test]
+fn shares_of_many_entries_keep_the_bound_together() {
+    let (spent, most) = spent_by_all((0.2, 100.0), 8, 1_000);
+    assert!(spent <= most, "{spent} of {most}");
+    assert!(spent >= most * 0.6, "{spent} of {most}");
+}
+
+/// Each of a large fleet's entries takes few requests, so that the fixed
+/// allowance is most of what they spend.
+#[test]
+fn shares_of_a_whole_fleet_keep_the_bound_together() {
+    for (entries, minimum) in [(7, 102.0), (327, 654.0), (1_000, 2_000.0)] {
+        let (spent, most) = spent_by_all((0.2, minimum), entries, 16);
+        assert!(spent <= most, "{entries} entries: {spent} of {most}");
+        assert!(spent >= most * 0.5, "{entries} entries: {spent} of {most}");
+    }
 }
 
 #[test]
 fn retries_come_back_as_the_window_slides() {
-    let mut share = RetryShare::new(Duration::from_secs(10), 0.0, 80.0);
+    let window = Duration::from_secs(10);
+    let mut share = RetryShare::new(window, 0.0, 25.0, Some(10));
     assert!(share.spend(at(0)));
     assert!(share.spend(at(0)));
     assert!(!share.spend(at(9_000)));
     assert!(share.spend(at(10_001)));
+    // More entries leave each one less.
+    share.set_bound(window, 0.0, 25.0, Some(20));
+    assert!(!share.spend(at(10_002)));
 }
 
 #[test]
