Nobody reads the platform early at the start of all

Cause: at the platform's start the first engines are listed after 4 to 5 s.

Within contact_ms of its start nobody counts on a process: an entry that knows no other waits in its watches until then. A watch that was answered counts as heard at its answer, not at its call: after the longer ones entries took themselves for out of touch and read three times more. An agent counts the 1.5 s that it leaves to entries from when its engine is up, at most 6 s after its start: entries find it by its engine's place in the list.

Entries' own first reading is left: they could ask the seeds.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -209,6 +209,7 @@
         pace,
         doubt: settings.doubt(),
         burst_pace: settings.burst_pace(),
+        settling: Duration::from_millis(settings.contact_ms),
         sharing: readers.map(|readers| Sharing {
             share: Arc::clone(share),
             reader: Arc::clone(readers) as Arc<dyn HallReader>,
--- a/crates/gateway/src/hall_reader.rs
+++ b/crates/gateway/src/hall_reader.rs
@@ -37,6 +37,7 @@
     facts: Arc<Facts>,
     client: Client,
     choice: Mutex<ReaderChoice>,
+    own: SocketAddr,
 }
 
 impl HallReaders {
@@ -46,12 +47,13 @@
         own: SocketAddr,
     ) -> HallReaders {
         let hall = Arc::from(dispatcher.hall());
-        let own = HallEntry { addr: own, hall };
+        let entry = HallEntry { addr: own, hall };
         HallReaders {
+            own,
             facts: Arc::clone(dispatcher.facts()),
             dispatcher,
             client: Client::new(),
-            choice: Mutex::new(ReaderChoice::new(own)),
+            choice: Mutex::new(ReaderChoice::new(entry)),
         }
     }
 
@@ -171,6 +173,11 @@
         })
     }
 
+    fn is_alone(&self) -> bool {
+        let entries = self.entries();
+        entries.iter().all(|entry| entry.addr == self.own)
+    }
+
     fn leads(&self) -> bool {
         self.choice().leads(&self.entries())
     }
--- a/crates/loader/src/agent.rs
+++ b/crates/loader/src/agent.rs
@@ -206,6 +206,7 @@
     let facts = Arc::new(Facts::new(log.clone(), settings.presumed_age()));
     let client = Client::new();
     let listeners = Listeners::default();
+    let state = watch::Sender::new(None);
     let own = SocketAddr::new(settings.engine.ip(), settings.listen.port());
     let entries = Arc::new(HallEntries::new(
         Arc::clone(&facts),
@@ -213,6 +214,7 @@
         Arc::clone(&settings.hall),
         own,
         client.clone(),
+        state.subscribe(),
     ));
     tokio::spawn(follow(
         Arc::clone(&directory),
@@ -223,6 +225,7 @@
             pace: Duration::from_millis(100),
             doubt: Duration::from_millis(4_000),
             burst_pace: Duration::ZERO,
+            settling: Duration::ZERO,
             sharing: Some(Sharing {
                 share: Arc::new(Share::new(Arc::clone(&facts))),
                 reader: Arc::clone(&entries) as Arc<dyn HallReader>,
@@ -262,7 +265,7 @@
         entries,
         link_ms: AtomicU32::new(0),
         moved: AtomicU64::new(0),
-        state: watch::Sender::new(None),
+        state,
         report: watch::Sender::new(EngineReport::default()),
         paused: AtomicBool::new(false),
     });
--- a/crates/loader/src/hall_entries.rs
+++ b/crates/loader/src/hall_entries.rs
@@ -19,15 +19,20 @@
     SharedQuestion, Source,
 };
 use stairhinge_shell::http::Client;
+use tokio::sync::watch;
 
+use crate::engine::EngineState;
 use crate::entry_turn::EntryTurn;
 use crate::listeners::Listeners;
 
-/// How long after its start, or since an entry told it something, an agent
-/// leaves the platform to entries. At its start they have to read the list of
-/// replicas first, by which they find it.
+/// How long after its engine is up, or since an entry told it something, an
+/// agent leaves the platform to entries. They find it by the engine's place in
+/// the list of replicas.
 const HOLD: Duration = Duration::from_millis(1_500);
 
+/// How long after its start an agent waits for its engine to come up.
+const ENGINE: Duration = Duration::from_secs(6);
+
 /// How long an agent waits for an entry that begins to listen.
 const LOOK: Duration = Duration::from_millis(150);
 
@@ -48,7 +53,9 @@
     own: SocketAddr,
     client: Client,
     turn: Mutex<EntryTurn>,
-    /// When an entry last told something; at first, the start.
+    began: Instant,
+    engine: watch::Receiver<Option<EngineState>>,
+    /// When an entry last told something, or the engine was not yet up.
     heard: Mutex<Instant>,
     /// The platform's revision of the list of replicas; 0 without one.
     listed_at: AtomicU64,
@@ -62,6 +69,7 @@
         hall: Arc<str>,
         own: SocketAddr,
         client: Client,
+        engine: watch::Receiver<Option<EngineState>>,
     ) -> HallEntries {
         HallEntries {
             facts,
@@ -70,11 +78,24 @@
             own,
             client,
             turn: Mutex::default(),
+            began: Instant::now(),
+            engine,
             heard: Mutex::new(Instant::now()),
             listed_at: AtomicU64::new(0),
         }
     }
 
+    /// Returns whether the platform is left to entries: one has told something
+    /// of late, or none can have found this agent yet.
+    pub(crate) fn may_tell(&self) -> bool {
+        let up = self.engine.borrow().is_some();
+        let mut heard = self.heard();
+        if !up && self.began.elapsed() < ENGINE {
+            *heard = Instant::now();
+        }
+        heard.elapsed() < HOLD
+    }
+
     fn next(&self) -> Option<SocketAddr> {
         let near = self.listeners.of_hall(&self.hall);
         self.turn().entry(self.own, near)
@@ -174,7 +195,7 @@
                 let entry = self.listeners.joined();
                 let _ = tokio::time::timeout(LOOK, entry).await;
             }
-            if self.heard().elapsed() < HOLD {
+            if self.may_tell() {
                 return HallNews::Awaited;
             }
             HallNews::Nobody
@@ -196,6 +217,10 @@
         })
     }
 
+    fn is_alone(&self) -> bool {
+        self.next().is_none()
+    }
+
     fn leads(&self) -> bool {
         false
     }
--- a/crates/loader/src/read_routes.rs
+++ b/crates/loader/src/read_routes.rs
@@ -72,7 +72,9 @@
     let mut relist = Relist::default();
     relist.start(agent);
     let listed = || agent.facts.view().replicas.len();
-    while begun.elapsed() < reading.of_agent(listed()) {
+    while agent.entries.may_tell()
+        || begun.elapsed() < reading.of_agent(listed())
+    {
         if next_entry(agent, turn).is_some() {
             match from_entry(agent, turn).await {
                 Ok(()) => return true,
--- a/crates/shell/src/directory/follow.rs
+++ b/crates/shell/src/directory/follow.rs
@@ -30,6 +30,8 @@
     /// The least span between two readings while routes are published in
     /// quick succession.
     pub burst_pace: Duration,
+    /// How long after its start nobody counts on the process.
+    pub settling: Duration,
     /// Who else of the hall reads, if that is shared.
     pub sharing: Option<Sharing>,
 }
@@ -60,11 +62,13 @@
         follow,
         at: None,
         synced: None,
+        answered: None,
         failed: None,
         lost_since: None,
         pause: FIRST_PAUSE,
         burst: false,
         rejoined: false,
+        began: Instant::now(),
     };
     tokio::select! {
         () = shutdown.wait() => {}
@@ -90,6 +94,9 @@
     at: Option<u64>,
     /// When all changes up to `at` were known.
     synced: Option<Time>,
+    /// When a watch of the platform was last answered: it brings all that
+    /// there is, also after a long wait.
+    answered: Option<Time>,
     failed: Option<Instant>,
     lost_since: Option<Instant>,
     pause: Duration,
@@ -98,6 +105,7 @@
     /// Whether all that is in force was read after a time out of touch, and
     /// nothing was heard since, from the platform or the hall.
     rejoined: bool,
+    began: Instant,
 }
 
 impl Follower {
--- a/crates/shell/src/directory/follow/read.rs
+++ b/crates/shell/src/directory/follow/read.rs
@@ -45,6 +45,7 @@
                     self.facts.apply(change, source, reliable, self.synced);
                 }
                 self.reach(at, called);
+                self.answered = Some(self.facts.now());
             }
         }
         Ok(())
@@ -62,7 +63,8 @@
             return false;
         }
         let Some(sharing) = &self.follow.sharing else { return false };
-        let age = self.synced.map(|at| self.facts.now().since(at));
+        let heard = self.synced.max(self.answered);
+        let age = heard.map(|at| self.facts.now().since(at));
         age.is_some_and(|age| age > sharing.most_age())
     }
 
@@ -172,10 +174,21 @@
         self.facts.replace_evacuations(&told, "list");
     }
 
+    /// Returns what is left of the time in which nobody counts on a process
+    /// that has just started. All start at once with the platform, and know
+    /// nobody until the first engines are listed.
+    fn settling(&self) -> Duration {
+        self.follow.settling.saturating_sub(self.began.elapsed())
+    }
+
     /// Returns how long a watch waits: not for long after a failure, since
     /// doubts have to be settled in time.
     fn wait(&self) -> Duration {
         let wait = match &self.follow.sharing {
+            Some(sharing) if sharing.reader.is_alone() => {
+                let left = self.settling().min(self.follow.wait);
+                sharing.watch().min(self.follow.wait).max(left)
+            }
             Some(sharing) => sharing.watch().min(self.follow.wait),
             None => self.follow.wait,
         };
--- a/crates/shell/src/directory/shared_messages.rs
+++ b/crates/shell/src/directory/shared_messages.rs
@@ -130,6 +130,10 @@
     /// if none answers.
     fn news(&self, question: SharedQuestion) -> BoxFuture<'_, ReaderAnswer>;
 
+    /// Returns whether this process knows of no other that it could ask or
+    /// that could ask it.
+    fn is_alone(&self) -> bool;
+
     /// Returns whether this process is one that others ask.
     fn leads(&self) -> bool;
 
--- a/crates/shell/tests/catch_up.rs
+++ b/crates/shell/tests/catch_up.rs
@@ -61,6 +61,10 @@
         Nobody.news(question)
     }
 
+    fn is_alone(&self) -> bool {
+        false
+    }
+
     fn leads(&self) -> bool {
         Nobody.leads()
     }
--- a/crates/shell/tests/follow.rs
+++ b/crates/shell/tests/follow.rs
@@ -31,6 +31,7 @@
         pace: Duration::from_millis(50),
         doubt: Duration::from_secs(4),
         burst_pace: Duration::from_millis(300),
+        settling: Duration::ZERO,
         sharing: None,
     };
     let directory: Arc<dyn Directory> = platform.clone();
@@ -61,6 +62,10 @@
         Nobody.news(question)
     }
 
+    fn is_alone(&self) -> bool {
+        false
+    }
+
     fn leads(&self) -> bool {
         true
     }
@@ -117,6 +122,10 @@
         Nobody.news(question)
     }
 
+    fn is_alone(&self) -> bool {
+        false
+    }
+
     fn leads(&self) -> bool {
         false
     }
@@ -200,6 +209,10 @@
         })
     }
 
+    fn is_alone(&self) -> bool {
+        false
+    }
+
     fn leads(&self) -> bool {
         true
     }
--- a/crates/shell/tests/support/mod.rs
+++ b/crates/shell/tests/support/mod.rs
@@ -29,6 +29,9 @@
     pub longest_wait: AtomicU64,
     /// Whether no call is answered.
     pub down: AtomicBool,
+    /// Whether calls that begin now get no answer, and fail only after
+    /// [`LOST_AFTER`].
+    pub silent: AtomicBool,
 }
 
 impl Routes {
@@ -48,6 +51,7 @@
             calls: AtomicU64::new(0),
             longest_wait: AtomicU64::new(0),
             down: AtomicBool::new(false),
+            silent: AtomicBool::new(false),
         })
     }
 }
@@ -64,6 +68,10 @@
         Box::pin(std::future::pending())
     }
 
+    fn is_alone(&self) -> bool {
+        false
+    }
+
     fn leads(&self) -> bool {
         true
     }
@@ -93,6 +101,14 @@
     Ok(record(text.parse().unwrap()))
 }
 
+/// How long a call to a silent platform takes to fail.
+pub const LOST_AFTER: Duration = Duration::from_millis(1_500);
+
+async fn unanswered<T>() -> Result<T, Error> {
+    tokio::time::sleep(LOST_AFTER).await;
+    Err(lost())
+}
+
 impl Directory for Routes {
     fn list(
         &self,
@@ -103,6 +119,9 @@
         if self.down.load(Ordering::Relaxed) {
             return Box::pin(async { Err(lost()) });
         }
+        if self.silent.load(Ordering::Relaxed) {
+            return Box::pin(unanswered());
+        }
         let at = *self.newest.borrow();
         if collection == Collection::Evacuations {
             let records = Vec::new();
@@ -127,6 +146,9 @@
         if self.down.load(Ordering::Relaxed) {
             return Box::pin(async { Err(lost()) });
         }
+        if self.silent.load(Ordering::Relaxed) {
+            return Box::pin(unanswered());
+        }
         if collection == Collection::Targets {
             let at = *self.newest.borrow();
             return Box::pin(
@@ -150,8 +172,10 @@
     }
 }
 
-/// Follows the routes as an entry that asks another one first, within a bound
-/// of 900 ms.
+/// Within which published routes have to be in force.
+pub const BOUND: Duration = Duration::from_millis(900);
+
+/// Follows the routes as an entry that asks another one first.
 pub fn share_reading(
     directory: Arc<dyn Directory>,
     reader: Arc<dyn HallReader>,
@@ -160,13 +184,14 @@
     let facts = Arc::new(Facts::new(log, Duration::ZERO));
     let (stopper, shutdown) = Shutdown::new();
     let share = Arc::new(Share::new(Arc::clone(&facts)));
-    let bound = Duration::from_millis(900);
+    let bound = BOUND;
     let plan = Follow {
         collection: Collection::Declarations,
         wait: Duration::from_secs(4),
         pace: Duration::from_millis(10),
         doubt: Duration::from_secs(4),
         burst_pace: Duration::from_millis(300),
+        settling: Duration::ZERO,
         sharing: Some(Sharing { share, reader, bound, watch: None }),
     };
     tokio::spawn(follow(directory, Arc::clone(&facts), plan, shutdown));
