A platform that has failed is asked again beside calls without an answer

Cause: a call that begins while the platform is silent gets no answer once that is over, and an entry noticed the return only when it was given up: after the watch's wait and 1.5 s more, and a pause of up to 0.8 s.

While the platform is lost a small question goes out each quarter of the bound, four at most at a time; the first answer ends it. Then all goes on as before: who is out of touch reads only what is in force.

--- a/crates/shell/src/directory/follow/read.rs
+++ b/crates/shell/src/directory/follow/read.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures::StreamExt as _;
+use futures::stream::FuturesUnordered;
 use stairhinge::direct::Replica;
 use stairhinge::{Error, Time};
 
@@ -16,10 +18,19 @@
 /// Changes in one answer from which on routes come in quick succession.
 const BURST: usize = 2;
 
+/// Calls that may be out at a time to a platform that has failed.
+const MOST_PROBES: usize = 4;
+
 impl Follower {
     /// Calls the platform once, and takes in what it answers.
     pub(super) async fn step(&mut self) -> Result<(), Error> {
         let Some(after) = self.at else { return self.list().await };
+        if self.lost_since.is_some()
+            && let Some(sharing) = &self.follow.sharing
+        {
+            let pace = sharing.probe();
+            self.probe(after, pace).await;
+        }
         if self.burst {
             return self.catch_up().await;
         }
@@ -51,6 +62,30 @@
         Ok(())
     }
 
+    /// Asks a platform that has failed for what is small, at a pace, until it
+    /// answers; beside calls that have no answer yet.
+    async fn probe(&mut self, after: u64, pace: Duration) {
+        let directory = Arc::clone(&self.directory);
+        let collection = match self.follow.collection {
+            Collection::Replicas => Collection::Replicas,
+            _ => Collection::Targets,
+        };
+        let mut calls = FuturesUnordered::new();
+        let mut timer = tokio::time::interval(pace);
+        loop {
+            tokio::select! {
+                Some(answer) = calls.next() => match answer {
+                    Ok(_) => return,
+                    Err(error) => self.fail(&error),
+                },
+                _ = timer.tick(), if calls.len() < MOST_PROBES => {
+                    let none = Duration::ZERO;
+                    calls.push(directory.watch(collection, after, none));
+                }
+            }
+        }
+    }
+
     /// Returns whether this process has known nothing new for so long that
     /// several revisions of the routes may have been published since.
     ///
--- a/crates/shell/src/directory/sharing.rs
+++ b/crates/shell/src/directory/sharing.rs
@@ -52,6 +52,13 @@
         }
     }
 
+    /// Returns how long after a call to a platform that has failed the next
+    /// one begins, whether or not that has an answer: a call that begins in
+    /// the platform's silence gets none once that is over.
+    pub(super) fn probe(&self) -> Duration {
+        self.bound / 4
+    }
+
     /// Returns the least span between two calls while others ask.
     pub(super) fn pace(&self) -> Duration {
         self.bound / 8
--- a/crates/shell/tests/follow.rs
+++ b/crates/shell/tests/follow.rs
@@ -17,7 +17,10 @@
     Listing, ReaderAnswer, Record, SharedQuestion, SharedRoutes, Watched,
     follow,
 };
-use support::{BEHIND, Nobody, Routes, fresh, parsed, share_reading, until};
+use support::{
+    BEHIND, BOUND, LOST_AFTER, Nobody, Routes, fresh, parsed, share_reading,
+    until,
+};
 
 #[tokio::test]
 async fn of_routes_in_quick_succession_only_some_are_read() {
@@ -167,6 +170,28 @@
     assert_eq!(routes.calls.load(Ordering::Relaxed), 0);
 }
 
+/// Calls that begin while the platform is silent get no answer once that is
+/// over, and say so only much later.
+#[tokio::test]
+async fn the_end_of_a_silence_is_noticed_by_a_new_call() {
+    let platform = Routes::start();
+    let (facts, _stopper) =
+        share_reading(Arc::clone(&platform) as _, Arc::new(Nobody));
+    until("the first routes", || facts.revision() == 1).await;
+    for turn in 0..3 {
+        platform.silent.store(true, Ordering::Relaxed);
+        let span = LOST_AFTER * 2 + Duration::from_millis(250 * turn);
+        tokio::time::sleep(span).await;
+        platform.newest.send_modify(|n| *n += 1);
+        let newest = *platform.newest.borrow();
+        platform.silent.store(false, Ordering::Relaxed);
+        let over = tokio::time::Instant::now();
+        until("the newest routes", || facts.revision() == newest).await;
+        // Half of the bound; a call that had begun before takes thrice that.
+        assert!(over.elapsed() < BOUND / 2, "{:?}", over.elapsed());
+    }
+}
+
 /// A platform that answers nothing.
 struct Silent;
 
