Agents read the platform at once, but for its first start

Cause: agents of replicas that are added or start again waited for entries to find them (1.5 s after their engine was up, 2.5 s for the versions named).

Only at the platform's first start, which the settings tell, nobody serves callers yet. Otherwise an agent that no entry listens to reads at once, and waits at most 1 s for the versions named.

--- a/crates/loader/src/agent.rs
+++ b/crates/loader/src/agent.rs
@@ -215,6 +215,7 @@
         own,
         client.clone(),
         state.subscribe(),
+        settings.first_start,
     ));
     tokio::spawn(follow(
         Arc::clone(&directory),
--- a/crates/loader/src/drive.rs
+++ b/crates/loader/src/drive.rs
@@ -25,7 +25,7 @@
 
 /// How long an agent that has just started waits to hear which versions are
 /// named, and how often it looks.
-const TARGETS: Duration = Duration::from_millis(2_500);
+const TARGETS: Duration = Duration::from_millis(1_000);
 const LOOK: Duration = Duration::from_millis(20);
 
 /// How often peers are asked for the ages of versions after a start.
--- a/crates/loader/src/hall_entries.rs
+++ b/crates/loader/src/hall_entries.rs
@@ -25,9 +25,9 @@
 use crate::entry_turn::EntryTurn;
 use crate::listeners::Listeners;
 
-/// How long after its engine is up, or since an entry told it something, an
-/// agent leaves the platform to entries. They find it by the engine's place in
-/// the list of replicas.
+/// How long an agent leaves the platform to entries since one told it
+/// something, and at the platform's first start after its engine is up: entries
+/// find it by the engine's place in the list of replicas.
 const HOLD: Duration = Duration::from_millis(1_500);
 
 /// How long after its start an agent waits for its engine to come up.
@@ -55,8 +55,11 @@
     turn: Mutex<EntryTurn>,
     began: Instant,
     engine: watch::Receiver<Option<EngineState>>,
-    /// When an entry last told something, or the engine was not yet up.
-    heard: Mutex<Instant>,
+    /// Whether the whole platform starts for the first time.
+    first_start: bool,
+    /// When an entry last told something; at the platform's first start, when
+    /// the engine was not yet up.
+    heard: Mutex<Option<Instant>>,
     /// The platform's revision of the list of replicas; 0 without one.
     listed_at: AtomicU64,
 }
@@ -70,6 +73,7 @@
         own: SocketAddr,
         client: Client,
         engine: watch::Receiver<Option<EngineState>>,
+        first_start: bool,
     ) -> HallEntries {
         HallEntries {
             facts,
@@ -80,7 +84,8 @@
             turn: Mutex::default(),
             began: Instant::now(),
             engine,
-            heard: Mutex::new(Instant::now()),
+            first_start,
+            heard: Mutex::default(),
             listed_at: AtomicU64::new(0),
         }
     }
@@ -90,10 +95,10 @@
     pub(crate) fn may_tell(&self) -> bool {
         let up = self.engine.borrow().is_some();
         let mut heard = self.heard();
-        if !up && self.began.elapsed() < ENGINE {
-            *heard = Instant::now();
+        if self.first_start && !up && self.began.elapsed() < ENGINE {
+            *heard = Some(Instant::now());
         }
-        heard.elapsed() < HOLD
+        heard.is_some_and(|at| at.elapsed() < HOLD)
     }
 
     fn next(&self) -> Option<SocketAddr> {
@@ -114,7 +119,7 @@
         match ask_published(&self.client, entry, question).await {
             Ok(shared) => {
                 self.turn().heard();
-                *self.heard() = Instant::now();
+                *self.heard() = Some(Instant::now());
                 Ok(ReaderAnswer { entry, shared })
             }
             Err(unheard) => {
@@ -173,7 +178,7 @@
         self.listed_at.store(0, Ordering::Relaxed);
     }
 
-    fn heard(&self) -> MutexGuard<'_, Instant> {
+    fn heard(&self) -> MutexGuard<'_, Option<Instant>> {
         self.heard.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -191,7 +196,7 @@
                     Ok(answer) => return HallNews::Told(answer),
                     Err(error) => log_failure(&self.facts, "entry", &error),
                 }
-            } else {
+            } else if self.may_tell() {
                 let entry = self.listeners.joined();
                 let _ = tokio::time::timeout(LOOK, entry).await;
             }
--- a/crates/loader/src/settings.rs
+++ b/crates/loader/src/settings.rs
@@ -34,6 +34,10 @@
     pub contact_ms: u64,
     /// What the instance's link carries, in megabits a second.
     pub link_mbps: LinkMbps,
+    /// Whether the whole platform starts for the first time: nobody serves
+    /// callers yet.
+    #[serde(default)]
+    pub first_start: bool,
     /// How often the engine is asked, in milliseconds.
     #[serde(default = "default_poll_ms")]
     pub poll_ms: u64,
