Of equally urgent workspaces the more urgent route goes first

Cause: where workspaces have a priority it takes the place of the route's, and all kinds of request were equally urgent: the one with the longest objective waits longest for a place, and a replica has room for it when it has none for others.

The queue goes by the workspace's priority and then by the route's. One place of eight goes to less urgent kinds by turns, so that none is starved. The backlog that a request may join is that of the shortest objective among kinds that are as urgent and came of late.

Tests: urgency_tests (three kinds at overload, in virtual time; by its own objective the least urgent is served better by over 0.2), queue_tests.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -17,7 +17,7 @@
 use stairhinge::direct::{
     AllowedRegions, Contention, EvacuationBound, HallEntry, HallRegions,
 };
-use stairhinge::placing::{ColdAccess, Lack, Need};
+use stairhinge::placing::{ColdAccess, Lack, Need, Urgency};
 use stairhinge_shell::directory::{Facts, FactsView};
 
 use self::find::layers;
@@ -33,6 +33,7 @@
     known: HashMap<Arc<str>, Known>,
     waiting: Queue,
     contention: Contention,
+    urgency: Urgency,
     /// The entries that agents of the own hall tell of.
     entries: Arc<Vec<HallEntry>>,
     /// How many entries the own hall has at most, by its agents; 0 if none
@@ -121,6 +122,7 @@
         access: ColdAccess,
     ) -> Found {
         let mut state = self.lock();
+        state.urgency.note(&need, self.facts.now());
         let view = self.facts.view();
         let ahead = state.waiting.goes_before(&need);
         if !ahead
@@ -180,7 +182,10 @@
         for waiter in state.waiting.take() {
             let (need, access) = (&waiter.need, waiter.access);
             match self.find(&mut state, &view, need, access, only) {
-                Some(place) => given.push((waiter, place)),
+                Some(place) => {
+                    state.waiting.note_given();
+                    given.push((waiter, place));
+                }
                 None => state.waiting.keep(waiter),
             }
         }
--- a/crates/gateway/src/dispatch/find.rs
+++ b/crates/gateway/src/dispatch/find.rs
@@ -177,6 +177,7 @@
     ) -> Option<(Candidate, Fitness)> {
         let engine = view.engine(&need.service);
         let entries = state.contention.entries();
+        let objective = state.urgency.objective(need, self.facts.now());
         let known =
             state.known.entry(Arc::clone(&replica.incarnation)).or_default();
         let now = self.facts.now();
@@ -223,7 +224,7 @@
             offset,
             delay_ms: known.delay_ms(),
             slowdown: known.slowdown(),
-            most_ms: BACKLOG_PART * need.objective.as_millis() as f64,
+            most_ms: BACKLOG_PART * objective.as_millis() as f64,
         };
         Some((candidate, fitness))
     }
--- a/crates/gateway/src/dispatch/queue.rs
+++ b/crates/gateway/src/dispatch/queue.rs
@@ -45,17 +45,25 @@
 }
 
 /// Those who wait, the most urgent and then the first to come in front.
+///
+/// One place of each [`Queue::FAIR`] goes to a less urgent kind, by turns: under
+/// lasting overload they would get none at all.
 #[derive(Debug, Default)]
 pub(super) struct Queue {
     waiters: Vec<Waiter>,
+    /// Places given to those who waited.
+    given: u32,
 }
 
 impl Queue {
+    /// Of so many places one goes to a less urgent kind.
+    pub(super) const FAIR: u32 = 8;
+
     /// Returns whether somebody who waits goes before a request.
     pub(super) fn goes_before(&self, need: &Need) -> bool {
         self.waiters.iter().any(|w| {
             w.need.service == need.service
-                && w.need.priority <= need.priority
+                && w.need.urgency() <= need.urgency()
                 && !w.found.is_closed()
         })
     }
@@ -63,22 +71,52 @@
     /// Adds a request.
     pub(super) fn join(&mut self, need: Need, access: ColdAccess) -> Waiting {
         let (found, receiver) = oneshot::channel();
-        let priority = need.priority;
-        let at = self.waiters.partition_point(|w| w.need.priority <= priority);
-        self.waiters.insert(at, Waiter { need, access, found });
+        self.insert(Waiter { need, access, found });
         Waiting(receiver)
     }
 
-    /// Takes out all who still wait, in their order.
+    fn insert(&mut self, waiter: Waiter) {
+        let urgency = waiter.need.urgency();
+        let at = self.waiters.partition_point(|w| w.need.urgency() <= urgency);
+        self.waiters.insert(at, waiter);
+    }
+
+    /// Takes out all who still wait, in the order in which they are to get a
+    /// place.
     pub(super) fn take(&mut self) -> Vec<Waiter> {
         let mut waiters = std::mem::take(&mut self.waiters);
         waiters.retain(|w| !w.found.is_closed());
+        if let Some(first) = self.fair_turn(&waiters) {
+            waiters[..=first].rotate_right(1);
+        }
         waiters
     }
 
-    /// Puts one back; all that are, come in their order.
+    /// Returns who gets the next place before all that are more urgent, if
+    /// that is to be: the first of each less urgent kind by turns.
+    fn fair_turn(&self, waiters: &[Waiter]) -> Option<usize> {
+        if self.given % Queue::FAIR != Queue::FAIR - 1 {
+            return None;
+        }
+        let mut firsts = Vec::new();
+        for (at, waiter) in waiters.iter().enumerate() {
+            let urgency = waiter.need.urgency();
+            if at > 0 && waiters[at - 1].need.urgency() != urgency {
+                firsts.push(at);
+            }
+        }
+        let turn = (self.given / Queue::FAIR) as usize;
+        firsts.get(turn.checked_rem(firsts.len())?).copied()
+    }
+
+    /// Puts one back.
     pub(super) fn keep(&mut self, waiter: Waiter) {
-        self.waiters.push(waiter);
+        self.insert(waiter);
+    }
+
+    /// Counts a place that one who waited has got.
+    pub(super) const fn note_given(&mut self) {
+        self.given = self.given.wrapping_add(1);
     }
 
     /// Returns whether nobody waits.
@@ -91,3 +129,7 @@
         self.waiters.len()
     }
 }
+
+#[cfg(test)]
+#[path = "queue_tests.rs"]
+mod tests;
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -195,6 +195,7 @@
         version: None,
         tried: Vec::new(),
         priority: context.priority,
+        route_priority: context.route.priority,
         prompt_tokens: context.caller.prompt_tokens,
         objective: context.route.objective(),
         regions: context.regions.clone(),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -292,6 +292,7 @@
             tried: self.tried.clone(),
             // What was begun goes before what has not.
             priority: 0,
+            route_priority: 0,
             prompt_tokens: self.context.caller.prompt_tokens,
             objective: self.context.route.objective(),
             regions: self.context.regions.clone(),
--- a/src/placing.rs
+++ b/src/placing.rs
@@ -12,7 +12,8 @@
 //! [`Seat`] say who places, by an order that all entries see alike;
 //! [`PlacerChoice`] whom an entry asks and how long it waits; [`PlaceTable`]
 //! holds what a placer has given until it is over; [`ColdBound`] says how much
-//! of what a cold replica bears a placer may give. Two placers at a time, or
+//! of what a cold replica bears a placer may give; [`Urgency`] that the most
+//! patient kind of request does not go before the most urgent. Two placers at a time, or
 //! none, cost quality and never safety: a replica refuses what does not fit,
 //! and an entry whose placer is silent picks by itself.
 
@@ -21,6 +22,7 @@
 mod place_table;
 mod placer_choice;
 mod seat;
+mod urgency;
 
 pub use self::cold_share::{ColdAccess, ColdBound, ColdWindow};
 pub use self::message::{
@@ -29,6 +31,7 @@
 pub use self::place_table::{PlaceKey, PlaceTable};
 pub use self::placer_choice::{Placer, PlacerChoice};
 pub use self::seat::{LEADING, Seat, ranked};
+pub use self::urgency::Urgency;
 
 #[cfg(test)]
 mod cold_share_tests;
@@ -36,3 +39,5 @@
 mod load_tests;
 #[cfg(test)]
 mod tests;
+#[cfg(test)]
+mod urgency_tests;
--- a/src/placing/message.rs
+++ b/src/placing/message.rs
@@ -52,6 +52,10 @@
     pub tried: Vec<Arc<str>>,
     /// 0 is the most urgent.
     pub priority: u8,
+    /// The route's own priority, where a workspace's goes before it: of
+    /// requests that are as urgent, the more urgent route goes first.
+    #[serde(default)]
+    pub route_priority: u8,
     /// Tokens of its prompt.
     pub prompt_tokens: u32,
     /// Within which its first token is to come.
@@ -64,6 +68,13 @@
     pub suspicion: Suspicion,
 }
 
+impl Need {
+    /// Returns how urgent it is; the least goes first.
+    pub const fn urgency(&self) -> (u8, u8) {
+        (self.priority, self.route_priority)
+    }
+}
+
 /// A question for a place.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Question {
