A request that finds no replica tells of regions and evacuations

no_replica counts the replicas that its regions bar and those in evacuated halls; explain-request names both. Test: a_refusal_tells_whether_replicas_were_ full_or_none_fits.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -56,6 +56,19 @@
     pub regions: HallRegions,
 }
 
+/// The replicas of a service, by whether they could take a request.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ReplicaCount {
+    /// All that are listed.
+    pub listed: usize,
+    /// Those that could take it if they had room.
+    pub suitable: usize,
+    /// Those in a region where it may not be served.
+    pub barred: usize,
+    /// Those of the others in a hall that is evacuated.
+    pub evacuated: usize,
+}
+
 /// How long a replica that had no room is spared.
 const FULL: Duration = Duration::from_millis(60);
 
@@ -153,21 +166,27 @@
         }
     }
 
-    /// Returns how many replicas of a service are listed, and how many of
-    /// them could take a request if they had room.
-    pub(crate) fn count(&self, need: &Need) -> (usize, usize) {
+    /// Counts the replicas of a service by whether they could take a request.
+    pub(crate) fn count(&self, need: &Need) -> ReplicaCount {
         let state = self.lock();
         let view = self.facts.view();
         let now = self.facts.now();
         let layers = layers(&view, need);
-        let mut listed = 0;
-        let mut suitable = 0;
+        let mut count = ReplicaCount::default();
         for (replica, _) in view.of_service(&need.service) {
-            listed += 1;
+            count.listed += 1;
+            if !self.is_allowed(need, &replica.hall) {
+                count.barred += 1;
+                continue;
+            }
+            if self.evacuation_room(&view, &replica.hall) <= 0.0 {
+                count.evacuated += 1;
+                continue;
+            }
             let terms = self.terms(&state, &view, need, replica, layers, now);
-            suitable += usize::from(terms.is_some());
+            count.suitable += usize::from(terms.is_some());
         }
-        (listed, suitable)
+        count
     }
 
     /// Gives waiting requests the room that there is now, at one replica if
--- a/crates/gateway/src/forward/log.rs
+++ b/crates/gateway/src/forward/log.rs
@@ -40,12 +40,14 @@
         need: &Need,
         from: Instant,
     ) {
-        let (listed, suitable) = self.dispatcher.count(need);
+        let count = self.dispatcher.count(need);
         self.facts.log().write(&Decision::NoReplica {
             request: &context.caller.id,
             service: &context.service,
-            listed,
-            suitable,
+            listed: count.listed,
+            suitable: count.suitable,
+            barred: count.barred,
+            evacuated: count.evacuated,
             waited_ms: from.elapsed().as_millis() as u64,
             revision: context.revision,
         });
--- a/crates/shell/src/decisions/decision.rs
+++ b/crates/shell/src/decisions/decision.rs
@@ -192,6 +192,10 @@
         listed: usize,
         /// Those that could take it if they had room.
         suitable: usize,
+        /// Those in a region where it may not be served.
+        barred: usize,
+        /// Those of the others in a hall that is evacuated.
+        evacuated: usize,
         /// How long it waited, in milliseconds.
         waited_ms: u64,
         /// The revision of the routes that decided.
--- a/crates/shell/src/decisions_tests.rs
+++ b/crates/shell/src/decisions_tests.rs
@@ -95,6 +95,8 @@
             service: "pool",
             listed: 9,
             suitable: 4,
+            barred: 0,
+            evacuated: 0,
             waited_ms: 80,
             revision: 1,
         },
--- a/src/explanation/cause.rs
+++ b/src/explanation/cause.rs
@@ -33,6 +33,10 @@
     NoSuitableReplica {
         /// Replicas listed of the service.
         listed: usize,
+        /// Those in a region where it may not be served.
+        barred: usize,
+        /// Those of the others in a hall that is evacuated.
+        evacuated: usize,
     },
     /// All replicas that could serve it were full.
     NoRoom {
@@ -166,9 +170,17 @@
 fn failed(history: &RequestHistory) -> Cause {
     // The last of these is what the answer says.
     let cause = find(history, |d| match d {
-        LoggedDecision::NoReplica { listed, suitable: 0, .. } => {
-            Some(Cause::NoSuitableReplica { listed: *listed })
-        }
+        LoggedDecision::NoReplica {
+            listed,
+            suitable: 0,
+            barred,
+            evacuated,
+            ..
+        } => Some(Cause::NoSuitableReplica {
+            listed: *listed,
+            barred: *barred,
+            evacuated: *evacuated,
+        }),
         LoggedDecision::NoReplica { suitable, waited_ms, .. } => {
             let (suitable, waited_ms) = (*suitable, *waited_ms);
             Some(Cause::NoRoom { suitable, waited_ms })
@@ -233,8 +245,15 @@
                 write!(f, "{lost_ms} of {took_ms} ms went by in attempts ")?;
                 write!(f, "that failed, the last with: {reason}")
             }
-            Cause::NoSuitableReplica { listed } => {
-                write!(f, "none of {listed} replicas listed could serve it")
+            Cause::NoSuitableReplica { listed, barred, evacuated } => {
+                write!(f, "none of {listed} replicas listed could serve it")?;
+                if *barred > 0 {
+                    write!(f, "; {barred} are in other regions")?;
+                }
+                if *evacuated > 0 {
+                    write!(f, "; {evacuated} are in evacuated halls")?;
+                }
+                Ok(())
             }
             Cause::NoRoom { suitable, waited_ms } => {
                 write!(f, "all {suitable} replicas that could serve it ")?;
--- a/src/explanation/log_line.rs
+++ b/src/explanation/log_line.rs
@@ -104,6 +104,12 @@
         listed: usize,
         /// Those that could take it if they had room.
         suitable: usize,
+        /// Those in a region where it may not be served.
+        #[serde(default)]
+        barred: usize,
+        /// Those of the others in a hall that is evacuated.
+        #[serde(default)]
+        evacuated: usize,
         /// How long it waited, in milliseconds.
         waited_ms: u64,
     },
--- a/src/explanation/tests.rs
+++ b/src/explanation/tests.rs
@@ -68,7 +68,21 @@
     assert_eq!(outcome, Outcome::Refused);
     assert_eq!(found, Cause::NoRoom { suitable: 4, waited_ms: 80 });
     let (_, found) = cause(&[START, &no_replica(0), &refused]);
-    assert_eq!(found, Cause::NoSuitableReplica { listed: 9 });
+    let none = |barred, evacuated| Cause::NoSuitableReplica {
+        listed: 9,
+        barred,
+        evacuated,
+    };
+    assert_eq!(found, none(0, 0));
+    let bound = no_replica(0).replace(
+        "\"waited_ms\"",
+        "\"barred\":6,\"evacuated\":3,\"waited_ms\"",
+    );
+    let (_, found) = cause(&[START, &bound, &refused]);
+    assert_eq!(found, none(6, 3));
+    let told = found.to_string();
+    assert!(told.contains("6 are in other regions"), "{told}");
+    assert!(told.contains("3 are in evacuated halls"), "{told}");
     let (_, found) = cause(&[START, &ended(401, 2012, "unknown key")]);
     let reason = Arc::from("unknown key");
     let routes_age_ms = None;
