--- a/crates/shell/src/directory/facts.rs
+++ b/crates/shell/src/directory/facts.rs
@@ -1,5 +1,8 @@
 //! What one process believes of what is published.
 
+mod evacuations;
+mod targets;
+
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -7,14 +10,14 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
-use serde::{Deserialize, Serialize};
 use stairhinge::Time;
 use stairhinge::direct::{
-    Engine, Evacuations, Replica, ReplicaState, RouteTable, VersionTarget,
-    VersionTargets,
+    Engine, Evacuations, Replica, ReplicaState, RouteTable, VersionTargets,
 };
 use tokio::sync::watch;
 
+pub use self::evacuations::EvacuationAge;
+pub use self::targets::TargetAge;
 use super::{Change, Record, Source};
 use crate::decisions::{Decision, DecisionLog};
 
@@ -28,26 +31,6 @@
     Doubtful,
 }
 
-/// A version named of a model, as one process tells another.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct TargetAge {
-    /// The model.
-    pub model: Arc<str>,
-    /// The version of its weights.
-    pub version: u64,
-    /// How long ago it was named, in milliseconds, if the teller was there.
-    pub age_ms: Option<u64>,
-}
-
-/// An evacuation in force, as one process tells another.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct EvacuationAge {
-    /// The data hall.
-    pub hall: Arc<str>,
-    /// How long ago it was ordered at most, in milliseconds.
-    pub age_ms: u64,
-}
-
 /// The beliefs of one moment.
 #[derive(Clone, Debug, Default)]
 pub struct FactsView {
@@ -207,70 +190,6 @@
         }
     }
 
-    /// Returns the versions named, as this process tells others of them.
-    pub fn target_ages(&self) -> Vec<TargetAge> {
-        let now = self.now();
-        let mut ages = Vec::new();
-        for (model, version, since) in self.view().targets.all() {
-            let age = since.map(|s| now.since(s).as_millis() as u64);
-            let model = Arc::clone(model);
-            ages.push(TargetAge { model, version, age_ms: age });
-        }
-        ages
-    }
-
-    /// Returns the evacuated halls, as this process tells others of them.
-    pub fn evacuation_ages(&self) -> Vec<EvacuationAge> {
-        let now = self.now();
-        let mut ages = Vec::new();
-        for (hall, since) in self.view().evacuations.all() {
-            let age_ms = now.since(since).as_millis() as u64;
-            ages.push(EvacuationAge { hall: Arc::clone(hall), age_ms });
-        }
-        ages
-    }
-
-    /// Takes in all evacuations that are in force: others have ended.
-    pub fn replace_evacuations(
-        &self,
-        told: &[EvacuationAge],
-        source: &'static str,
-    ) {
-        let mut ended = Vec::new();
-        for (hall, _) in self.view().evacuations.all() {
-            if told.iter().all(|t| t.hall != *hall) {
-                ended.push(Arc::clone(hall));
-            }
-        }
-        for told in told {
-            let since = self.ago(Duration::from_millis(told.age_ms));
-            self.learn_evacuation(Arc::clone(&told.hall), source, Some(since));
-        }
-        for hall in ended {
-            self.end_evacuation(&hall, source);
-        }
-    }
-
-    /// Takes over versions that another process knows to be named.
-    pub fn learn_targets(&self, told: &[TargetAge]) {
-        for told in told.iter() {
-            let known = self.view().targets.version(&told.model);
-            if known.is_some_and(|version| version >= told.version) {
-                continue;
-            }
-            let age = told.age_ms.map(Duration::from_millis);
-            let target = VersionTarget {
-                model: Arc::clone(&told.model),
-                version: told.version,
-            };
-            let since = age.map(|age| self.ago(age));
-            self.learn_target(&target, "peer", since);
-        }
-        if self.view().targets.any_presumed() {
-            self.refine_ages(told);
-        }
-    }
-
     /// Returns the revision of the routes in force, 0 without any.
     pub fn revision(&self) -> u64 {
         self.view().routes.as_ref().map_or(0, |r| r.revision())
@@ -304,20 +223,6 @@
         self.documents.load(Ordering::Relaxed)
     }
 
-    /// Takes over the ages of versions from a process that was there when
-    /// they were named.
-    fn refine_ages(&self, ages: &[TargetAge]) {
-        for told in ages {
-            let Some(ms) = told.age_ms else { continue };
-            let since = self.ago(Duration::from_millis(ms));
-            let target = VersionTarget {
-                model: Arc::clone(&told.model),
-                version: told.version,
-            };
-            self.change(|view| view.targets.refine(&target, since));
-        }
-    }
-
     fn ago(&self, span: Duration) -> Time {
         let ms = span.as_millis() as u64;
         Time::from_millis(self.now().as_millis().saturating_sub(ms))
@@ -364,67 +269,6 @@
         }
     }
 
-    fn learn_target(
-        &self,
-        target: &VersionTarget,
-        source: &'static str,
-        synced: Option<Time>,
-    ) {
-        let mut taken = false;
-        self.change(|view| {
-            taken = match synced {
-                Some(since) => view.targets.learn(target, since),
-                None => {
-                    let since = self.ago(self.presumed_age);
-                    view.targets.presume(target, since)
-                }
-            };
-            taken
-        });
-        if taken {
-            self.log.write(&Decision::TargetTaken {
-                model: &target.model,
-                version: target.version,
-                source,
-            });
-        }
-    }
-
-    /// Takes note of an evacuation. One of which this process can't tell when
-    /// it was ordered is taken for one whose time is over.
-    fn learn_evacuation(
-        &self,
-        hall: Arc<str>,
-        source: &'static str,
-        synced: Option<Time>,
-    ) {
-        let since = synced.unwrap_or(Time::from_millis(0));
-        let mut news = false;
-        self.change(|view| {
-            news = view.evacuations.begin(Arc::clone(&hall), since);
-            news
-        });
-        if news {
-            self.log.write(&Decision::HallEvacuated {
-                hall: &hall,
-                source,
-                age_ms: synced
-                    .map(|at| self.now().since(at).as_millis() as u64),
-            });
-        }
-    }
-
-    fn end_evacuation(&self, hall: &str, source: &'static str) {
-        let mut news = false;
-        self.change(|view| {
-            news = view.evacuations.end(hall);
-            news
-        });
-        if news {
-            self.log.write(&Decision::HallRestored { hall, source });
-        }
-    }
-
     fn learn_replica(&self, replica: Replica) {
         let replica = Arc::new(replica);
         let known = self
--- /dev/null
+++ b/crates/shell/src/directory/facts/targets.rs
@@ -0,0 +1,96 @@
+//! What a process believes of the versions named of models.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use stairhinge::Time;
+use stairhinge::direct::VersionTarget;
+
+use super::Facts;
+use crate::decisions::Decision;
+
+/// A version named of a model, as one process tells another.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct TargetAge {
+    /// The model.
+    pub model: Arc<str>,
+    /// The version of its weights.
+    pub version: u64,
+    /// How long ago it was named, in milliseconds, if the teller was there.
+    pub age_ms: Option<u64>,
+}
+
+impl Facts {
+    /// Returns the versions named, as this process tells others of them.
+    pub fn target_ages(&self) -> Vec<TargetAge> {
+        let now = self.now();
+        let mut ages = Vec::new();
+        for (model, version, since) in self.view().targets.all() {
+            let age = since.map(|s| now.since(s).as_millis() as u64);
+            let model = Arc::clone(model);
+            ages.push(TargetAge { model, version, age_ms: age });
+        }
+        ages
+    }
+
+    /// Takes over versions that another process knows to be named.
+    pub fn learn_targets(&self, told: &[TargetAge]) {
+        for told in told.iter() {
+            let known = self.view().targets.version(&told.model);
+            if known.is_some_and(|version| version >= told.version) {
+                continue;
+            }
+            let age = told.age_ms.map(Duration::from_millis);
+            let target = VersionTarget {
+                model: Arc::clone(&told.model),
+                version: told.version,
+            };
+            let since = age.map(|age| self.ago(age));
+            self.learn_target(&target, "peer", since);
+        }
+        if self.view().targets.any_presumed() {
+            self.refine_ages(told);
+        }
+    }
+
+    /// Takes over the ages of versions from a process that was there when
+    /// they were named.
+    fn refine_ages(&self, ages: &[TargetAge]) {
+        for told in ages {
+            let Some(ms) = told.age_ms else { continue };
+            let since = self.ago(Duration::from_millis(ms));
+            let target = VersionTarget {
+                model: Arc::clone(&told.model),
+                version: told.version,
+            };
+            self.change(|view| view.targets.refine(&target, since));
+        }
+    }
+
+    pub(super) fn learn_target(
+        &self,
+        target: &VersionTarget,
+        source: &'static str,
+        synced: Option<Time>,
+    ) {
+        let mut taken = false;
+        self.change(|view| {
+            taken = match synced {
+                Some(since) => view.targets.learn(target, since),
+                None => {
+                    let since = self.ago(self.presumed_age);
+                    view.targets.presume(target, since)
+                }
+            };
+            taken
+        });
+        if taken {
+            self.log.write(&Decision::TargetTaken {
+                model: &target.model,
+                version: target.version,
+                source,
+            });
+        }
+    }
+}
