At the platform's first start entries wait to find each other

At the first start, which the settings tell, an entry that knows nobody reads the list of replicas each half of contact_ms, and leaves the routes for one and a half of it to those who find each other sooner. After any other start all is as it was.

Test first: who_knows_nobody_at_the_first_start_leaves_the_platform_to_others.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -210,6 +210,7 @@
         doubt: settings.doubt(),
         burst_pace: settings.burst_pace(),
         settling: Duration::from_millis(settings.contact_ms),
+        first_start: settings.first_start,
         sharing: readers.map(|readers| Sharing {
             share: Arc::clone(share),
             reader: Arc::clone(readers) as Arc<dyn HallReader>,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -97,6 +97,10 @@
     /// The bound on requests to a cold replica.
     #[serde(default)]
     pub cold: ColdLimits,
+    /// Whether the whole platform starts for the first time: nobody serves
+    /// callers yet.
+    #[serde(default)]
+    pub first_start: bool,
     /// The bound on retries.
     pub retry: RetryBound,
     /// The largest body of a request, in bytes.
--- a/crates/loader/src/agent.rs
+++ b/crates/loader/src/agent.rs
@@ -227,6 +227,7 @@
             doubt: Duration::from_millis(4_000),
             burst_pace: Duration::ZERO,
             settling: Duration::ZERO,
+            first_start: false,
             sharing: Some(Sharing {
                 share: Arc::new(Share::new(Arc::clone(&facts))),
                 reader: Arc::clone(&entries) as Arc<dyn HallReader>,
--- a/crates/shell/src/directory/follow.rs
+++ b/crates/shell/src/directory/follow.rs
@@ -32,6 +32,9 @@
     pub burst_pace: Duration,
     /// How long after its start nobody counts on the process.
     pub settling: Duration,
+    /// Whether the whole platform starts for the first time: nobody serves
+    /// callers yet.
+    pub first_start: bool,
     /// Who else of the hall reads, if that is shared.
     pub sharing: Option<Sharing>,
 }
@@ -300,6 +303,9 @@
     }
 
     fn pace(&self) -> Duration {
+        if self.waits_for_others() && !self.settling().is_zero() {
+            return self.follow.settling / 2;
+        }
         match &self.follow.sharing {
             Some(sharing) if sharing.share.reads_for_others() => {
                 sharing.pace().min(self.follow.pace)
@@ -308,6 +314,14 @@
         }
     }
 
+    /// Whether the whole platform has just started, and this process knows of
+    /// no other yet: one that all read by itself would be read by as many as
+    /// there are processes.
+    fn waits_for_others(&self) -> bool {
+        let sharing = self.follow.sharing.as_ref();
+        self.follow.first_start && sharing.is_some_and(|s| s.reader.is_alone())
+    }
+
     /// Whether the platform has been well long enough for absences to count.
     fn reliable(&self) -> bool {
         self.failed.is_none_or(|at| at.elapsed() > self.follow.doubt)
--- a/crates/shell/src/directory/follow/read.rs
+++ b/crates/shell/src/directory/follow/read.rs
@@ -212,7 +212,7 @@
     /// Returns what is left of the time in which nobody counts on a process
     /// that has just started. All start at once with the platform, and know
     /// nobody until the first engines are listed.
-    fn settling(&self) -> Duration {
+    pub(super) fn settling(&self) -> Duration {
         self.follow.settling.saturating_sub(self.began.elapsed())
     }
 
--- a/crates/shell/src/directory/follow/start.rs
+++ b/crates/shell/src/directory/follow/start.rs
@@ -8,6 +8,10 @@
 use super::{Asked, Follower};
 use crate::directory::Collection;
 
+/// How long entries may take to find each other where all start at once, in
+/// spans of settling.
+const FOUND: f64 = 1.5;
+
 /// How often is looked whether the hold is over.
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -28,7 +32,9 @@
                 return;
             }
             let listed = self.facts.view().replicas.len();
-            if begun.elapsed() >= reading.of_entry(listed) {
+            let found = begun.elapsed() >= self.follow.settling.mul_f64(FOUND)
+                || !self.waits_for_others();
+            if found && begun.elapsed() >= reading.of_entry(listed) {
                 return;
             }
             tokio::time::sleep(LOOK).await;
--- a/crates/shell/tests/follow.rs
+++ b/crates/shell/tests/follow.rs
@@ -4,7 +4,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,7 +19,7 @@
 };
 use support::{
     BEHIND, BOUND, LOST_AFTER, Nobody, Routes, fresh, parsed, share_reading,
-    until,
+    share_reading_from, until,
 };
 
 #[tokio::test]
@@ -35,6 +35,7 @@
         doubt: Duration::from_secs(4),
         burst_pace: Duration::from_millis(300),
         settling: Duration::ZERO,
+        first_start: false,
         sharing: None,
     };
     let directory: Arc<dyn Directory> = platform.clone();
@@ -115,6 +116,70 @@
     assert!((1..=300).contains(&longest), "{longest} ms");
 }
 
+/// A hall of which nothing is known for a while, and then one entry.
+struct Unknown {
+    found: AtomicBool,
+}
+
+impl HallReader for Unknown {
+    fn ask(&self, _question: SharedQuestion) -> BoxFuture<'_, HallNews> {
+        let found = self.found.load(Ordering::Relaxed);
+        Box::pin(async move {
+            if !found {
+                return HallNews::Nobody;
+            }
+            // It takes as long as a question does that waits for news.
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            HallNews::Told(fresh(7, 0, None))
+        })
+    }
+
+    fn news(&self, question: SharedQuestion) -> BoxFuture<'_, ReaderAnswer> {
+        Nobody.news(question)
+    }
+
+    fn is_alone(&self) -> bool {
+        !self.found.load(Ordering::Relaxed)
+    }
+
+    fn leads(&self) -> bool {
+        false
+    }
+
+    fn fetch_routes(
+        &self,
+        entry: SocketAddr,
+        within: Duration,
+    ) -> BoxFuture<'_, Result<Bytes, Error>> {
+        Nobody.fetch_routes(entry, within)
+    }
+}
+
+/// Where all start for the first time, nobody reads before it had the time to
+/// find others.
+#[tokio::test]
+async fn who_knows_nobody_at_the_first_start_leaves_the_platform_to_others() {
+    let settling = Duration::from_millis(2_000);
+    let start = |first| {
+        let routes = Routes::start();
+        let reader = Arc::new(Unknown { found: AtomicBool::new(false) });
+        let shared = Arc::clone(&reader) as Arc<dyn HallReader>;
+        let directory = Arc::clone(&routes) as Arc<dyn Directory>;
+        let running = share_reading_from(directory, shared, settling, first);
+        (routes, reader, running)
+    };
+    let (routes, reader, _running) = start(true);
+    tokio::time::sleep(settling).await;
+    reader.found.store(true, Ordering::Relaxed);
+    tokio::time::sleep(settling).await;
+    assert_eq!(routes.calls.load(Ordering::Relaxed), 0, "others had read");
+    // Where nobody is found, it reads in the end.
+    let (routes, _reader, (facts, _stopper)) = start(true);
+    until("the routes are read", || facts.revision() == 1).await;
+    let calls = routes.calls.load(Ordering::Relaxed);
+    assert!(calls <= 2, "{calls} calls");
+}
+
 /// A reader that has old news for a while.
 struct Slow {
     asked: AtomicU32,
--- a/crates/shell/tests/support/mod.rs
+++ b/crates/shell/tests/support/mod.rs
@@ -179,20 +179,31 @@
 pub fn share_reading(
     directory: Arc<dyn Directory>,
     reader: Arc<dyn HallReader>,
+) -> (Arc<Facts>, Stopper) {
+    share_reading_from(directory, reader, Duration::ZERO, false)
+}
+
+/// Follows the routes as [`share_reading`], from a start at which nobody
+/// counts on the process for a while.
+pub fn share_reading_from(
+    directory: Arc<dyn Directory>,
+    reader: Arc<dyn HallReader>,
+    settling: Duration,
+    first_start: bool,
 ) -> (Arc<Facts>, Stopper) {
     let log = DecisionLog::new(DecisionLog::MOST_BYTES);
     let facts = Arc::new(Facts::new(log, Duration::ZERO));
     let (stopper, shutdown) = Shutdown::new();
     let share = Arc::new(Share::new(Arc::clone(&facts)));
-    let bound = BOUND;
     let plan = Follow {
         collection: Collection::Declarations,
         wait: Duration::from_secs(4),
         pace: Duration::from_millis(10),
         doubt: Duration::from_secs(4),
         burst_pace: Duration::from_millis(300),
-        settling: Duration::ZERO,
-        sharing: Some(Sharing { share, reader, bound, watch: None }),
+        settling,
+        first_start,
+        sharing: Some(Sharing { share, reader, bound: BOUND, watch: None }),
     };
     tokio::spawn(follow(directory, Arc::clone(&facts), plan, shutdown));
     (facts, stopper)
