--- a/crates/gateway/src/dispatch/find.rs
+++ b/crates/gateway/src/dispatch/find.rs
@@ -164,9 +164,9 @@
     }
 
     /// Returns a replica as a candidate, and what speaks against it; `None` if
-    /// it has just said that it had no room or is cold and has had its share,
-    /// or if both it and the request
-    /// have to be kept apart from others that may end replicas.
+    /// it has just said that it had no room, if it is cold and has had its
+    /// share, or if both it and the request have to be kept apart from others
+    /// that may end replicas.
     fn candidate(
         &self,
         state: &mut State,
--- a/crates/gateway/src/dispatch/queue.rs
+++ b/crates/gateway/src/dispatch/queue.rs
@@ -46,8 +46,8 @@
 
 /// Those who wait, the most urgent and then the first to come in front.
 ///
-/// One place of each [`Queue::FAIR`] goes to a less urgent kind, by turns: under
-/// lasting overload they would get none at all.
+/// One place of each [`Queue::FAIR`] goes to a less urgent kind, by turns:
+/// under lasting overload they would get none at all.
 #[derive(Debug, Default)]
 pub(super) struct Queue {
     waiters: Vec<Waiter>,
@@ -92,8 +92,8 @@
         waiters
     }
 
-    /// Returns who gets the next place before all that are more urgent, if
-    /// that is to be: the first of each less urgent kind by turns.
+    /// Returns the index of the waiter that gets this place before all that
+    /// are more urgent, if it is a turn of the less urgent kinds.
     fn fair_turn(&self, waiters: &[Waiter]) -> Option<usize> {
         if self.given % Queue::FAIR != Queue::FAIR - 1 {
             return None;
--- a/crates/loader/src/hall_entries.rs
+++ b/crates/loader/src/hall_entries.rs
@@ -25,9 +25,9 @@
 use crate::entry_turn::EntryTurn;
 use crate::listeners::Listeners;
 
-/// How long an agent leaves the platform to entries since one told it
-/// something, and at the platform's first start after its engine is up: entries
-/// find it by the engine's place in the list of replicas.
+/// How long an agent leaves the platform to entries after one has told it
+/// something. At the platform's first start the time counts from when its
+/// engine is up, since entries find it by the engine's record in the list.
 const HOLD: Duration = Duration::from_millis(1_500);
 
 /// How long after its start an agent waits for its engine to come up.
@@ -39,7 +39,7 @@
 /// The pause before entries are asked again beside a call to the platform.
 const ASK_AGAIN: Duration = Duration::from_millis(1_000);
 
-/// From when on an entry that has not answered is silent.
+/// An entry that has not answered for so long counts as silent.
 const SILENCE: Duration = Duration::from_millis(1_000);
 
 /// How old a list of replicas may be.
--- a/crates/shell/src/directory.rs
+++ b/crates/shell/src/directory.rs
@@ -1,10 +1,10 @@
 //! What a platform publishes, and what a process believes of it.
 //!
-//! A [`Directory`] reads the platform, a [`CountedDirectory`] tells how often;
-//! [`follow`] keeps reading it, by
-//! waiting watches, and hands what it learns to [`Facts`], which only go
-//! forward. [`Share`] hands it on to others of the hall, so that few have to
-//! read. Nothing here knows how a platform spells its records.
+//! A [`Directory`] reads the platform, a [`CountedDirectory`] tells how often.
+//! [`follow`] keeps reading it, by waiting watches, and hands what it learns
+//! to [`Facts`], which only go forward. [`Share`] hands it on to others of the
+//! hall, so that few have to read. Nothing here knows how a platform spells
+//! its records.
 
 mod counted;
 mod facts;
--- a/crates/shell/src/directory/follow.rs
+++ b/crates/shell/src/directory/follow.rs
@@ -314,9 +314,9 @@
         }
     }
 
-    /// Whether the whole platform has just started, and this process knows of
-    /// no other yet: one that all read by itself would be read by as many as
-    /// there are processes.
+    /// Whether the whole platform starts for the first time and this process
+    /// knows of no other yet. If each process read by itself, the calls would
+    /// grow with their number.
     fn waits_for_others(&self) -> bool {
         let sharing = self.follow.sharing.as_ref();
         self.follow.first_start && sharing.is_some_and(|s| s.reader.is_alone())
--- a/src/placing.rs
+++ b/src/placing.rs
@@ -13,9 +13,9 @@
 //! [`PlacerChoice`] whom an entry asks and how long it waits; [`PlaceTable`]
 //! holds what a placer has given until it is over; [`ColdBound`] says how much
 //! of what a cold replica bears a placer may give; [`Urgency`] that the most
-//! patient kind of request does not go before the most urgent. Two placers at a time, or
-//! none, cost quality and never safety: a replica refuses what does not fit,
-//! and an entry whose placer is silent picks by itself.
+//! patient kind of request does not go before the most urgent. Two placers at
+//! a time, or none, cost quality and never safety: a replica refuses what does
+//! not fit, and an entry whose placer is silent picks by itself.
 
 mod cold_share;
 mod message;
--- a/src/placing/urgency.rs
+++ b/src/placing/urgency.rs
@@ -2,8 +2,8 @@
 //! that are more urgent.
 //!
 //! A replica has room for a request only while the prompts that wait there can
-//! be read within a part of the request's objective. Under lasting overload the
-//! kind with the longest objective finds room where no other does, and all
+//! be read within a part of the request's objective. Under lasting overload
+//! the kind with the longest objective finds room where no other does, and all
 //! replicas are filled up to that: the most patient kind would go before the
 //! most urgent. So a request counts with the shortest objective of all that
 //! are at least as urgent and came to the same service of late.
