No entry takes more than a fortieth of the allowance of retries

Cause: since few entries share the whole allowance, ten times what they had at 4 entries.

At least 40 entries are reckoned with.

--- a/src/direct/retry_share.rs
+++ b/src/direct/retry_share.rs
@@ -29,10 +29,11 @@
     /// begun are not counted yet.
     const ALLOWED: f64 = 0.8;
 
-    /// Entries that are reckoned with until their number is known. An entry
-    /// that has just begun has seen few requests, and retries no more than
-    /// these.
-    const UNKNOWN: f64 = 40.0;
+    /// The fewest entries that are reckoned with, also while their number is
+    /// not known: an entry that has just begun has seen few requests, and
+    /// retries no more than these. A larger part would send a request to more
+    /// replicas that end by themselves, as if it ended them.
+    const FEWEST: usize = 40;
 
     /// Returns the share of a bound: `ratio` of the requests and `minimum`
     /// retries in each `window`, over all of the fleet's `entries`.
@@ -55,11 +56,10 @@
         minimum: f64,
         entries: Option<usize>,
     ) {
-        let entries =
-            entries.map_or(RetryShare::UNKNOWN, |count| count.max(1) as f64);
+        let entries = entries.unwrap_or(0).max(RetryShare::FEWEST);
         self.window = window;
         self.ratio = ratio * RetryShare::SAFETY;
-        self.allowance = minimum * RetryShare::ALLOWED / entries;
+        self.allowance = minimum * RetryShare::ALLOWED / entries as f64;
     }
 
     /// Counts a request's first attempt.
