Without routes a replica without an agent is asked seldom

Cause: until an entry knows the routes any replica may be an engine, and it tried to open a feed to each of its hall every 0.4 s.

Each failure doubles the pause up to 1.6 s while there are no routes. With routes all is as before: an agent that has just started is asked as soon.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -32,6 +32,10 @@
 /// The pause before a feed is opened again.
 const PAUSE: Duration = Duration::from_millis(400);
 
+/// The longest pause while no routes tell which replicas are engines: each
+/// failure doubles it, since most replicas may have no agent.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_600);
+
 /// The longest line of a feed, in bytes.
 const MOST_LINE: usize = 16 << 10;
 
@@ -145,8 +149,11 @@
     let addr = SocketAddr::new(ip, listener.agent_port);
     let name = format!("agent {addr}");
     let mut lost: Option<Instant> = None;
+    let mut pause = PAUSE;
     loop {
+        let mut heard = false;
         let mut on_first = || {
+            heard = true;
             let Some(since) = lost.take() else { return };
             dispatcher.facts().log().write(&Decision::DependencyRegained {
                 dependency: &name,
@@ -168,7 +175,13 @@
             });
         }
         dispatcher.unreport(&feed.replica.incarnation);
-        tokio::time::sleep(PAUSE).await;
+        let guessed = dispatcher.facts().view().routes.is_none();
+        pause = if heard || !guessed {
+            PAUSE
+        } else {
+            (pause * 2).min(LONGEST_PAUSE)
+        };
+        tokio::time::sleep(pause).await;
     }
 }
 
