Log the rate limits that replicas set in their answers

Two of 20 replicas received up to twice the requests per second that their answers had set as a limit, and no log line or metric showed that a limit was set. Callers were not affected. Cause: the head of an answer was classified, but the information in it about the replica itself was discarded.

The head of an answer is now decoded into a notice about the replica, if the answer comes from the replica that the request was addressed to. `replica_limited` and `replica_unlimited` log when a limit is set, changed and withdrawn; the gauge `stairhinge_entry_replicas_limited` counts the replicas that have one. An invalid value changes nothing and is logged once, until a valid notice arrives. Answers can arrive out of order, so an answer without a limit withdraws it only if its request was sent after the last answer with a limit was received. No decision uses the limit yet.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -1,10 +1,12 @@
 //! How requests and answers are spelled on the wire.
 
+use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{StatusCode, http};
+use stairhinge::placing::RateLimit;
 use stairhinge::{Code, Error};
 
 /// What the head of a caller's request says.
@@ -60,6 +62,22 @@
     Foreign,
 }
 
+impl Judgement {
+    /// Returns whether the answer comes from the replica that the request was
+    /// addressed to.
+    pub const fn is_from_intended_replica(self) -> bool {
+        matches!(self, Judgement::Answer { .. } | Judgement::Declined)
+    }
+}
+
+/// Information about the sending replica, decoded from an answer's head.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ReplicaNotice {
+    /// The rate limit for all entries together, or `None` if the answer does
+    /// not set one.
+    pub limit: Option<RateLimit>,
+}
+
 /// The spelling of requests and answers.
 pub trait Dialect: Send + Sync {
     /// Reads the head of a caller's request.
@@ -78,6 +96,17 @@
     /// Judges the head of an answer to the request of this id.
     fn judge(&self, id: &str, head: &http::response::Parts) -> Judgement;
 
+    /// Decodes information about the replica from the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::BadHeader`] for a malformed value, and [`Code::OutOfRange`] for
+    /// a value outside its range.
+    fn read_notice(
+        &self,
+        head: &http::response::Parts,
+    ) -> Result<ReplicaNotice, Error>;
+
     /// Writes when the caller of a refused request may come back.
     fn come_back(&self, headers: &mut HeaderMap, span: Duration);
 }
@@ -96,6 +125,7 @@
     HeaderName::from_static("stairhinge-incarnation");
 const PRIORITY: HeaderName = HeaderName::from_static("stairhinge-priority");
 const VERSION: HeaderName = HeaderName::from_static("stairhinge-version");
+const LIMIT: HeaderName = HeaderName::from_static("stairhinge-limit");
 const RAN: HeaderName = HeaderName::from_static("stairhinge-ran");
 
 /// Returns a header's text, if it is there and is text.
@@ -103,6 +133,21 @@
     map.get(name).and_then(|v| v.to_str().ok()).unwrap_or("")
 }
 
+/// Parses a header's value; returns `None` if the header is absent.
+///
+/// # Errors
+///
+/// The error of `T`'s [`FromStr`] implementation for an invalid value.
+pub fn parse_header<T: FromStr<Err = Error>>(
+    map: &HeaderMap,
+    name: &HeaderName,
+) -> Result<Option<T>, Error> {
+    if !map.contains_key(name) {
+        return Ok(None);
+    }
+    header_text(map, name).parse().map(Some)
+}
+
 fn number(map: &HeaderMap, name: &HeaderName) -> Result<Option<u64>, Error> {
     let Some(value) = map.get(name) else { return Ok(None) };
     let text = value.to_str().unwrap_or("");
@@ -172,6 +217,13 @@
         Judgement::Answer { version }
     }
 
+    fn read_notice(
+        &self,
+        head: &http::response::Parts,
+    ) -> Result<ReplicaNotice, Error> {
+        Ok(ReplicaNotice { limit: parse_header(&head.headers, &LIMIT)? })
+    }
+
     fn come_back(&self, headers: &mut HeaderMap, span: Duration) {
         // The header counts whole seconds; rounding up never calls a caller
         // back too early.
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -4,6 +4,7 @@
 mod hall;
 mod known;
 mod news;
+mod notice;
 mod outcome;
 mod place;
 mod queue;
@@ -285,6 +286,12 @@
         state.known.values().filter(|k| k.is_cold(now)).count()
     }
 
+    /// Returns the number of replicas with a rate limit.
+    pub(crate) fn limited(&self) -> usize {
+        let state = self.lock();
+        state.known.values().filter(|k| k.limit.limit().is_some()).count()
+    }
+
     /// Whether the replica's engine has been reported down since a moment.
     pub(crate) fn is_down(&self, incarnation: &str) -> bool {
         let state = self.lock();
--- a/crates/gateway/src/dispatch/known.rs
+++ b/crates/gateway/src/dispatch/known.rs
@@ -5,7 +5,7 @@
 use stairhinge::Time;
 use stairhinge::direct::Replica;
 use stairhinge::direct::balance::Load;
-use stairhinge::placing::{ColdWindow, Need};
+use stairhinge::placing::{ColdWindow, KnownLimit, Need};
 use stairhinge::poison::PoisonTable;
 use stairhinge::routing::Health;
 
@@ -79,6 +79,10 @@
     pub cold_until: Option<Time>,
     /// What it was sent of late.
     pub cold_sent: ColdWindow,
+    /// Its rate limit, as last announced in its answers.
+    pub limit: KnownLimit,
+    /// Whether its last notice was invalid.
+    pub notice_invalid: bool,
     /// What it last said not to be.
     pub misdirected: Option<Misdirected>,
     /// Until when it may end under a request that it was given.
--- a/crates/gateway/src/dispatch/place.rs
+++ b/crates/gateway/src/dispatch/place.rs
@@ -3,11 +3,12 @@
 use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant};
 
-use stairhinge::Time;
 use stairhinge::direct::Replica;
 use stairhinge::placing::Outcome;
+use stairhinge::{Error, Time};
 
 use super::Dispatcher;
+use crate::dialect::ReplicaNotice;
 use crate::placing::{Chooser, Lease};
 
 /// A place at a replica; dropping it gives the place back.
@@ -55,6 +56,23 @@
         }
     }
 
+    /// Handles the notice in the replica's answer to a request sent at
+    /// `sent_at`.
+    pub(crate) fn handle_notice(
+        &self,
+        notice: Result<ReplicaNotice, Error>,
+        sent_at: Time,
+    ) {
+        let Some(dispatcher) = self.dispatcher.upgrade() else { return };
+        let incarnation = &self.replica.incarnation;
+        match notice {
+            Ok(notice) => {
+                dispatcher.apply_notice(incarnation, notice, sent_at);
+            }
+            Err(error) => dispatcher.reject_notice(incarnation, &error),
+        }
+    }
+
     /// Notes what the request brought, as far as it tells of the replica.
     pub(crate) fn note(&mut self, outcome: Outcome) {
         if let Some(lease) = &mut self.lease {
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -47,6 +47,7 @@
         }
         self.log_sent(context, &place, attempt, left);
         let at = Instant::now();
+        let sent_at = self.facts.now();
         let request = self.request(context, &place, left, after_event);
         let mut patience = if never { left } else { left.min(HEAD_PATIENCE) };
         if let Some(begin_by) = place.begin_by {
@@ -66,7 +67,11 @@
             }
         };
         let (head, body) = response.into_parts();
-        match self.dialect.judge(&context.caller.id, &head) {
+        let judgement = self.dialect.judge(&context.caller.id, &head);
+        if judgement.is_from_intended_replica() {
+            place.handle_notice(self.dialect.read_notice(&head), sent_at);
+        }
+        match judgement {
             Judgement::Answer { version } => {
                 place.begin();
                 let upstream =
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,7 +37,8 @@
 mod wire;
 
 pub use self::dialect::{
-    Attempt, CallerRequest, Dialect, Judgement, PlainDialect, header_text,
+    Attempt, CallerRequest, Dialect, Judgement, PlainDialect, ReplicaNotice,
+    header_text, parse_header,
 };
 pub use self::entry::run;
 pub use self::news::fetch_routes;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -62,6 +62,7 @@
     pub taken_back: Gauge,
     pub evacuated: Gauge,
     pub cold: Gauge,
+    pub limited: Gauge,
 }
 
 impl EntryMetrics {
@@ -92,6 +93,7 @@
             taken_back: Gauge::default(),
             evacuated: Gauge::default(),
             cold: Gauge::default(),
+            limited: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -164,6 +166,12 @@
         r.register("halls_evacuated", "Halls that get nothing", evacuated);
         let cold = self.cold.clone();
         r.register("replicas_cold", "Replicas that bear little", cold);
+        let limited = self.limited.clone();
+        r.register(
+            "replicas_limited",
+            "Replicas that name a rate limit",
+            limited,
+        );
         let given = self.given.clone();
         r.register("places_given", "Places that others have", given);
         let taken_back = self.taken_back.clone();
--- a/crates/shell/src/decisions/decision.rs
+++ b/crates/shell/src/decisions/decision.rs
@@ -121,6 +121,20 @@
         /// The requests that this entry may send it in a second.
         share: usize,
     },
+    /// A replica set or changed its rate limit.
+    ReplicaLimited {
+        /// Its incarnation.
+        replica: &'a str,
+        /// The limit for all entries together, in requests per second.
+        per_s: f64,
+    },
+    /// A replica withdrew its rate limit.
+    ReplicaUnlimited {
+        /// Its incarnation.
+        replica: &'a str,
+        /// How long it had a limit, in milliseconds.
+        after_ms: u64,
+    },
     /// A published record was not taken.
     RecordRefused {
         /// The numbered code.
--- a/src/placing.rs
+++ b/src/placing.rs
@@ -21,6 +21,7 @@
 mod message;
 mod place_table;
 mod placer_choice;
+mod rate_limit;
 mod seat;
 mod urgency;
 
@@ -30,6 +31,7 @@
 };
 pub use self::place_table::{PlaceKey, PlaceTable};
 pub use self::placer_choice::{Placer, PlacerChoice};
+pub use self::rate_limit::{KnownLimit, LimitChange, RateLimit};
 pub use self::seat::{LEADING, Seat, ranked};
 pub use self::urgency::Urgency;
 
@@ -38,6 +40,8 @@
 #[cfg(test)]
 mod load_tests;
 #[cfg(test)]
+mod rate_limit_tests;
+#[cfg(test)]
 mod tests;
 #[cfg(test)]
 mod urgency_tests;
