Enforce a replica's rate limit across all entries

Replicas under load received up to twice the rate limit that they had set. Requests beyond a limit wait at the replica or are rejected there; callers saw no immediate effect.

The entry that received a limit never used it, and it is not the entry that chooses replicas: the placer of a hall chooses for all entries of the hall.

Divide the limit among the choosers without shared state, as is done for the bound of cold replicas. Of the tolerated requests, 0.6 go to the two entries that may act as placer of the replica's own hall at the same time, 0.2 to the placers of other halls and 0.2 to entries that choose by themselves. Entries report the limits in the answers to the placer that chose the replica. A placer that has just started is told at its first choice that shows that it does not know the limit. A share below one request per span becomes one request in a longer span, with a random phase.

Show limits in `no_replica`, `sent` and `explain-request`. Count requests per replica in a single window for both cold and rate-limited replicas.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -18,7 +18,7 @@
 use stairhinge::direct::{
     AllowedRegions, Contention, EvacuationBound, HallEntry, HallRegions,
 };
-use stairhinge::placing::{ColdAccess, Lack, Need, Urgency};
+use stairhinge::placing::{Access, Lack, Need, Urgency};
 use stairhinge_shell::directory::{Facts, FactsView};
 
 use self::find::layers;
@@ -68,6 +68,8 @@
     pub barred: usize,
     /// Those of the others in a hall that is evacuated.
     pub evacuated: usize,
+    /// Suitable replicas that have set a rate limit.
+    pub limited: usize,
 }
 
 /// How long a replica that had no room is spared.
@@ -117,7 +119,7 @@
         &self,
         need: Need,
         until: Instant,
-        access: ColdAccess,
+        access: Access,
     ) -> Result<Place, Lack> {
         let wait = until.saturating_duration_since(Instant::now());
         match self.request(need, !wait.is_zero(), access) {
@@ -133,7 +135,7 @@
         &self,
         need: Need,
         waits: bool,
-        access: ColdAccess,
+        access: Access,
     ) -> Found {
         let mut state = self.lock();
         state.urgency.note(&need, self.facts.now());
@@ -185,7 +187,13 @@
                 continue;
             }
             let terms = self.terms(&state, &view, need, replica, layers, now);
-            count.suitable += usize::from(terms.is_some());
+            if terms.is_none() {
+                continue;
+            }
+            count.suitable += 1;
+            let known = state.known.get(&replica.incarnation);
+            let limited = known.is_some_and(|k| k.limit.limit().is_some());
+            count.limited += usize::from(limited);
         }
         count
     }
--- a/crates/gateway/src/dispatch/find.rs
+++ b/crates/gateway/src/dispatch/find.rs
@@ -5,7 +5,7 @@
 
 use stairhinge::direct::Replica;
 use stairhinge::direct::balance::{Candidate, Pace, choose};
-use stairhinge::placing::{ColdAccess, Need};
+use stairhinge::placing::{Access, Need, SendPace};
 use stairhinge::rank;
 use stairhinge_shell::decisions::Decision;
 use stairhinge_shell::directory::{FactsView, Standing};
@@ -99,7 +99,7 @@
         state: &mut State,
         view: &FactsView,
         need: &Need,
-        access: ColdAccess,
+        access: Access,
         only: Option<&Arc<str>>,
     ) -> Option<Place> {
         let offers = match only {
@@ -123,6 +123,7 @@
             load: known.load.total(),
             delay_ms: known.delay_ms() as u64,
             report_age: reported.map(|r| r.at.elapsed()),
+            limit: known.limit.limit(),
             prompt_tokens: need.prompt_tokens,
             chooser: Chooser::Alone,
             lease: None,
@@ -139,7 +140,7 @@
         state: &mut State,
         view: &FactsView,
         need: &Need,
-        access: ColdAccess,
+        access: Access,
         replicas: impl IntoIterator<Item = &'a (Arc<Replica>, Standing)>,
     ) -> Offers {
         let now = self.facts.now();
@@ -164,33 +165,46 @@
     }
 
     /// Returns a replica as a candidate, and what speaks against it; `None` if
-    /// it has just said that it had no room, if it is cold and has had its
-    /// share, or if both it and the request have to be kept apart from others
-    /// that may end replicas.
+    /// it has just said that it had no room, if it is cold or rate-limited and
+    /// this entry has used its share, or if both it and the request have to be
+    /// kept apart from others that may end replicas.
     fn candidate(
         &self,
         state: &mut State,
         view: &FactsView,
         need: &Need,
-        access: ColdAccess,
+        access: Access,
         replica: &Replica,
     ) -> Option<(Candidate, Fitness)> {
         let engine = view.engine(&need.service);
         let entries = state.contention.entries();
+        let fleet_entries = self.fleet_entries_in(state);
+        let near = replica.hall == self.hall;
         let objective = state.urgency.objective(need, self.facts.now());
         let known =
             state.known.entry(Arc::clone(&replica.incarnation)).or_default();
         let now = self.facts.now();
         let cold = known.meet(replica, now);
         if known.is_cold(now)
-            && let Some(share) = self.cold_share(view, access, replica)
+            && let Some(pace) = self.cold_pace(view, access, replica)
         {
             if let Some(for_ms) = cold {
                 let replica = &replica.incarnation;
+                let share = pace.most();
                 let line = Decision::ReplicaCold { replica, for_ms, share };
                 self.facts.log().write(&line);
             }
-            if !known.cold_sent.has_room(share, now) {
+            if !known.sent.has_room(pace, now) {
+                return None;
+            }
+        }
+        let offset = *known
+            .offset
+            .get_or_insert_with(|| self.offset(&replica.incarnation));
+        if let Some(limit) = known.limit.limit() {
+            let pace =
+                limit.pace(access, near, self.hall_count(), fleet_entries);
+            if !known.limit.has_room(pace, &known.sent, offset, now) {
                 return None;
             }
         }
@@ -207,9 +221,6 @@
             true => Fitness::Sound,
             false => Fitness::Failing,
         };
-        let offset = *known
-            .offset
-            .get_or_insert_with(|| self.offset(&replica.incarnation));
         let room = self.evacuation_room(view, &replica.hall);
         let slots = (f64::from(replica.slots) * room) as u32;
         let pace = engine.map_or_else(
@@ -219,7 +230,7 @@
         let candidate = Candidate {
             load: known.load,
             pace,
-            near: replica.hall == self.hall,
+            near,
             queue: queue_room(slots, engine.is_some()),
             offset,
             delay_ms: known.delay_ms(),
@@ -229,19 +240,23 @@
         Some((candidate, fitness))
     }
 
-    /// Returns how many requests in a second this entry may choose a replica
-    /// for while that is cold; `None` where there is no bound.
-    fn cold_share(
+    /// Returns the pace at which this entry may choose a cold replica, or
+    /// `None` if it is not bounded.
+    fn cold_pace(
         &self,
         view: &FactsView,
-        access: ColdAccess,
+        access: Access,
         replica: &Replica,
-    ) -> Option<usize> {
+    ) -> Option<SendPace> {
         let service = view.routes.as_ref()?.service(&replica.service)?;
         let bound = self.bounds.cold.bound(service.cold_per_s)?;
         let near = replica.hall == self.hall;
-        let halls = self.bounds.regions.halls().unwrap_or(MOST_HALLS);
-        Some(bound.share(access, near, halls))
+        Some(bound.pace(access, near, self.hall_count()))
+    }
+
+    /// Returns the number of data halls whose entries choose replicas.
+    fn hall_count(&self) -> usize {
+        self.bounds.regions.halls().unwrap_or(MOST_HALLS)
     }
 
     /// Returns this entry's leaning towards a replica, from 0 to 1.
--- a/crates/gateway/src/dispatch/hall.rs
+++ b/crates/gateway/src/dispatch/hall.rs
@@ -28,7 +28,13 @@
     /// the own hall: as many in each hall. Where halls differ, each hall's
     /// entries share what is for one hall, and the sum is the same.
     pub(crate) fn fleet_entries(&self) -> Option<usize> {
-        let listening = self.lock().listening;
+        let state = self.lock();
+        self.fleet_entries_in(&state)
+    }
+
+    /// Like [`Self::fleet_entries`], for callers that hold the lock.
+    pub(super) fn fleet_entries_in(&self, state: &State) -> Option<usize> {
+        let listening = state.listening;
         let halls =
             self.bounds.regions.halls().unwrap_or_else(|| self.halls());
         (listening > 0).then_some(listening * halls.max(1))
@@ -123,7 +129,14 @@
         }
         let mut state = self.lock();
         let incarnation = Arc::clone(&replica.incarnation);
-        state.known.entry(incarnation).or_default().given(need, now);
+        let known = state.known.entry(incarnation).or_default();
+        known.given(need, now);
+        if placed.limit.is_none()
+            && let Some((limit, at)) = known.limit.last_set()
+        {
+            // A placer that has just started has not seen the limit yet.
+            lease.report_limit(Some(limit), now.since(at), now.since(at));
+        }
         Some(Place {
             replica: Arc::clone(replica),
             version: placed.version,
@@ -131,6 +144,7 @@
             load: placed.load,
             delay_ms: placed.delay_ms,
             report_age: placed.report_age_ms.map(Duration::from_millis),
+            limit: placed.limit,
             chooser: Chooser::Placer(placer),
             lease: Some(lease),
             prompt_tokens: need.prompt_tokens,
--- a/crates/gateway/src/dispatch/known.rs
+++ b/crates/gateway/src/dispatch/known.rs
@@ -5,7 +5,7 @@
 use stairhinge::Time;
 use stairhinge::direct::Replica;
 use stairhinge::direct::balance::Load;
-use stairhinge::placing::{ColdWindow, KnownLimit, Need};
+use stairhinge::placing::{KnownLimit, Need, SentWindow};
 use stairhinge::poison::PoisonTable;
 use stairhinge::routing::Health;
 
@@ -78,7 +78,7 @@
     pub cold_ms: u64,
     pub cold_until: Option<Time>,
     /// What it was sent of late.
-    pub cold_sent: ColdWindow,
+    pub sent: SentWindow,
     /// Its rate limit, as last announced in its answers.
     pub limit: KnownLimit,
     /// Whether its last notice was invalid.
@@ -124,16 +124,14 @@
             load: self.load,
             offset: self.offset,
             reported: self.reported.take(),
-            cold_sent: std::mem::take(&mut self.cold_sent),
+            sent: std::mem::take(&mut self.sent),
             ..Known::default()
         };
     }
 
     /// Takes note of a request that it is given.
     pub(super) fn given(&mut self, need: &Need, now: Time) {
-        if self.is_cold(now) {
-            self.cold_sent.note(now);
-        }
+        self.sent.note(now);
         self.load.own_pending += 1;
         self.load.own_pending_tokens += need.prompt_tokens;
         let until = Some(Instant::now() + PoisonTable::TRIAL);
--- a/crates/gateway/src/dispatch/notice.rs
+++ b/crates/gateway/src/dispatch/notice.rs
@@ -8,20 +8,20 @@
 use crate::dialect::ReplicaNotice;
 
 impl Dispatcher {
-    /// Applies the notice in a replica's answer to a request sent at
-    /// `sent_at`.
+    /// Applies the notice in a replica's answer, received at `received_at`, to
+    /// a request sent at `sent_at`.
     pub(super) fn apply_notice(
         &self,
         incarnation: &str,
         notice: ReplicaNotice,
         sent_at: Time,
+        received_at: Time,
     ) {
-        let now = self.facts.now();
         let change = {
             let mut state = self.lock();
             let Some(known) = state.known.get_mut(incarnation) else { return };
             known.notice_invalid = false;
-            known.limit.update(notice.limit, sent_at, now)
+            known.limit.update(notice.limit, sent_at, received_at)
         };
         let replica = incarnation;
         match change {
--- a/crates/gateway/src/dispatch/place.rs
+++ b/crates/gateway/src/dispatch/place.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use stairhinge::direct::Replica;
-use stairhinge::placing::Outcome;
+use stairhinge::placing::{Outcome, RateLimit};
 use stairhinge::{Error, Time};
 
 use super::Dispatcher;
@@ -25,6 +25,8 @@
     /// How much longer than usual the way there takes, in milliseconds.
     pub delay_ms: u64,
     pub report_age: Option<Duration>,
+    /// The replica's rate limit, if the chooser knew of one.
+    pub limit: Option<RateLimit>,
     /// Who chose the replica.
     pub chooser: Chooser,
     /// What a placer is told of the place's use, if one gave it.
@@ -67,12 +69,36 @@
         let incarnation = &self.replica.incarnation;
         match notice {
             Ok(notice) => {
-                dispatcher.apply_notice(incarnation, notice, sent_at);
+                let now = dispatcher.facts().now();
+                if let Some(lease) = &self.lease
+                    && notice.limit != self.limit
+                {
+                    let sent_ago = now.since(sent_at);
+                    lease.report_limit(notice.limit, sent_ago, Duration::ZERO);
+                }
+                dispatcher.apply_notice(incarnation, notice, sent_at, now);
             }
             Err(error) => dispatcher.reject_notice(incarnation, &error),
         }
     }
 
+    /// Applies the replica's rate limit as reported by the entry that uses the
+    /// place.
+    pub(crate) fn apply_limit(
+        &self,
+        limit: Option<RateLimit>,
+        sent_ago: Duration,
+        received_ago: Duration,
+    ) {
+        let Some(dispatcher) = self.dispatcher.upgrade() else { return };
+        let incarnation = &self.replica.incarnation;
+        let now = dispatcher.facts().now();
+        let sent_at = now.before(sent_ago);
+        let received_at = now.before(received_ago);
+        let notice = ReplicaNotice { limit };
+        dispatcher.apply_notice(incarnation, notice, sent_at, received_at);
+    }
+
     /// Notes what the request brought, as far as it tells of the replica.
     pub(crate) fn note(&mut self, outcome: Outcome) {
         if let Some(lease) = &mut self.lease {
--- a/crates/gateway/src/dispatch/queue.rs
+++ b/crates/gateway/src/dispatch/queue.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use stairhinge::placing::{ColdAccess, Lack, Need};
+use stairhinge::placing::{Access, Lack, Need};
 use tokio::sync::oneshot;
 
 use super::Place;
@@ -40,7 +40,7 @@
 #[derive(Debug)]
 pub(super) struct Waiter {
     pub need: Need,
-    pub access: ColdAccess,
+    pub access: Access,
     pub found: oneshot::Sender<Place>,
 }
 
@@ -69,7 +69,7 @@
     }
 
     /// Adds a request.
-    pub(super) fn join(&mut self, need: Need, access: ColdAccess) -> Waiting {
+    pub(super) fn join(&mut self, need: Need, access: Access) -> Waiting {
         let (found, receiver) = oneshot::channel();
         self.insert(Waiter { need, access, found });
         Waiting(receiver)
--- a/crates/gateway/src/forward/log.rs
+++ b/crates/gateway/src/forward/log.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use stairhinge::direct::NextStep;
-use stairhinge::placing::Need;
+use stairhinge::placing::{Need, RateLimit};
 use stairhinge_shell::decisions::Decision;
 
 use super::{FailedAttempt, Forwarder};
@@ -48,6 +48,7 @@
             suitable: count.suitable,
             barred: count.barred,
             evacuated: count.evacuated,
+            limited: count.limited,
             waited_ms: from.elapsed().as_millis() as u64,
             revision: context.revision,
         });
@@ -72,6 +73,7 @@
             report_age_ms: place.report_age.map(|a| a.as_millis() as u64),
             placer: place.chooser.placer(),
             own_choice,
+            limit_per_s: place.limit.map(RateLimit::per_s),
             revision: context.revision,
             version: place.version,
             left_ms: left.as_millis() as u64,
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -127,7 +127,7 @@
         until: Instant,
         chooser: Chooser,
     ) -> Result<Place, Lack> {
-        let access = chooser.cold_access();
+        let access = chooser.access();
         let mut place = self.dispatcher.place(need, until, access).await?;
         place.chooser = chooser;
         Ok(place)
--- a/crates/gateway/src/placing/asker.rs
+++ b/crates/gateway/src/placing/asker.rs
@@ -149,6 +149,6 @@
     out.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn millis(span: Duration) -> u32 {
+pub(super) fn millis(span: Duration) -> u32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/gateway/src/placing/chooser.rs
+++ b/crates/gateway/src/placing/chooser.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use stairhinge::placing::ColdAccess;
+use stairhinge::placing::Access;
 
 /// Who chose a request's replica, and why.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -34,12 +34,14 @@
         }
     }
 
-    /// Returns how much of what cold replicas bear is for this choice.
-    pub(crate) const fn cold_access(self) -> ColdAccess {
+    /// Returns how this choice counts against a bound that holds for all
+    /// entries.
+    pub(crate) const fn access(self) -> Access {
         match self {
-            Chooser::Alone => ColdAccess::All,
-            Chooser::IsPlacer => ColdAccess::Placer,
-            _ => ColdAccess::Nobody,
+            Chooser::Alone => Access::All,
+            Chooser::IsPlacer => Access::Placer,
+            Chooser::Apart => Access::Independent,
+            _ => Access::Fallback,
         }
     }
 
--- a/crates/gateway/src/placing/lease.rs
+++ b/crates/gateway/src/placing/lease.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use stairhinge::placing::{Message, Outcome, PlaceEvent};
+use stairhinge::placing::{Message, Outcome, PlaceEvent, RateLimit};
 
+use super::asker::millis;
 use crate::wire::Wire;
 
 /// A place that another entry has given; dropping it gives the place back.
@@ -29,8 +30,21 @@
 
     /// Tells the placer that the replica has begun.
     pub(crate) fn began(&self, took: Duration) {
-        let took_ms = u32::try_from(took.as_millis()).unwrap_or(u32::MAX);
-        self.tell(PlaceEvent::Began { took_ms });
+        self.tell(PlaceEvent::Began { took_ms: millis(took) });
+    }
+
+    /// Reports the replica's rate limit to the placer. `sent_ago` and
+    /// `received_ago` are the ages of the request and of the answer that set
+    /// or omitted the limit.
+    pub(crate) fn report_limit(
+        &self,
+        limit: Option<RateLimit>,
+        sent_ago: Duration,
+        received_ago: Duration,
+    ) {
+        let sent_ms = millis(sent_ago);
+        let received_ms = millis(received_ago);
+        self.tell(PlaceEvent::Limit { limit, sent_ms, received_ms });
     }
 
     /// Notes what the placer is to know of the replica at the end.
--- a/crates/gateway/src/placing/placer.rs
+++ b/crates/gateway/src/placing/placer.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use stairhinge::placing::{
-    ColdAccess, Lack, Message, Outcome, PlaceEvent, PlaceKey, PlaceTable,
-    Placed, Question, Verdict,
+    Access, Lack, Message, Outcome, PlaceEvent, PlaceKey, PlaceTable, Placed,
+    Question, Verdict,
 };
 
 use crate::dispatch::{Dispatcher, Found, Place};
@@ -46,7 +46,7 @@
         match dispatcher.request(
             question.need,
             !wait.is_zero(),
-            ColdAccess::Placer,
+            Access::Placer,
         ) {
             Found::Place(place) => {
                 if let Some(placed) = self.give(dispatcher, key, place, left) {
@@ -93,6 +93,7 @@
             load: place.load,
             delay_ms: place.delay_ms,
             report_age_ms: place.report_age.map(|a| a.as_millis() as u64),
+            limit: place.limit,
         };
         let doubled = self.lock().give(key, place, now, left);
         doubled.is_none().then_some(Verdict::Placed(placed))
@@ -113,6 +114,13 @@
                     place.begin_after(took);
                 }
             }
+            PlaceEvent::Limit { limit, sent_ms, received_ms } => {
+                let [sent, received] = [sent_ms, received_ms]
+                    .map(|ms| Duration::from_millis(u64::from(ms)));
+                if let Some(place) = self.lock().get_mut(&key) {
+                    place.apply_limit(limit, sent, received);
+                }
+            }
             PlaceEvent::Ended { outcome } => {
                 let ended = self.lock().end(&key);
                 let Some(mut place) = ended else { return };
--- a/crates/shell/src/decisions/decision.rs
+++ b/crates/shell/src/decisions/decision.rs
@@ -187,6 +187,10 @@
         /// Why the entry chose by itself, if it did.
         #[serde(skip_serializing_if = "Option::is_none")]
         own_choice: Option<&'static str>,
+        /// The replica's rate limit in requests per second, if the chooser
+        /// knew of one.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        limit_per_s: Option<f64>,
         /// The revision of the routes that decided.
         revision: u64,
         /// The version asked for, if any.
@@ -210,6 +214,8 @@
         barred: usize,
         /// Those of the others in a hall that is evacuated.
         evacuated: usize,
+        /// Suitable replicas that have set a rate limit.
+        limited: usize,
         /// How long it waited, in milliseconds.
         waited_ms: u64,
         /// The revision of the routes that decided.
--- a/src/explanation/cause.rs
+++ b/src/explanation/cause.rs
@@ -42,6 +42,8 @@
     NoRoom {
         /// Replicas that could take it if they had room.
         suitable: usize,
+        /// Those of them that have set a rate limit.
+        limited: usize,
         /// How long it waited, in milliseconds.
         waited_ms: u64,
     },
@@ -181,9 +183,12 @@
             barred: *barred,
             evacuated: *evacuated,
         }),
-        LoggedDecision::NoReplica { suitable, waited_ms, .. } => {
-            let (suitable, waited_ms) = (*suitable, *waited_ms);
-            Some(Cause::NoRoom { suitable, waited_ms })
+        LoggedDecision::NoReplica { suitable, limited, waited_ms, .. } => {
+            Some(Cause::NoRoom {
+                suitable: *suitable,
+                limited: *limited,
+                waited_ms: *waited_ms,
+            })
         }
         LoggedDecision::PoisonRefused {
             replicas, age_ms, back_ms, ..
@@ -255,9 +260,13 @@
                 }
                 Ok(())
             }
-            Cause::NoRoom { suitable, waited_ms } => {
+            Cause::NoRoom { suitable, limited, waited_ms } => {
                 write!(f, "all {suitable} replicas that could serve it ")?;
-                write!(f, "were full for {waited_ms} ms")
+                write!(f, "were full for {waited_ms} ms")?;
+                if *limited > 0 {
+                    write!(f, "; {limited} name a rate limit")?;
+                }
+                Ok(())
             }
             Cause::AttemptFailed { replica, reason } => {
                 write!(f, "replica {replica} failed: {reason}")
--- a/src/explanation/tests.rs
+++ b/src/explanation/tests.rs
@@ -66,7 +66,15 @@
     };
     let (outcome, found) = cause(&[START, &no_replica(4), &refused]);
     assert_eq!(outcome, Outcome::Refused);
-    assert_eq!(found, Cause::NoRoom { suitable: 4, waited_ms: 80 });
+    let no_room =
+        |limited| Cause::NoRoom { suitable: 4, limited, waited_ms: 80 };
+    assert_eq!(found, no_room(0));
+    let limited =
+        no_replica(4).replace("\"waited_ms\"", "\"limited\":3,\"waited_ms\"");
+    let (_, found) = cause(&[START, &limited, &refused]);
+    assert_eq!(found, no_room(3));
+    let text = found.to_string();
+    assert!(text.contains("3 name a rate limit"), "{text}");
     let (_, found) = cause(&[START, &no_replica(0), &refused]);
     let none = |barred, evacuated| Cause::NoSuitableReplica {
         listed: 9,
--- a/src/placing.rs
+++ b/src/placing.rs
@@ -11,21 +11,25 @@
 //! Nothing is agreed upon and nothing is kept over a restart. [`ranked`] and
 //! [`Seat`] say who places, by an order that all entries see alike;
 //! [`PlacerChoice`] whom an entry asks and how long it waits; [`PlaceTable`]
-//! holds what a placer has given until it is over; [`ColdBound`] says how much
-//! of what a cold replica bears a placer may give; [`Urgency`] that the most
-//! patient kind of request does not go before the most urgent. Two placers at
-//! a time, or none, cost quality and never safety: a replica refuses what does
-//! not fit, and an entry whose placer is silent picks by itself.
+//! holds what a placer has given until it is over; [`ColdBound`] and
+//! [`RateLimit`] determine how many requests one entry may send to a cold or
+//! rate-limited replica; [`Urgency`] that the most patient kind of request
+//! does not go before the most urgent. Two placers at a time, or none, cost
+//! quality and never safety: a replica refuses what does not fit, and an entry
+//! whose placer is silent picks by itself.
 
+mod access;
 mod cold_share;
 mod message;
 mod place_table;
 mod placer_choice;
 mod rate_limit;
 mod seat;
+mod sent_window;
 mod urgency;
 
-pub use self::cold_share::{ColdAccess, ColdBound, ColdWindow};
+pub use self::access::Access;
+pub use self::cold_share::ColdBound;
 pub use self::message::{
     Lack, Message, Need, Outcome, PlaceEvent, Placed, Question, Verdict,
 };
@@ -33,6 +37,7 @@
 pub use self::placer_choice::{Placer, PlacerChoice};
 pub use self::rate_limit::{KnownLimit, LimitChange, RateLimit};
 pub use self::seat::{LEADING, Seat, ranked};
+pub use self::sent_window::{SendPace, SentWindow};
 pub use self::urgency::Urgency;
 
 #[cfg(test)]
@@ -42,6 +47,8 @@
 #[cfg(test)]
 mod rate_limit_tests;
 #[cfg(test)]
+mod rate_share_tests;
+#[cfg(test)]
 mod tests;
 #[cfg(test)]
 mod urgency_tests;
--- /dev/null
+++ b/src/placing/access.rs
@@ -0,0 +1,21 @@
+//! How a choice of replica counts against a bound that holds for all entries.
+//!
+//! Entries share no state about such a bound, so each chooser gets a fixed
+//! part of it. Each hall has one placer, but two entries may act as its placer
+//! for a short time, so each of them gets half of the hall's part.
+
+/// The kind of chooser that a bound is divided by.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Access {
+    /// The only entry that chooses replicas.
+    All,
+    /// The placer of a hall, which chooses for all entries of the hall.
+    Placer,
+    /// One of many entries that all choose for themselves, without placers.
+    Independent,
+    /// An entry that chooses for itself because it has no usable placer.
+    Fallback,
+}
+
+/// How many entries may act as placer of one hall at the same time.
+pub(super) const PLACERS: usize = 2;
--- a/src/placing/cold_share_tests.rs
+++ b/src/placing/cold_share_tests.rs
@@ -6,7 +6,7 @@
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
 
-use super::{ColdAccess, ColdBound, ColdWindow};
+use super::{Access, ColdBound, SendPace, SentWindow};
 use crate::Time;
 
 /// How long requests come, in milliseconds.
@@ -20,23 +20,23 @@
 /// and arrived within one second.
 fn busiest_second(bound: ColdBound, halls: usize, seed: u64) -> usize {
     let mut rng = SmallRng::seed_from_u64(seed);
-    let mut choosers: Vec<(usize, ColdWindow)> = Vec::new();
+    let mut choosers: Vec<(SendPace, SentWindow)> = Vec::new();
     for hall in 0..halls {
         for _ in 0..2 {
-            let share = bound.share(ColdAccess::Placer, hall == 0, halls);
-            choosers.push((share, ColdWindow::default()));
+            let pace = bound.pace(Access::Placer, hall == 0, halls);
+            choosers.push((pace, SentWindow::default()));
         }
         for _ in 0..20 {
-            let share = bound.share(ColdAccess::Nobody, hall == 0, halls);
-            choosers.push((share, ColdWindow::default()));
+            let pace = bound.pace(Access::Fallback, hall == 0, halls);
+            choosers.push((pace, SentWindow::default()));
         }
     }
     let mut sent = Vec::new();
     for ms in 0..LASTS_MS {
         let now = Time::from_millis(ms);
-        for (share, window) in &mut choosers {
+        for (pace, window) in &mut choosers {
             let wanted = rng.random_ratio(1, 8);
-            if wanted && window.has_room(*share, now) {
+            if wanted && window.has_room(*pace, now) {
                 window.note(now);
                 sent.push((ms, ms + rng.random_range(0..MOST_WAY_MS)));
             }
@@ -65,11 +65,11 @@
 #[test]
 fn the_replicas_own_hall_has_the_larger_part() {
     let bound = ColdBound::new(14.0, 1.5, 5.0).unwrap();
-    let near = bound.share(ColdAccess::Placer, true, 3);
-    let far = bound.share(ColdAccess::Placer, false, 3);
+    let near = bound.pace(Access::Placer, true, 3).most();
+    let far = bound.pace(Access::Placer, false, 3).most();
     assert!(near > far && far > 0, "{near} and {far}");
-    assert_eq!(bound.share(ColdAccess::Nobody, true, 3), 0);
-    assert_eq!(bound.share(ColdAccess::All, true, 1), 26);
+    assert_eq!(bound.pace(Access::Fallback, true, 3).most(), 0);
+    assert_eq!(bound.pace(Access::All, true, 1).most(), 26);
     assert_eq!(ColdBound::new(0.0, 1.5, 5.0), None, "never cold");
 }
 
@@ -79,11 +79,12 @@
         share in 0usize..30,
         gaps in prop::collection::vec(0u64..200, 1..300),
     ) {
-        let mut window = ColdWindow::default();
+        let mut window = SentWindow::default();
+        let pace = SendPace::new(share, Duration::from_millis(1_050));
         let (mut now, mut sent) = (0, Vec::new());
         for gap in gaps {
             now += gap;
-            if window.has_room(share, Time::from_millis(now)) {
+            if window.has_room(pace, Time::from_millis(now)) {
                 window.note(Time::from_millis(now));
                 sent.push(now);
             }
--- a/src/placing/message.rs
+++ b/src/placing/message.rs
@@ -12,6 +12,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::RateLimit;
 use crate::direct::AllowedRegions;
 use crate::poison::{PoisonNews, Suspicion};
 
@@ -119,6 +120,9 @@
     pub delay_ms: u64,
     /// The age of the replica's report, in milliseconds.
     pub report_age_ms: Option<u64>,
+    /// The replica's rate limit, if the placer knows of one.
+    #[serde(default)]
+    pub limit: Option<RateLimit>,
 }
 
 /// Why there is no place.
@@ -152,6 +156,15 @@
         /// In milliseconds.
         took_ms: u32,
     },
+    /// The replica's rate limit differs from the one that the placer knew.
+    Limit {
+        /// The limit in the replica's answer, if any.
+        limit: Option<RateLimit>,
+        /// The time since the request was sent, in milliseconds.
+        sent_ms: u32,
+        /// The time since its answer was received, in milliseconds.
+        received_ms: u32,
+    },
     /// The place is free again.
     Ended {
         /// What the request brought.
--- a/src/placing/rate_limit.rs
+++ b/src/placing/rate_limit.rs
@@ -10,6 +10,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::access::{Access, PLACERS};
+use super::sent_window::{SendPace, SentWindow};
 use crate::{Code, Error, Time};
 
 /// A replica's limit on requests per second from all entries together.
@@ -34,12 +36,105 @@
         Ok(RateLimit(per_s))
     }
 
+    /// The span over which requests are counted. It is slightly longer than
+    /// the four seconds over which replicas count because requests sent more
+    /// than four seconds apart may arrive within four seconds.
+    pub const SPAN: Duration = Duration::from_millis(4_200);
+
+    /// The span over which replicas count requests, in seconds.
+    const COUNTED_S: f64 = 4.0;
+
+    /// The multiple of its limit that a replica tolerates in a counted span.
+    const OVERAGE: f64 = 1.5;
+
+    /// The requests tolerated in a counted span on top of [`Self::OVERAGE`].
+    const SLACK: f64 = 5.0;
+
+    /// The part of the tolerated requests for the placers of the replica's
+    /// hall.
+    const NEAR: f64 = 0.6;
+
+    /// The part for the placers of all other halls.
+    const FAR: f64 = 0.2;
+
+    /// The part for entries that choose for themselves because they have no
+    /// usable placer.
+    const FALLBACK: f64 = 0.2;
+
+    /// The number of standard deviations above the mean up to which requests
+    /// in a span must be tolerated.
+    const DEVIATIONS: f64 = 5.0;
+
+    /// The requests per span that are sent even at a limit of 0, because only
+    /// an answer can withdraw the limit.
+    const MIN_PER_SPAN: f64 = 1.0;
+
+    /// The number of entries assumed while it is unknown.
+    const PRESUMED_ENTRIES: usize = 40;
+
+    /// Returns the pace at which one entry may send to the replica. `near` is
+    /// whether the replica is in the entry's hall, `halls` the number of
+    /// halls, and `entries` the number of entries, if known.
+    ///
+    /// If each hall has one placer, the placers together stay within the limit
+    /// itself, unless it is very low. The overage that replicas tolerate is
+    /// left for second placers and for entries that choose for themselves.
+    pub fn pace(
+        self,
+        access: Access,
+        near: bool,
+        halls: usize,
+        entries: Option<usize>,
+    ) -> SendPace {
+        let limit =
+            (self.0 * RateLimit::COUNTED_S).max(RateLimit::MIN_PER_SPAN);
+        let tolerated = self.0 * RateLimit::COUNTED_S * RateLimit::OVERAGE
+            + RateLimit::SLACK;
+        let entries = entries.unwrap_or(RateLimit::PRESUMED_ENTRIES).max(1);
+        let others = halls.saturating_sub(1);
+        let far = if others == 0 { RateLimit::FAR } else { 0.0 };
+        let quota = match access {
+            Access::All => limit,
+            Access::Independent => {
+                quota(tolerated, entries).min(limit / entries as f64)
+            }
+            Access::Fallback => {
+                quota(tolerated * RateLimit::FALLBACK, entries)
+            }
+            Access::Placer if near || others == 0 => {
+                let part = RateLimit::NEAR + far;
+                quota(tolerated * part, PLACERS).min(limit)
+            }
+            Access::Placer => {
+                quota(tolerated * RateLimit::FAR, PLACERS * others)
+            }
+        };
+        SendPace::of_quota(quota, RateLimit::SPAN)
+    }
+
     /// Returns the limit in requests per second.
     pub const fn per_s(self) -> f64 {
         self.0
     }
 }
 
+/// Returns how many requests per span each of `choosers` may send so that
+/// together they send at most `most`.
+///
+/// If that is less than one, each chooser sends one request in a longer span.
+/// With random phases, the number of requests in a span is approximately
+/// Poisson-distributed, and its variance equals its mean.
+fn quota(most: f64, choosers: usize) -> f64 {
+    let choosers = choosers as f64;
+    if most >= choosers {
+        return most / choosers;
+    }
+    let deviations = RateLimit::DEVIATIONS;
+    let root = (deviations * deviations + 4.0 * most).sqrt() - deviations;
+    let mean = (root / 2.0).powi(2);
+    mean / choosers
+}
+
 impl TryFrom<f64> for RateLimit {
     type Error = Error;
 
@@ -71,6 +166,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct KnownLimit {
     active: Option<ActiveLimit>,
+    /// When the latest request whose answer set no limit was sent.
+    unlimited_at: Option<Time>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -95,40 +192,79 @@
 }
 
 impl KnownLimit {
-    /// Updates the limit from an answer received at `now` to a request sent at
-    /// `sent_at`; returns the change, if any.
+    /// Updates the limit from an answer received at `received_at`, by this
+    /// entry or another, to a request sent at `sent_at`; returns the change,
+    /// if any.
     pub fn update(
         &mut self,
         limit: Option<RateLimit>,
         sent_at: Time,
-        now: Time,
+        received_at: Time,
     ) -> Option<LimitChange> {
-        match (limit, self.active) {
-            (Some(limit), previous) => {
-                let first_at = previous.map_or(now, |active| active.first_at);
-                self.active =
-                    Some(ActiveLimit { limit, first_at, last_at: now });
-                let same =
-                    previous.is_some_and(|active| active.limit == limit);
-                (!same).then_some(LimitChange::Set(limit))
-            }
-            (None, Some(active)) if sent_at > active.last_at => {
-                self.active = None;
-                let after = now.since(active.first_at);
-                Some(LimitChange::Withdrawn { after })
-            }
-            (None, _) => None,
+        match limit {
+            Some(limit) => self.set(limit, received_at),
+            None => self.withdraw(sent_at, received_at),
         }
     }
 
+    fn set(
+        &mut self,
+        limit: RateLimit,
+        received_at: Time,
+    ) -> Option<LimitChange> {
+        if self.unlimited_at.is_some_and(|at| received_at < at) {
+            return None;
+        }
+        let previous = self.active;
+        if previous.is_some_and(|active| received_at < active.last_at) {
+            return None;
+        }
+        let first_at = previous.map_or(received_at, |active| active.first_at);
+        let last_at = received_at;
+        self.active = Some(ActiveLimit { limit, first_at, last_at });
+        let same = previous.is_some_and(|active| active.limit == limit);
+        (!same).then_some(LimitChange::Set(limit))
+    }
+
+    fn withdraw(
+        &mut self,
+        sent_at: Time,
+        received_at: Time,
+    ) -> Option<LimitChange> {
+        self.unlimited_at = self.unlimited_at.max(Some(sent_at));
+        let active = self.active?;
+        if sent_at <= active.last_at {
+            return None;
+        }
+        self.active = None;
+        let after = received_at.since(active.first_at);
+        Some(LimitChange::Withdrawn { after })
+    }
+
+    /// Returns whether a chooser with the given `pace` and the requests in
+    /// `sent` may send the replica another request at `now`. `offset`, from 0
+    /// to 1, staggers choosers that send less than one request per span.
+    pub fn has_room(
+        &self,
+        pace: SendPace,
+        sent: &SentWindow,
+        offset: f64,
+        now: Time,
+    ) -> bool {
+        let Some(active) = self.active else { return true };
+        let staggered = pace.span() > RateLimit::SPAN;
+        let first_at = active.first_at.after(pace.span().mul_f64(offset));
+        (!staggered || now >= first_at) && sent.has_room(pace, now)
+    }
+
+    /// Returns the limit in effect, if any, and when the last answer that set
+    /// one was received.
+    pub fn last_set(&self) -> Option<(RateLimit, Time)> {
+        self.active.map(|active| (active.limit, active.last_at))
+    }
+
     /// Returns the limit in effect, if any.
     pub fn limit(&self) -> Option<RateLimit> {
         self.active.map(|active| active.limit)
     }
-
-    /// Returns when the first answer with a limit was received, if one is in
-    /// effect.
-    pub fn since(&self) -> Option<Time> {
-        self.active.map(|active| active.first_at)
-    }
 }
--- a/src/placing/rate_limit_tests.rs
+++ b/src/placing/rate_limit_tests.rs
@@ -46,3 +46,15 @@
         assert_eq!(text.parse::<RateLimit>().unwrap_err().code(), code);
     }
 }
+
+#[test]
+fn an_old_report_of_another_entry_sets_no_withdrawn_limit() {
+    let limit = RateLimit::new(2.5).unwrap();
+    let mut known = KnownLimit::default();
+    known.update(Some(limit), at(0), at(100));
+    known.update(None, at(150), at(200));
+    assert_eq!(known.update(Some(limit), at(90), at(140)), None);
+    assert_eq!(known.limit(), None);
+    let set = Some(LimitChange::Set(limit));
+    assert_eq!(known.update(Some(limit), at(160), at(170)), set);
+}
--- /dev/null
+++ b/src/placing/sent_window.rs
@@ -0,0 +1,75 @@
+//! Sliding-window limits on the requests that one process sends a replica.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::Time;
+
+/// A maximum number of requests in any span of a given length.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SendPace {
+    most: usize,
+    span: Duration,
+}
+
+impl SendPace {
+    /// Creates a pace of at most `most` requests in any `span`.
+    pub const fn new(most: usize, span: Duration) -> SendPace {
+        SendPace { most, span }
+    }
+
+    /// Creates a pace of `quota` requests per span. A quota below 1 allows one
+    /// request in a proportionally longer span.
+    pub fn of_quota(quota: f64, span: Duration) -> SendPace {
+        if quota >= 1.0 {
+            return SendPace::new(quota as usize, span);
+        }
+        let longer = span.as_secs_f64() / quota.max(SendPace::MIN_QUOTA);
+        SendPace::new(1, Duration::from_secs_f64(longer))
+    }
+
+    /// The minimum quota; keeps the longer span finite.
+    const MIN_QUOTA: f64 = 1e-4;
+
+    /// Returns the maximum number of requests in a span.
+    pub const fn most(self) -> usize {
+        self.most
+    }
+
+    /// Returns the length of the span.
+    pub const fn span(self) -> Duration {
+        self.span
+    }
+}
+
+/// The requests for which one process has chosen a replica.
+#[derive(Clone, Debug, Default)]
+pub struct SentWindow {
+    sent: VecDeque<Time>,
+}
+
+impl SentWindow {
+    /// How long requests are kept; the latest is kept regardless of its age.
+    const RETENTION: Duration = Duration::from_millis(4_500);
+
+    /// Returns whether another request at `now` stays within `pace`.
+    pub fn has_room(&self, pace: SendPace, now: Time) -> bool {
+        let Some(first) = self.sent.len().checked_sub(pace.most) else {
+            return true;
+        };
+        // Fewer than `most` requests are handled above, so `first` is out of
+        // range only if `most` is 0.
+        let Some(sent) = self.sent.get(first) else { return pace.most > 0 };
+        now.since(*sent) >= pace.span
+    }
+
+    /// Records a request sent at `now`.
+    pub fn note(&mut self, now: Time) {
+        self.sent.push_back(now);
+        while self.sent.len() > 1
+            && now.since(self.sent[0]) > SentWindow::RETENTION
+        {
+            self.sent.pop_front();
+        }
+    }
+}
--- a/src/time.rs
+++ b/src/time.rs
@@ -32,6 +32,12 @@
         Time(self.0.saturating_add(span.as_millis() as u64))
     }
 
+    /// Returns the point `span` earlier, or the origin if that is later.
+    #[must_use]
+    pub const fn before(self, span: Duration) -> Time {
+        Time(self.0.saturating_sub(span.as_millis() as u64))
+    }
+
     /// Returns the span since `earlier`, or zero if that lies ahead.
     ///
     /// # Examples
