Log when replicas announce leaving or send Retry-After

The log showed the declined attempts but not what the replicas had announced. Cause: the heads of answers were decoded for a rate limit only.

A notice now also contains whether the replica is leaving and, for a 503 answer, its `Retry-After`. `replica_leaving` and `replica_resting` log changes; the gauges `stairhinge_entry_replicas_leaving` and `stairhinge_entry_replicas_resting` count the replicas. Each value is decoded independently, so an invalid one does not discard the others. No decision uses the new values yet.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::{StatusCode, http};
-use stairhinge::placing::RateLimit;
+use stairhinge::placing::{RateLimit, RetryAfter};
 use stairhinge::{Code, Error};
 
 /// What the head of a caller's request says.
@@ -71,11 +71,19 @@
 }
 
 /// Information about the sending replica, decoded from an answer's head.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+///
+/// Each field is decoded independently, so an invalid value does not discard
+/// the valid ones.
+#[derive(Clone, Debug)]
 pub struct ReplicaNotice {
     /// The rate limit for all entries together, or `None` if the answer does
     /// not set one.
-    pub limit: Option<RateLimit>,
+    pub limit: Result<Option<RateLimit>, Error>,
+    /// Whether the answer announces that the replica is leaving.
+    pub leaving: Result<bool, Error>,
+    /// How long this entry should send the replica no requests, or `None` if
+    /// the answer is not a 503 or does not say.
+    pub retry_after: Result<Option<RetryAfter>, Error>,
 }
 
 /// The spelling of requests and answers.
@@ -97,15 +105,7 @@
     fn judge(&self, id: &str, head: &http::response::Parts) -> Judgement;
 
     /// Decodes information about the replica from the head of its answer.
-    ///
-    /// # Errors
-    ///
-    /// [`Code::BadHeader`] for a malformed value, and [`Code::OutOfRange`] for
-    /// a value outside its range.
-    fn read_notice(
-        &self,
-        head: &http::response::Parts,
-    ) -> Result<ReplicaNotice, Error>;
+    fn read_notice(&self, head: &http::response::Parts) -> ReplicaNotice;
 
     /// Writes when the caller of a refused request may come back.
     fn come_back(&self, headers: &mut HeaderMap, span: Duration);
@@ -126,6 +126,7 @@
 const PRIORITY: HeaderName = HeaderName::from_static("stairhinge-priority");
 const VERSION: HeaderName = HeaderName::from_static("stairhinge-version");
 const LIMIT: HeaderName = HeaderName::from_static("stairhinge-limit");
+const LEAVING: HeaderName = HeaderName::from_static("stairhinge-leaving");
 const RAN: HeaderName = HeaderName::from_static("stairhinge-ran");
 
 /// Returns a header's text, if it is there and is text.
@@ -148,6 +149,42 @@
     header_text(map, name).parse().map(Some)
 }
 
+/// Parses a header whose value is `0` or `1`; returns `false` if the header
+/// is absent.
+///
+/// # Errors
+///
+/// [`Code::BadHeader`] for any other value.
+pub fn parse_flag(map: &HeaderMap, name: &HeaderName) -> Result<bool, Error> {
+    if !map.contains_key(name) {
+        return Ok(false);
+    }
+    match header_text(map, name) {
+        "0" => Ok(false),
+        "1" => Ok(true),
+        other => Err(Error::new(
+            Code::BadHeader,
+            format_args!("{name} is {other:?}, allowed: 0 and 1"),
+        )),
+    }
+}
+
+/// Parses the `Retry-After` header of a 503 answer; returns `None` for other
+/// statuses and if the header is absent.
+///
+/// # Errors
+///
+/// [`Code::BadHeader`] for a malformed value, and [`Code::OutOfRange`] for a
+/// value outside its range.
+pub fn parse_retry_after(
+    head: &http::response::Parts,
+) -> Result<Option<RetryAfter>, Error> {
+    if head.status != StatusCode::SERVICE_UNAVAILABLE {
+        return Ok(None);
+    }
+    parse_header(&head.headers, &RETRY_AFTER)
+}
+
 fn number(map: &HeaderMap, name: &HeaderName) -> Result<Option<u64>, Error> {
     let Some(value) = map.get(name) else { return Ok(None) };
     let text = value.to_str().unwrap_or("");
@@ -217,17 +254,18 @@
         Judgement::Answer { version }
     }
 
-    fn read_notice(
-        &self,
-        head: &http::response::Parts,
-    ) -> Result<ReplicaNotice, Error> {
-        Ok(ReplicaNotice { limit: parse_header(&head.headers, &LIMIT)? })
+    fn read_notice(&self, head: &http::response::Parts) -> ReplicaNotice {
+        ReplicaNotice {
+            limit: parse_header(&head.headers, &LIMIT),
+            leaving: parse_flag(&head.headers, &LEAVING),
+            retry_after: parse_retry_after(head),
+        }
     }
 
     fn come_back(&self, headers: &mut HeaderMap, span: Duration) {
         // The header counts whole seconds; rounding up never calls a caller
         // back too early.
         let seconds = span.as_millis().div_ceil(1000).max(1) as u64;
-        headers.insert(hyper::header::RETRY_AFTER, HeaderValue::from(seconds));
+        headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
     }
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -300,6 +300,23 @@
         state.known.values().filter(|k| k.limit.limit().is_some()).count()
     }
 
+    /// Returns the number of replicas that announced that they are leaving.
+    pub(crate) fn leaving(&self) -> usize {
+        let state = self.lock();
+        state.known.values().filter(|k| k.leaving.is_leaving()).count()
+    }
+
+    /// Returns the number of replicas whose `Retry-After` has not expired.
+    pub(crate) fn resting(&self) -> usize {
+        let now = self.facts.now();
+        let state = self.lock();
+        state
+            .known
+            .values()
+            .filter(|k| k.retry_after.remaining(now).is_some())
+            .count()
+    }
+
     /// Whether the replica's engine has been reported down since a moment.
     pub(crate) fn is_down(&self, incarnation: &str) -> bool {
         let state = self.lock();
--- a/crates/gateway/src/dispatch/known.rs
+++ b/crates/gateway/src/dispatch/known.rs
@@ -5,7 +5,9 @@
 use stairhinge::Time;
 use stairhinge::direct::Replica;
 use stairhinge::direct::balance::Load;
-use stairhinge::placing::{KnownLimit, Need, SentWindow};
+use stairhinge::placing::{
+    KnownLeaving, KnownLimit, KnownRetryAfter, Need, SentWindow,
+};
 use stairhinge::poison::PoisonTable;
 use stairhinge::routing::Health;
 
@@ -81,6 +83,10 @@
     pub sent: SentWindow,
     /// Its rate limit, as last announced in its answers.
     pub limit: KnownLimit,
+    /// Whether it is leaving, as last announced in its answers.
+    pub leaving: KnownLeaving,
+    /// Until when it asked this entry to send it no requests.
+    pub retry_after: KnownRetryAfter,
     /// Whether its last notice was invalid.
     pub notice_invalid: bool,
     /// What it last said not to be.
--- a/crates/gateway/src/dispatch/place.rs
+++ b/crates/gateway/src/dispatch/place.rs
@@ -3,9 +3,9 @@
 use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant};
 
+use stairhinge::Time;
 use stairhinge::direct::Replica;
 use stairhinge::placing::{Outcome, RateLimit};
-use stairhinge::{Error, Time};
 
 use super::Dispatcher;
 use crate::dialect::ReplicaNotice;
@@ -60,26 +60,18 @@
 
     /// Handles the notice in the replica's answer to a request sent at
     /// `sent_at`.
-    pub(crate) fn handle_notice(
-        &self,
-        notice: Result<ReplicaNotice, Error>,
-        sent_at: Time,
-    ) {
+    pub(crate) fn handle_notice(&self, notice: &ReplicaNotice, sent_at: Time) {
         let Some(dispatcher) = self.dispatcher.upgrade() else { return };
-        let incarnation = &self.replica.incarnation;
-        match notice {
-            Ok(notice) => {
-                let now = dispatcher.facts().now();
-                if let Some(lease) = &self.lease
-                    && notice.limit != self.limit
-                {
-                    let sent_ago = now.since(sent_at);
-                    lease.report_limit(notice.limit, sent_ago, Duration::ZERO);
-                }
-                dispatcher.apply_notice(incarnation, notice, sent_at, now);
-            }
-            Err(error) => dispatcher.reject_notice(incarnation, &error),
+        let now = dispatcher.facts().now();
+        if let Some(lease) = &self.lease
+            && let Ok(limit) = notice.limit
+            && limit != self.limit
+        {
+            let sent_ago = now.since(sent_at);
+            lease.report_limit(limit, sent_ago, Duration::ZERO);
         }
+        let incarnation = &self.replica.incarnation;
+        dispatcher.apply_notice(incarnation, notice, sent_at, now);
     }
 
     /// Applies the replica's rate limit as reported by the entry that uses the
@@ -95,8 +87,7 @@
         let now = dispatcher.facts().now();
         let sent_at = now.before(sent_ago);
         let received_at = now.before(received_ago);
-        let notice = ReplicaNotice { limit };
-        dispatcher.apply_notice(incarnation, notice, sent_at, received_at);
+        dispatcher.apply_limit(incarnation, limit, sent_at, received_at);
     }
 
     /// Notes what the request brought, as far as it tells of the replica.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -139,6 +139,8 @@
         self.metrics.evacuated.set(view.evacuations.all().count() as i64);
         self.metrics.cold.set(self.dispatcher.cold() as i64);
         self.metrics.limited.set(self.dispatcher.limited() as i64);
+        self.metrics.leaving.set(self.dispatcher.leaving() as i64);
+        self.metrics.resting.set(self.dispatcher.resting() as i64);
         if let Some(age) = self.facts.routes_age() {
             self.metrics.routes_age.set(age.as_secs_f64());
         }
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -69,7 +69,7 @@
         let (head, body) = response.into_parts();
         let judgement = self.dialect.judge(&context.caller.id, &head);
         if judgement.is_from_intended_replica() {
-            place.handle_notice(self.dialect.read_notice(&head), sent_at);
+            place.handle_notice(&self.dialect.read_notice(&head), sent_at);
         }
         match judgement {
             Judgement::Answer { version } => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,7 +38,7 @@
 
 pub use self::dialect::{
     Attempt, CallerRequest, Dialect, Judgement, PlainDialect, ReplicaNotice,
-    header_text, parse_header,
+    header_text, parse_flag, parse_header, parse_retry_after,
 };
 pub use self::entry::run;
 pub use self::news::fetch_routes;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -63,6 +63,8 @@
     pub evacuated: Gauge,
     pub cold: Gauge,
     pub limited: Gauge,
+    pub leaving: Gauge,
+    pub resting: Gauge,
 }
 
 impl EntryMetrics {
@@ -94,6 +96,8 @@
             evacuated: Gauge::default(),
             cold: Gauge::default(),
             limited: Gauge::default(),
+            leaving: Gauge::default(),
+            resting: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -172,6 +176,18 @@
             "Replicas that name a rate limit",
             limited,
         );
+        let leaving = self.leaving.clone();
+        r.register(
+            "replicas_leaving",
+            "Replicas whose answers say that they leave",
+            leaving,
+        );
+        let resting = self.resting.clone();
+        r.register(
+            "replicas_resting",
+            "Replicas that asked for rest",
+            resting,
+        );
         let given = self.given.clone();
         r.register("places_given", "Places that others have", given);
         let taken_back = self.taken_back.clone();
--- a/crates/shell/src/decisions/decision.rs
+++ b/crates/shell/src/decisions/decision.rs
@@ -135,6 +135,20 @@
         /// How long it had a limit, in milliseconds.
         after_ms: u64,
     },
+    /// A replica announced that it is leaving, or withdrew that.
+    ReplicaLeaving {
+        /// Its incarnation.
+        replica: &'a str,
+        /// Whether it is leaving.
+        leaving: bool,
+    },
+    /// A replica asked this entry to send it no requests for some time.
+    ReplicaResting {
+        /// Its incarnation.
+        replica: &'a str,
+        /// For how long, in milliseconds.
+        for_ms: u64,
+    },
     /// A published record was not taken.
     RecordRefused {
         /// The numbered code.
--- a/src/placing.rs
+++ b/src/placing.rs
@@ -20,22 +20,26 @@
 
 mod access;
 mod cold_share;
+mod leaving;
 mod message;
 mod place_table;
 mod placer_choice;
 mod rate_limit;
+mod rest;
 mod seat;
 mod sent_window;
 mod urgency;
 
 pub use self::access::Access;
 pub use self::cold_share::ColdBound;
+pub use self::leaving::KnownLeaving;
 pub use self::message::{
     Lack, Message, Need, Outcome, PlaceEvent, Placed, Question, Verdict,
 };
 pub use self::place_table::{PlaceKey, PlaceTable};
 pub use self::placer_choice::{Placer, PlacerChoice};
 pub use self::rate_limit::{KnownLimit, LimitChange, RateLimit};
+pub use self::rest::{KnownRetryAfter, RetryAfter};
 pub use self::seat::{LEADING, Seat, ranked};
 pub use self::sent_window::{SendPace, SentWindow};
 pub use self::urgency::Urgency;
@@ -45,6 +49,8 @@
 #[cfg(test)]
 mod load_tests;
 #[cfg(test)]
+mod notice_tests;
+#[cfg(test)]
 mod rate_limit_tests;
 #[cfg(test)]
 mod rate_share_tests;
