Send no new requests to replicas that announce leaving

Requests that such a replica is still running when it ends are lost. Cause: entries relied on the list alone, and a hall's placer kept choosing the replica for entries that had received the announcement.

An entry that has received the announcement in an answer sends the replica no new requests, whatever the list says, and accepts no place there from its placer. It reports the announcement to the placer, which also informs a placer that has just started.

An announcement applies only to the process that made it. Whether the listed process is a different one is now also checked before such state is used, since state was otherwise reset only for candidates, and a leaving replica never is one. The same holds for a replica that has answered that it is not the one meant.

`no_replica` has a new field `leaving`, and `explain-request` reports it.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -17,6 +17,7 @@
 
 use stairhinge::direct::{
     AllowedRegions, Contention, EvacuationBound, HallEntry, HallRegions,
+    ReplicaState,
 };
 use stairhinge::placing::{Access, Lack, Need, Urgency};
 use stairhinge_shell::directory::{Facts, FactsView};
@@ -68,6 +69,8 @@
     pub barred: usize,
     /// Those of the others in a hall that is evacuated.
     pub evacuated: usize,
+    /// Those of the others that are leaving, by the list or their answers.
+    pub leaving: usize,
     /// Suitable replicas that have set a rate limit.
     pub limited: usize,
 }
@@ -186,12 +189,19 @@
                 count.evacuated += 1;
                 continue;
             }
+            let known = state.known.get(&replica.incarnation);
+            let announced = known.is_some_and(|k| {
+                k.matches_process(replica) && k.leaving.is_leaving()
+            });
+            if announced || replica.state == ReplicaState::Draining {
+                count.leaving += 1;
+                continue;
+            }
             let terms = self.terms(&state, &view, need, replica, layers, now);
             if terms.is_none() {
                 continue;
             }
             count.suitable += 1;
-            let known = state.known.get(&replica.incarnation);
             let limited = known.is_some_and(|k| k.limit.limit().is_some());
             count.limited += usize::from(limited);
         }
--- a/crates/gateway/src/dispatch/hall.rs
+++ b/crates/gateway/src/dispatch/hall.rs
@@ -130,6 +130,12 @@
         let mut state = self.lock();
         let incarnation = Arc::clone(&replica.incarnation);
         let known = state.known.entry(incarnation).or_default();
+        known.reset_if_restarted(replica);
+        if let Some(at) = known.leaving.last_at() {
+            // The placer may not have received the announcement yet.
+            lease.report_leaving(now.since(at));
+            return None;
+        }
         known.given(need, now);
         if placed.limit.is_none()
             && let Some((limit, at)) = known.limit.last_set()
--- a/crates/gateway/src/dispatch/known.rs
+++ b/crates/gateway/src/dispatch/known.rs
@@ -100,15 +100,25 @@
 impl Known {
     /// Forgets what was held against an earlier process of the replica. The
     /// requests there end by themselves, and its agent goes on.
-    /// Returns for how long it is cold, in milliseconds, where that is news.
+    pub(super) fn reset_if_restarted(&mut self, replica: &Replica) {
+        if self.born != replica.born {
+            self.begin_anew(replica);
+        }
+    }
+
+    /// Whether this state belongs to the listed process of the replica.
+    pub(super) fn matches_process(&self, replica: &Replica) -> bool {
+        self.born == replica.born
+    }
+
+    /// Updates the state from the replica's list entry. Returns how long the
+    /// replica is cold, in milliseconds, if it has just become cold.
     pub(super) fn meet(
         &mut self,
         replica: &Replica,
         now: Time,
     ) -> Option<u64> {
-        if self.born != replica.born {
-            self.begin_anew(replica);
-        }
+        self.reset_if_restarted(replica);
         if self.cold_ms == replica.cold_ms {
             return None;
         }
--- a/crates/gateway/src/dispatch/place.rs
+++ b/crates/gateway/src/dispatch/place.rs
@@ -70,6 +70,11 @@
             let sent_ago = now.since(sent_at);
             lease.report_limit(limit, sent_ago, Duration::ZERO);
         }
+        if let Some(lease) = &self.lease
+            && let Ok(true) = notice.leaving
+        {
+            lease.report_leaving(Duration::ZERO);
+        }
         let incarnation = &self.replica.incarnation;
         dispatcher.apply_notice(incarnation, notice, sent_at, now);
     }
@@ -90,6 +95,15 @@
         dispatcher.apply_limit(incarnation, limit, sent_at, received_at);
     }
 
+    /// Marks the replica as leaving, as reported by the entry that uses the
+    /// place. `received_ago` is the age of the answer that announced it.
+    pub(crate) fn apply_leaving(&self, received_ago: Duration) {
+        let Some(dispatcher) = self.dispatcher.upgrade() else { return };
+        let incarnation = &self.replica.incarnation;
+        let at = dispatcher.facts().now().before(received_ago);
+        dispatcher.apply_leaving(incarnation, true, at, at);
+    }
+
     /// Notes what the request brought, as far as it tells of the replica.
     pub(crate) fn note(&mut self, outcome: Outcome) {
         if let Some(lease) = &mut self.lease {
--- a/crates/gateway/src/dispatch/terms.rs
+++ b/crates/gateway/src/dispatch/terms.rs
@@ -53,7 +53,11 @@
             return None;
         }
         let known = state.known.get(&replica.incarnation);
-        if known.is_some_and(Known::is_misdirected) {
+        // Answers of an earlier process do not apply to the listed one.
+        let current = known.filter(|k| k.matches_process(replica));
+        if current
+            .is_some_and(|k| k.leaving.is_leaving() || k.is_misdirected())
+        {
             return None;
         }
         let Some(model) = &need.model else {
--- a/crates/gateway/src/forward/log.rs
+++ b/crates/gateway/src/forward/log.rs
@@ -48,6 +48,7 @@
             suitable: count.suitable,
             barred: count.barred,
             evacuated: count.evacuated,
+            leaving: count.leaving,
             limited: count.limited,
             waited_ms: from.elapsed().as_millis() as u64,
             revision: context.revision,
--- a/crates/gateway/src/placing/lease.rs
+++ b/crates/gateway/src/placing/lease.rs
@@ -47,6 +47,13 @@
         self.tell(PlaceEvent::Limit { limit, sent_ms, received_ms });
     }
 
+    /// Reports to the placer that the replica is leaving. `received_ago` is
+    /// the age of the answer that announced it.
+    pub(crate) fn report_leaving(&self, received_ago: Duration) {
+        let received_ms = millis(received_ago);
+        self.tell(PlaceEvent::Leaving { received_ms });
+    }
+
     /// Notes what the placer is to know of the replica at the end.
     pub(crate) const fn note(&mut self, outcome: Outcome) {
         self.outcome = outcome;
--- a/crates/gateway/src/placing/placer.rs
+++ b/crates/gateway/src/placing/placer.rs
@@ -121,6 +121,12 @@
                     place.apply_limit(limit, sent, received);
                 }
             }
+            PlaceEvent::Leaving { received_ms } => {
+                let received = Duration::from_millis(u64::from(received_ms));
+                if let Some(place) = self.lock().get_mut(&key) {
+                    place.apply_leaving(received);
+                }
+            }
             PlaceEvent::Ended { outcome } => {
                 let ended = self.lock().end(&key);
                 let Some(mut place) = ended else { return };
--- a/crates/shell/src/decisions/decision.rs
+++ b/crates/shell/src/decisions/decision.rs
@@ -228,6 +228,8 @@
         barred: usize,
         /// Those of the others in a hall that is evacuated.
         evacuated: usize,
+        /// Those of the others that are leaving.
+        leaving: usize,
         /// Suitable replicas that have set a rate limit.
         limited: usize,
         /// How long it waited, in milliseconds.
--- a/crates/shell/src/decisions_tests.rs
+++ b/crates/shell/src/decisions_tests.rs
@@ -98,6 +98,7 @@
             suitable: 4,
             barred: 0,
             evacuated: 0,
+            leaving: 0,
             limited: 0,
             waited_ms: 80,
             revision: 1,
--- a/src/explanation/cause.rs
+++ b/src/explanation/cause.rs
@@ -37,6 +37,8 @@
         barred: usize,
         /// Those of the others in a hall that is evacuated.
         evacuated: usize,
+        /// Those of the others that are leaving.
+        leaving: usize,
     },
     /// All replicas that could serve it were full.
     NoRoom {
@@ -177,11 +179,13 @@
             suitable: 0,
             barred,
             evacuated,
+            leaving,
             ..
         } => Some(Cause::NoSuitableReplica {
             listed: *listed,
             barred: *barred,
             evacuated: *evacuated,
+            leaving: *leaving,
         }),
         LoggedDecision::NoReplica { suitable, limited, waited_ms, .. } => {
             Some(Cause::NoRoom {
@@ -250,7 +254,12 @@
                 write!(f, "{lost_ms} of {took_ms} ms went by in attempts ")?;
                 write!(f, "that failed, the last with: {reason}")
             }
-            Cause::NoSuitableReplica { listed, barred, evacuated } => {
+            Cause::NoSuitableReplica {
+                listed,
+                barred,
+                evacuated,
+                leaving,
+            } => {
                 write!(f, "none of {listed} replicas listed could serve it")?;
                 if *barred > 0 {
                     write!(f, "; {barred} are in other regions")?;
@@ -258,6 +267,9 @@
                 if *evacuated > 0 {
                     write!(f, "; {evacuated} are in evacuated halls")?;
                 }
+                if *leaving > 0 {
+                    write!(f, "; {leaving} are leaving")?;
+                }
                 Ok(())
             }
             Cause::NoRoom { suitable, limited, waited_ms } => {
--- a/src/explanation/log_line.rs
+++ b/src/explanation/log_line.rs
@@ -110,6 +110,9 @@
         /// Those of the others in a hall that is evacuated.
         #[serde(default)]
         evacuated: usize,
+        /// Those of the others that are leaving.
+        #[serde(default)]
+        leaving: usize,
         /// Suitable replicas that have set a rate limit.
         #[serde(default)]
         limited: usize,
--- a/src/placing/leaving.rs
+++ b/src/placing/leaving.rs
@@ -34,6 +34,12 @@
         before.is_some() && self.last_at.is_none()
     }
 
+    /// Returns when the last answer that announced it was received, if the
+    /// replica is leaving.
+    pub const fn last_at(&self) -> Option<Time> {
+        self.last_at
+    }
+
     /// Returns whether the replica is leaving.
     pub const fn is_leaving(&self) -> bool {
         self.last_at.is_some()
--- a/src/placing/message.rs
+++ b/src/placing/message.rs
@@ -165,6 +165,11 @@
         /// The time since its answer was received, in milliseconds.
         received_ms: u32,
     },
+    /// The replica has announced in its answers that it is leaving.
+    Leaving {
+        /// The time since the last announcement was received, in milliseconds.
+        received_ms: u32,
+    },
     /// The place is free again.
     Ended {
         /// What the request brought.
