Send no requests to replicas during their Retry-After

Callers were refused or had to wait for retries. Cause: an entry avoided such a replica for only 60 ms, and the hall's placer, to which a replica that rejects every request looks idle, chose it first again.

An entry names the replicas that are resting for it to its placer (32 at most) and takes no place at one. Its own choice leaves them out. The placer, once told, leaves the replica out for the hall like one that fails: 0.5 s at first, doubling each time, and never longer than the Retry-After, because the replica may have meant only one entry. If all replicas are resting, callers are refused at once with the time until the first one is available, capped at 30 s before up to 1 s of spread is added. A Retry-After ends with the replica's process. The `no_replica` log line has a new field, `resting`, and `explain-request` reports it.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -71,6 +71,10 @@
     pub evacuated: usize,
     /// Those of the others that are leaving, by the list or their answers.
     pub leaving: usize,
+    /// Those of the others whose `Retry-After` to this entry has not expired.
+    pub resting: usize,
+    /// The shortest remaining `Retry-After` of the resting replicas.
+    pub min_retry_after: Option<Duration>,
     /// Suitable replicas that have set a rate limit.
     pub limited: usize,
 }
@@ -197,6 +201,14 @@
                 count.leaving += 1;
                 continue;
             }
+            let current = known.filter(|k| k.matches_process(replica));
+            let remaining = current.and_then(|k| k.retry_after.remaining(now));
+            if let Some(remaining) = remaining {
+                count.resting += 1;
+                let min = count.min_retry_after.unwrap_or(remaining);
+                count.min_retry_after = Some(min.min(remaining));
+                continue;
+            }
             let terms = self.terms(&state, &view, need, replica, layers, now);
             if terms.is_none() {
                 continue;
--- a/crates/gateway/src/dispatch/hall.rs
+++ b/crates/gateway/src/dispatch/hall.rs
@@ -102,6 +102,28 @@
         totals
     }
 
+    /// Returns the replicas of a service whose `Retry-After` to this entry has
+    /// not expired.
+    pub(crate) fn resting_replicas(&self, service: &str) -> Vec<Arc<str>> {
+        let now = self.facts.now();
+        let view = self.facts.view();
+        let state = self.lock();
+        let mut resting = Vec::new();
+        for (incarnation, known) in &state.known {
+            if known.retry_after.remaining(now).is_none() {
+                continue;
+            }
+            let listed = view.replicas.get(incarnation);
+            let current = listed.is_some_and(|(r, _)| {
+                *r.service == *service && known.matches_process(r)
+            });
+            if current {
+                resting.push(Arc::clone(incarnation));
+            }
+        }
+        resting
+    }
+
     /// Takes a place that the placer has given, or returns `None` if by what
     /// this entry knows the replica must not be used.
     pub(crate) fn adopt(
@@ -136,6 +158,9 @@
             lease.report_leaving(now.since(at));
             return None;
         }
+        if known.retry_after.remaining(now).is_some() {
+            return None;
+        }
         known.given(need, now);
         if placed.limit.is_none()
             && let Some((limit, at)) = known.limit.last_set()
--- a/crates/gateway/src/dispatch/outcome.rs
+++ b/crates/gateway/src/dispatch/outcome.rs
@@ -36,6 +36,16 @@
         }
     }
 
+    /// Leaves a replica that sent `Retry-After` out like one that fails, for
+    /// `retry_after` at most. The period starts short, because the replica may
+    /// still accept requests from other entries.
+    pub(super) fn rejected(&self, incarnation: &str, retry_after: Duration) {
+        let now = self.facts.now();
+        if let Some(known) = self.lock().known.get_mut(incarnation) {
+            known.health.fail_capped(retry_after, now);
+        }
+    }
+
     pub(super) fn misdirected(&self, incarnation: &str, version: Option<u64>) {
         if let Some(known) = self.lock().known.get_mut(incarnation) {
             let at = Instant::now();
--- a/crates/gateway/src/dispatch/place.rs
+++ b/crates/gateway/src/dispatch/place.rs
@@ -75,6 +75,13 @@
         {
             lease.report_leaving(Duration::ZERO);
         }
+        if let Ok(Some(retry_after)) = notice.retry_after {
+            let retry_after = retry_after.duration();
+            dispatcher.rejected(&self.replica.incarnation, retry_after);
+            if let Some(lease) = &self.lease {
+                lease.report_rejected(retry_after);
+            }
+        }
         let incarnation = &self.replica.incarnation;
         dispatcher.apply_notice(incarnation, notice, sent_at, now);
     }
@@ -104,6 +111,13 @@
         dispatcher.apply_leaving(incarnation, true, at, at);
     }
 
+    /// Applies the replica's `Retry-After` as reported by the entry that uses
+    /// the place.
+    pub(crate) fn apply_rejected(&self, retry_after: Duration) {
+        let Some(dispatcher) = self.dispatcher.upgrade() else { return };
+        dispatcher.rejected(&self.replica.incarnation, retry_after);
+    }
+
     /// Notes what the request brought, as far as it tells of the replica.
     pub(crate) fn note(&mut self, outcome: Outcome) {
         if let Some(lease) = &mut self.lease {
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -15,7 +15,7 @@
 use super::refuse::{lost, quarantined, refused};
 use super::{Forwarder, Missed};
 use crate::connect::has_ended;
-use crate::dispatch::Place;
+use crate::dispatch::{Place, ReplicaCount};
 use crate::request_context::RequestContext;
 
 /// How long a request may wait for a replica with room, as a part of its
@@ -137,19 +137,17 @@
         let left = context.left();
         let found = self.placing.place(need.clone(), until, left).await;
         self.metrics.waited(from.elapsed().as_secs_f64());
-        if found.is_err() {
-            self.log_no_replica(context, need, from);
-        }
         let lack = match found {
             Ok(place) => return Ok(place),
             Err(lack) => lack,
         };
+        let count = self.log_no_replica(context, need, from);
         if ran {
             return Err(Failed::new(Error::new(Code::LostBackend, lack)));
         }
         let (code, shortage) = match lack {
             Lack::Room => (Code::NoBackend, Shortage::NoRoom),
-            Lack::Replica => (Code::NoBackend, Shortage::NoReplica),
+            Lack::Replica => (Code::NoBackend, no_replica_shortage(&count)),
             Lack::Region => (Code::NoRegion, Shortage::NoReplica),
         };
         Err(refused(Error::new(code, lack), shortage))
@@ -178,6 +176,14 @@
     }
 }
 
+/// Returns the shortage to report when no replica could serve a request.
+fn no_replica_shortage(count: &ReplicaCount) -> Shortage {
+    match count.min_retry_after {
+        Some(left) if count.suitable == 0 => Shortage::Resting(left),
+        _ => Shortage::NoReplica,
+    }
+}
+
 /// Returns the refusal of a request that no replica has run.
 fn declined(missed: &Missed) -> Failed {
     let why = format!("declined: {}", missed.reason);
--- a/crates/gateway/src/forward/log.rs
+++ b/crates/gateway/src/forward/log.rs
@@ -7,7 +7,7 @@
 use stairhinge_shell::decisions::Decision;
 
 use super::{FailedAttempt, Forwarder};
-use crate::dispatch::Place;
+use crate::dispatch::{Place, ReplicaCount};
 use crate::pauses::Pauses;
 use crate::request_context::RequestContext;
 
@@ -34,12 +34,14 @@
         });
     }
 
+    /// Logs that no replica was found for a request, and returns the counts
+    /// that were logged.
     pub(super) fn log_no_replica(
         &self,
         context: &RequestContext,
         need: &Need,
         from: Instant,
-    ) {
+    ) -> ReplicaCount {
         let count = self.dispatcher.count(need);
         self.facts.log().write(&Decision::NoReplica {
             request: &context.caller.id,
@@ -49,10 +51,12 @@
             barred: count.barred,
             evacuated: count.evacuated,
             leaving: count.leaving,
+            resting: count.resting,
             limited: count.limited,
             waited_ms: from.elapsed().as_millis() as u64,
             revision: context.revision,
         });
+        count
     }
 
     pub(super) fn log_sent(
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -33,6 +33,10 @@
 /// place for others.
 const LOOK: Duration = Duration::from_millis(100);
 
+/// The maximum number of resting replicas named in a question to the placer,
+/// which limits the size of the datagram.
+const MOST_RESTING: usize = 32;
+
 /// The datagrams that are read before other tasks get their turn.
 const AT_ONCE: usize = 16;
 
@@ -89,10 +93,14 @@
     /// uses it for longer than `left`.
     pub(crate) async fn place(
         &self,
-        need: Need,
+        mut need: Need,
         until: Instant,
         left: Duration,
     ) -> Result<Place, Lack> {
+        let resting = self.dispatcher.resting_replicas(&need.service);
+        let mut placer_need = need.clone();
+        placer_need.tried.extend(resting.iter().take(MOST_RESTING).cloned());
+        need.tried.extend(resting);
         let Some(peers) = self.peers.as_ref().filter(|p| p.places) else {
             let alone = self.peers.is_none();
             let chooser = if alone { Chooser::Alone } else { Chooser::Apart };
@@ -110,7 +118,7 @@
                 }
                 Some(Placer::Other(addr)) => addr,
             };
-            match self.ask(peers, placer, &need, until, left).await {
+            match self.ask(peers, placer, &placer_need, until, left).await {
                 Ok(place) => return Ok(place),
                 Err(Asked::Refused(Lack::Room)) => return Err(Lack::Room),
                 // What this entry knows of may still do.
--- a/crates/gateway/src/placing/lease.rs
+++ b/crates/gateway/src/placing/lease.rs
@@ -54,6 +54,12 @@
         self.tell(PlaceEvent::Leaving { received_ms });
     }
 
+    /// Reports to the placer that the replica sent `Retry-After`.
+    pub(crate) fn report_rejected(&self, retry_after: Duration) {
+        let retry_after_ms = millis(retry_after);
+        self.tell(PlaceEvent::Rejected { retry_after_ms });
+    }
+
     /// Notes what the placer is to know of the replica at the end.
     pub(crate) const fn note(&mut self, outcome: Outcome) {
         self.outcome = outcome;
--- a/crates/gateway/src/placing/placer.rs
+++ b/crates/gateway/src/placing/placer.rs
@@ -127,6 +127,13 @@
                     place.apply_leaving(received);
                 }
             }
+            PlaceEvent::Rejected { retry_after_ms } => {
+                let retry_after =
+                    Duration::from_millis(u64::from(retry_after_ms));
+                if let Some(place) = self.lock().get_mut(&key) {
+                    place.apply_rejected(retry_after);
+                }
+            }
             PlaceEvent::Ended { outcome } => {
                 let ended = self.lock().end(&key);
                 let Some(mut place) = ended else { return };
--- a/crates/shell/src/decisions/decision.rs
+++ b/crates/shell/src/decisions/decision.rs
@@ -230,6 +230,8 @@
         evacuated: usize,
         /// Those of the others that are leaving.
         leaving: usize,
+        /// Those of the others whose `Retry-After` has not expired.
+        resting: usize,
         /// Suitable replicas that have set a rate limit.
         limited: usize,
         /// How long it waited, in milliseconds.
--- a/crates/shell/src/decisions_tests.rs
+++ b/crates/shell/src/decisions_tests.rs
@@ -99,6 +99,7 @@
             barred: 0,
             evacuated: 0,
             leaving: 0,
+            resting: 0,
             limited: 0,
             waited_ms: 80,
             revision: 1,
--- a/src/direct/come_back.rs
+++ b/src/direct/come_back.rs
@@ -13,6 +13,9 @@
     NoRoom,
     /// No replica could serve it, with room or without.
     NoReplica,
+    /// No replica could serve it and some are resting. Holds the shortest
+    /// remaining `Retry-After`.
+    Resting(Duration),
     /// The replicas that were asked declined.
     Declined,
     /// No connection came up to the replicas that were asked.
@@ -20,9 +23,13 @@
 }
 
 impl Shortage {
+    /// The maximum `Retry-After` of replicas that is passed on to callers,
+    /// since other replicas may become available before a longer one expires.
+    const MOST_RETRY_AFTER: Duration = Duration::from_secs(30);
+
     /// Returns when a caller may come back. `draw` is between 0 and 1.
     pub fn come_back(self, draw: f64) -> Duration {
-        let (least, most): (u32, u32) = match self {
+        let (least, most) = match self {
             // Room comes as requests end, each of which lasts about a
             // second; who declines has just been found full or changing.
             Shortage::NoRoom | Shortage::Declined => (1_000, 2_000),
@@ -30,8 +37,13 @@
             Shortage::Unreachable => (2_000, 3_000),
             // Weights have to come or processes to start: that takes seconds.
             Shortage::NoReplica => (2_500, 3_500),
+            Shortage::Resting(left) => {
+                let least = left.min(Shortage::MOST_RETRY_AFTER);
+                let least = least.as_millis() as u64;
+                (least, least + 1_000)
+            }
         };
-        let spread = f64::from(most - least) * draw.clamp(0.0, 1.0);
-        Duration::from_millis(u64::from(least) + spread as u64)
+        let spread = (most - least) as f64 * draw.clamp(0.0, 1.0);
+        Duration::from_millis(least + spread as u64)
     }
 }
--- a/src/direct/come_back_tests.rs
+++ b/src/direct/come_back_tests.rs
@@ -13,6 +13,14 @@
     assert!(outage.1 <= Duration::from_secs(4), "{outage:?}");
 }
 
+#[test]
+fn callers_come_back_once_a_resting_replica_takes_requests_again() {
+    let resting = Shortage::Resting(Duration::from_millis(1_700));
+    assert_eq!(resting.come_back(0.0), Duration::from_millis(1_700));
+    let one_day = Shortage::Resting(Duration::from_secs(86_400));
+    assert!(one_day.come_back(1.0) <= Duration::from_secs(31));
+}
+
 #[test]
 fn callers_refused_together_come_back_one_after_the_other() {
     for shortage in [
@@ -20,6 +28,7 @@
         Shortage::NoRoom,
         Shortage::Unreachable,
         Shortage::NoReplica,
+        Shortage::Resting(Duration::from_secs(2)),
     ] {
         let times: Vec<Duration> =
             (0..=4).map(|d| shortage.come_back(f64::from(d) / 4.0)).collect();
--- a/src/explanation/cause.rs
+++ b/src/explanation/cause.rs
@@ -39,6 +39,8 @@
         evacuated: usize,
         /// Those of the others that are leaving.
         leaving: usize,
+        /// Those of the others whose `Retry-After` has not expired.
+        resting: usize,
     },
     /// All replicas that could serve it were full.
     NoRoom {
@@ -180,12 +182,14 @@
             barred,
             evacuated,
             leaving,
+            resting,
             ..
         } => Some(Cause::NoSuitableReplica {
             listed: *listed,
             barred: *barred,
             evacuated: *evacuated,
             leaving: *leaving,
+            resting: *resting,
         }),
         LoggedDecision::NoReplica { suitable, limited, waited_ms, .. } => {
             Some(Cause::NoRoom {
@@ -259,6 +263,7 @@
                 barred,
                 evacuated,
                 leaving,
+                resting,
             } => {
                 write!(f, "none of {listed} replicas listed could serve it")?;
                 if *barred > 0 {
@@ -270,6 +275,9 @@
                 if *leaving > 0 {
                     write!(f, "; {leaving} are leaving")?;
                 }
+                if *resting > 0 {
+                    write!(f, "; {resting} asked for a pause")?;
+                }
                 Ok(())
             }
             Cause::NoRoom { suitable, limited, waited_ms } => {
--- a/src/explanation/log_line.rs
+++ b/src/explanation/log_line.rs
@@ -113,6 +113,9 @@
         /// Those of the others that are leaving.
         #[serde(default)]
         leaving: usize,
+        /// Those of the others whose `Retry-After` has not expired.
+        #[serde(default)]
+        resting: usize,
         /// Suitable replicas that have set a rate limit.
         #[serde(default)]
         limited: usize,
--- a/src/explanation/tests.rs
+++ b/src/explanation/tests.rs
@@ -76,23 +76,27 @@
     let text = found.to_string();
     assert!(text.contains("3 name a rate limit"), "{text}");
     let (_, found) = cause(&[START, &no_replica(0), &refused]);
-    let none = |barred, evacuated, leaving| Cause::NoSuitableReplica {
-        listed: 9,
-        barred,
-        evacuated,
-        leaving,
-    };
-    assert_eq!(found, none(0, 0, 0));
+    let none =
+        |barred, evacuated, leaving, resting| Cause::NoSuitableReplica {
+            listed: 9,
+            barred,
+            evacuated,
+            leaving,
+            resting,
+        };
+    assert_eq!(found, none(0, 0, 0, 0));
     let bound = no_replica(0).replace(
         "\"waited_ms\"",
-        "\"barred\":6,\"evacuated\":3,\"leaving\":2,\"waited_ms\"",
+        "\"barred\":6,\"evacuated\":3,\"leaving\":2,\"resting\":1,\
+         \"waited_ms\"",
     );
     let (_, found) = cause(&[START, &bound, &refused]);
-    assert_eq!(found, none(6, 3, 2));
+    assert_eq!(found, none(6, 3, 2, 1));
     let told = found.to_string();
     assert!(told.contains("6 are in other regions"), "{told}");
     assert!(told.contains("3 are in evacuated halls"), "{told}");
     assert!(told.contains("2 are leaving"), "{told}");
+    assert!(told.contains("1 asked for a pause"), "{told}");
     let (_, found) = cause(&[START, &ended(401, 2012, "unknown key")]);
     let reason = Arc::from("unknown key");
     let routes_age_ms = None;
--- a/src/placing/message.rs
+++ b/src/placing/message.rs
@@ -49,7 +49,8 @@
     pub model: Option<Arc<str>>,
     /// The only version that will do.
     pub version: Option<u64>,
-    /// Replicas that it has been sent to.
+    /// Replicas that must not be chosen: the request has been sent to them, or
+    /// they are resting.
     pub tried: Vec<Arc<str>>,
     /// 0 is the most urgent.
     pub priority: u8,
@@ -170,6 +171,11 @@
         /// The time since the last announcement was received, in milliseconds.
         received_ms: u32,
     },
+    /// The replica sent `Retry-After`.
+    Rejected {
+        /// The value received, in milliseconds.
+        retry_after_ms: u32,
+    },
     /// The place is free again.
     Ended {
         /// What the request brought.
--- a/src/routing/health.rs
+++ b/src/routing/health.rs
@@ -30,6 +30,17 @@
         self.until = now.after(self.span());
     }
 
+    /// Takes note of a failure that leaves the server out for `max_span` at
+    /// most. Ignored while the server is left out, so that reports of several
+    /// entries do not add up.
+    pub fn fail_capped(&mut self, max_span: Duration, now: Time) {
+        if !self.fit(now) {
+            return;
+        }
+        self.fail(now);
+        self.until = self.until.min(now.after(max_span));
+    }
+
     /// Returns for how long the newest failure has the server left out.
     pub fn span(&self) -> Duration {
         let doublings = self.strikes.saturating_sub(1).min(Health::DOUBLINGS);
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -63,3 +63,21 @@
     health.fail(now);
     assert!(health.fit(now.after(Health::FIRST)));
 }
+
+#[test]
+fn a_server_that_rejects_requests_is_left_out_no_longer_than_it_asked() {
+    let at = Time::from_millis;
+    let retry_after = Duration::from_millis(3_000);
+    let mut health = Health::new();
+    // Concurrent reports must not lengthen the first period.
+    for _ in 0..5 {
+        health.fail_capped(retry_after, at(1_000));
+    }
+    assert!(!health.fit(at(1_499)));
+    assert!(health.fit(at(1_500)));
+    for from in [2_000, 4_000, 8_000, 20_000, 40_000] {
+        health.fail_capped(retry_after, at(from));
+        assert!(!health.fit(at(from + 999)), "not left out for longer");
+        assert!(health.fit(at(from + 3_000)));
+    }
+}
