Retain a replica's rate limit while it is briefly unlisted

Found by code review, not observed by callers: while the platform's store is unavailable, a replica's list entry can expire and be restored two seconds later. The state that an entry held for the replica, including its rate limit, was dropped half a second after the replica was no longer listed. The replica could then be sent more requests than it accepts until an answer set the limit again.

The state is now retained for two minutes after the limit was last received, even while the replica is not listed. The agent's report is not retained. The gauges count only listed replicas, in a single pass.

The unit test is new with this change.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -79,6 +79,20 @@
     pub limited: usize,
 }
 
+/// The numbers of listed replicas subject to each kind of restriction. A
+/// replica can be counted under several.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct RestrictedCount {
+    /// Replicas that are cold and receive a bounded number of requests.
+    pub cold: usize,
+    /// Replicas with a rate limit.
+    pub limited: usize,
+    /// Replicas that announced that they are leaving.
+    pub leaving: usize,
+    /// Replicas whose `Retry-After` to this entry has not expired.
+    pub resting: usize,
+}
+
 /// How long a replica that had no room is spared.
 const FULL: Duration = Duration::from_millis(60);
 
@@ -284,21 +298,30 @@
     pub(crate) fn unreport(&self, incarnation: &Arc<str>) {
         let mut state = self.lock();
         if let Some(known) = state.known.get_mut(incarnation) {
-            let told = known.reported.take();
-            known.load = known.load.unreported();
+            let told = known.drop_report();
             // Tried again and again while an agent is away.
-            if told.is_some() {
+            if told {
                 self.rank_entries(&mut state);
             }
         }
     }
 
-    /// Drops what is known of replicas that are listed no more.
+    /// Drops the state of replicas that are no longer listed, unless requests
+    /// are in progress there or a recent notice must be retained in case an
+    /// expired list entry is restored.
     pub(crate) fn sweep(&self) {
         let view = self.facts.view();
         let mut state = self.lock();
+        let now = self.facts.now();
         state.known.retain(|incarnation, known| {
-            known.load.own() > 0 || view.replicas.contains_key(incarnation)
+            if view.replicas.contains_key(incarnation) {
+                return true;
+            }
+            let kept = known.load.own() > 0 || known.has_recent_notice(now);
+            if kept && known.load.own() == 0 {
+                known.drop_report();
+            }
+            kept
         });
     }
 
@@ -309,34 +332,23 @@
         (own as usize, state.waiting.len())
     }
 
-    /// Returns how many replicas bear few requests now.
-    pub(crate) fn cold(&self) -> usize {
-        let now = self.facts.now();
-        let state = self.lock();
-        state.known.values().filter(|k| k.is_cold(now)).count()
-    }
-
-    /// Returns the number of replicas with a rate limit.
-    pub(crate) fn limited(&self) -> usize {
-        let state = self.lock();
-        state.known.values().filter(|k| k.limit.limit().is_some()).count()
-    }
-
-    /// Returns the number of replicas that announced that they are leaving.
-    pub(crate) fn leaving(&self) -> usize {
-        let state = self.lock();
-        state.known.values().filter(|k| k.leaving.is_leaving()).count()
-    }
-
-    /// Returns the number of replicas whose `Retry-After` has not expired.
-    pub(crate) fn resting(&self) -> usize {
+    /// Counts the listed replicas subject to each kind of restriction.
+    pub(crate) fn count_restricted(&self) -> RestrictedCount {
         let now = self.facts.now();
+        let view = self.facts.view();
         let state = self.lock();
-        state
-            .known
-            .values()
-            .filter(|k| k.retry_after.remaining(now).is_some())
-            .count()
+        let mut count = RestrictedCount::default();
+        for (incarnation, known) in &state.known {
+            if !view.replicas.contains_key(incarnation) {
+                continue;
+            }
+            count.cold += usize::from(known.is_cold(now));
+            count.limited += usize::from(known.limit.limit().is_some());
+            count.leaving += usize::from(known.leaving.is_leaving());
+            let resting = known.retry_after.remaining(now).is_some();
+            count.resting += usize::from(resting);
+        }
+        count
     }
 
     /// Whether the replica's engine has been reported down since a moment.
--- a/crates/gateway/src/dispatch/known.rs
+++ b/crates/gateway/src/dispatch/known.rs
@@ -40,6 +40,11 @@
 /// its address; one whose list entry is late is listed within 2 s.
 const MISDIRECTED_COUNTS: Duration = Duration::from_millis(2_000);
 
+/// How long the rate limit of an unlisted replica is
+/// retained after it was last received. List entries can expire while the
+/// platform's store is unavailable.
+const NOTICE_RETENTION: Duration = Duration::from_secs(120);
+
 /// An agent's report and when it came.
 #[derive(Debug)]
 pub(super) struct Reported {
@@ -129,6 +134,19 @@
         (!was_cold && self.is_cold(now)).then_some(replica.cold_ms)
     }
 
+    /// Drops the agent's report; returns whether there was one.
+    pub(super) fn drop_report(&mut self) -> bool {
+        self.load = self.load.unreported();
+        self.reported.take().is_some()
+    }
+
+    /// Whether the state must be retained while the replica is not listed: its
+    /// rate limit was received within `NOTICE_RETENTION`.
+    pub(super) fn has_recent_notice(&self, now: Time) -> bool {
+        let last_at = self.limit.last_set().map(|(_, at)| at);
+        last_at.is_some_and(|at| now.since(at) < NOTICE_RETENTION)
+    }
+
     /// Whether it bears few requests now.
     pub(super) fn is_cold(&self, now: Time) -> bool {
         self.cold_until.is_some_and(|until| now < until)
@@ -211,3 +229,7 @@
         self.slow_at.is_some_and(|at| at.elapsed() < SLOW_COUNTS)
     }
 }
+
+#[cfg(test)]
+#[path = "known_tests.rs"]
+mod tests;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -137,10 +137,11 @@
         let view = self.facts.view();
         self.metrics.replicas.set(view.replicas.len() as i64);
         self.metrics.evacuated.set(view.evacuations.all().count() as i64);
-        self.metrics.cold.set(self.dispatcher.cold() as i64);
-        self.metrics.limited.set(self.dispatcher.limited() as i64);
-        self.metrics.leaving.set(self.dispatcher.leaving() as i64);
-        self.metrics.resting.set(self.dispatcher.resting() as i64);
+        let restricted = self.dispatcher.count_restricted();
+        self.metrics.cold.set(restricted.cold as i64);
+        self.metrics.limited.set(restricted.limited as i64);
+        self.metrics.leaving.set(restricted.leaving as i64);
+        self.metrics.resting.set(restricted.resting as i64);
         if let Some(age) = self.facts.routes_age() {
             self.metrics.routes_age.set(age.as_secs_f64());
         }
