--- a/crates/gateway/src/dispatch/known.rs
+++ b/crates/gateway/src/dispatch/known.rs
@@ -40,7 +40,7 @@
 /// its address; one whose list entry is late is listed within 2 s.
 const MISDIRECTED_COUNTS: Duration = Duration::from_millis(2_000);
 
-/// How long the rate limit of an unlisted replica is
+/// How long the rate limit or leaving announcement of an unlisted replica is
 /// retained after it was last received. List entries can expire while the
 /// platform's store is unavailable.
 const NOTICE_RETENTION: Duration = Duration::from_secs(120);
@@ -141,9 +141,11 @@
     }
 
     /// Whether the state must be retained while the replica is not listed: its
-    /// rate limit was received within `NOTICE_RETENTION`.
+    /// rate limit or leaving announcement was received within
+    /// `NOTICE_RETENTION`.
     pub(super) fn has_recent_notice(&self, now: Time) -> bool {
-        let last_at = self.limit.last_set().map(|(_, at)| at);
+        let limit_set_at = self.limit.last_set().map(|(_, at)| at);
+        let last_at = limit_set_at.max(self.leaving.last_at());
         last_at.is_some_and(|at| now.since(at) < NOTICE_RETENTION)
     }
 
