Retain Retry-After while a replica is briefly unlisted

This is the same fault as for rate limits: a replica that had sent Retry-After: 3600 was sent 854 requests in 2 s after its list entry expired and was restored, in a test that failed before this change. The state is retained until the Retry-After expires.

--- a/crates/gateway/src/dispatch/known.rs
+++ b/crates/gateway/src/dispatch/known.rs
@@ -142,11 +142,13 @@
 
     /// Whether the state must be retained while the replica is not listed: its
     /// rate limit or leaving announcement was received within
-    /// `NOTICE_RETENTION`.
+    /// `NOTICE_RETENTION`, or its `Retry-After` has not expired.
     pub(super) fn has_recent_notice(&self, now: Time) -> bool {
         let limit_set_at = self.limit.last_set().map(|(_, at)| at);
         let last_at = limit_set_at.max(self.leaving.last_at());
-        last_at.is_some_and(|at| now.since(at) < NOTICE_RETENTION)
+        let recent =
+            last_at.is_some_and(|at| now.since(at) < NOTICE_RETENTION);
+        recent || self.retry_after.remaining(now).is_some()
     }
 
     /// Whether it bears few requests now.
