Ignore a Retry-After of 0 seconds

Found by code review, not observed by callers. A replica that rejects requests with Retry-After: 0 asks for no pause. Each such answer was logged as `replica_resting` and counted as a failure of the replica, so that its next real failure left it out for up to 16 s instead of 0.5 s. Both tests failed before with the new assertions.

--- a/src/placing/notice_tests.rs
+++ b/src/placing/notice_tests.rs
@@ -27,6 +27,7 @@
     let retry_after = |text: &str| text.parse::<RetryAfter>().unwrap();
     let mut known = KnownRetryAfter::default();
     assert_eq!(known.remaining(at(0)), None);
+    assert!(!known.update(retry_after("0"), at(500)));
     assert!(known.update(retry_after("3"), at(1_000)));
     assert!(!known.update(retry_after("0.5"), at(1_500)), "already active");
     assert_eq!(known.remaining(at(1_500)), Some(Duration::from_millis(2_500)));
--- a/src/placing/rest.rs
+++ b/src/placing/rest.rs
@@ -51,7 +51,7 @@
     pub fn update(&mut self, retry_after: RetryAfter, now: Time) -> bool {
         let active = self.remaining(now).is_some();
         self.until = self.until.max(Some(now.after(retry_after.duration())));
-        !active
+        !active && self.remaining(now).is_some()
     }
 
     /// Returns the time left until the period ends, or `None` if none is
--- a/src/routing/health.rs
+++ b/src/routing/health.rs
@@ -34,7 +34,7 @@
     /// most. Ignored while the server is left out, so that reports of several
     /// entries do not add up.
     pub fn fail_capped(&mut self, max_span: Duration, now: Time) {
-        if !self.fit(now) {
+        if !self.fit(now) || max_span.is_zero() {
             return;
         }
         self.fail(now);
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -70,6 +70,8 @@
     let retry_after = Duration::from_millis(3_000);
     let mut health = Health::new();
     // Concurrent reports must not lengthen the first period.
+    health.fail_capped(Duration::ZERO, at(1_000));
+    assert_eq!(health.failures(), 0);
     for _ in 0..5 {
         health.fail_capped(retry_after, at(1_000));
     }
