Count the fleet's entries only for rate-limited replicas

Found by code review. Each candidate for a request counted the fleet's entries, which without `regions` in the settings goes over all listed replicas. Only the choice of a replica with a rate limit uses that number. Behaviour is unchanged.

--- a/crates/gateway/src/dispatch/find.rs
+++ b/crates/gateway/src/dispatch/find.rs
@@ -178,7 +178,9 @@
     ) -> Option<(Candidate, Fitness)> {
         let engine = view.engine(&need.service);
         let entries = state.contention.entries();
-        let fleet_entries = self.fleet_entries_in(state);
+        let known = state.known.get(&replica.incarnation);
+        let limit = known.and_then(|k| k.limit.limit());
+        let fleet_entries = limit.and_then(|_| self.fleet_entries_in(state));
         let near = replica.hall == self.hall;
         let objective = state.urgency.objective(need, self.facts.now());
         let known =
@@ -201,7 +203,7 @@
         let offset = *known
             .offset
             .get_or_insert_with(|| self.offset(&replica.incarnation));
-        if let Some(limit) = known.limit.limit() {
+        if let Some(limit) = limit {
             let pace =
                 limit.pace(access, near, self.hall_count(), fleet_entries);
             if !known.limit.has_room(pace, &known.sent, offset, now) {
