Ignore leaving reports about another process of a replica

A replica may restart under the same name. An entry that did not know of the new process yet reported to its placer that the old one was leaving. The placer, which already knew the new process, then gave it to nobody in the hall for as long as that process lived.

The report now carries the start time of the process that announced that it was leaving, and the placer ignores the report if the start time is that of another process.

Found by reading the code; not seen by callers.

--- a/crates/gateway/src/dispatch/hall.rs
+++ b/crates/gateway/src/dispatch/hall.rs
@@ -155,7 +155,7 @@
         known.reset_if_restarted(replica);
         if let Some(at) = known.leaving.last_at() {
             // The placer may not have received the announcement yet.
-            lease.report_leaving(now.since(at));
+            lease.report_leaving(now.since(at), known.born);
             return None;
         }
         if known.retry_after.remaining(now).is_some() {
--- a/crates/gateway/src/dispatch/place.rs
+++ b/crates/gateway/src/dispatch/place.rs
@@ -73,7 +73,7 @@
         if let Some(lease) = &self.lease
             && let Ok(true) = notice.leaving
         {
-            lease.report_leaving(Duration::ZERO);
+            lease.report_leaving(Duration::ZERO, self.replica.born);
         }
         if let Ok(Some(retry_after)) = notice.retry_after {
             let retry_after = retry_after.duration();
@@ -104,7 +104,16 @@
 
     /// Marks the replica as leaving, as reported by the entry that uses the
     /// place. `received_ago` is the age of the answer that announced it.
-    pub(crate) fn apply_leaving(&self, received_ago: Duration) {
+    /// Does nothing if `born`, the start time of the process that announced
+    /// it, differs from that of the process that the place is on.
+    pub(crate) fn apply_leaving(
+        &self,
+        received_ago: Duration,
+        born: Option<u64>,
+    ) {
+        if born != self.replica.born {
+            return;
+        }
         let Some(dispatcher) = self.dispatcher.upgrade() else { return };
         let incarnation = &self.replica.incarnation;
         let at = dispatcher.facts().now().before(received_ago);
--- a/crates/gateway/src/placing/lease.rs
+++ b/crates/gateway/src/placing/lease.rs
@@ -48,10 +48,15 @@
     }
 
     /// Reports to the placer that the replica is leaving. `received_ago` is
-    /// the age of the answer that announced it.
-    pub(crate) fn report_leaving(&self, received_ago: Duration) {
+    /// the age of the answer that announced it, and `born` the start time of
+    /// the process that sent that answer.
+    pub(crate) fn report_leaving(
+        &self,
+        received_ago: Duration,
+        born: Option<u64>,
+    ) {
         let received_ms = millis(received_ago);
-        self.tell(PlaceEvent::Leaving { received_ms });
+        self.tell(PlaceEvent::Leaving { received_ms, born });
     }
 
     /// Reports to the placer that the replica sent `Retry-After`.
--- a/crates/gateway/src/placing/placer.rs
+++ b/crates/gateway/src/placing/placer.rs
@@ -121,10 +121,10 @@
                     place.apply_limit(limit, sent, received);
                 }
             }
-            PlaceEvent::Leaving { received_ms } => {
+            PlaceEvent::Leaving { received_ms, born } => {
                 let received = Duration::from_millis(u64::from(received_ms));
                 if let Some(place) = self.lock().get_mut(&key) {
-                    place.apply_leaving(received);
+                    place.apply_leaving(received, born);
                 }
             }
             PlaceEvent::Rejected { retry_after_ms } => {
--- a/src/placing/message.rs
+++ b/src/placing/message.rs
@@ -170,6 +170,10 @@
     Leaving {
         /// The time since the last announcement was received, in milliseconds.
         received_ms: u32,
+        /// The start time of the process that announced it, in Unix
+        /// milliseconds, if known.
+        #[serde(default)]
+        born: Option<u64>,
     },
     /// The replica sent `Retry-After`.
     Rejected {
