Look up the current process of a replica once when counting

Counting the replicas of a service compared the listed process with the known one twice for each replica. Behaviour is unchanged; the tests that count leaving, resting, barred and evacuated replicas pass as before.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -208,14 +208,12 @@
                 continue;
             }
             let known = state.known.get(&replica.incarnation);
-            let announced = known.is_some_and(|k| {
-                k.matches_process(replica) && k.leaving.is_leaving()
-            });
+            let current = known.filter(|k| k.matches_process(replica));
+            let announced = current.is_some_and(|k| k.leaving.is_leaving());
             if announced || replica.state == ReplicaState::Draining {
                 count.leaving += 1;
                 continue;
             }
-            let current = known.filter(|k| k.matches_process(replica));
             let remaining = current.and_then(|k| k.retry_after.remaining(now));
             if let Some(remaining) = remaining {
                 count.resting += 1;
