Measure the share of requests served in a sliding window

Cause: ordering under overload and load sharing between halls both need the share of recent requests that was served.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 * [`routing`] selects a backend server.
 * [`direct`] serves requests from entries directly to replicas: routes, keys,
   retries, resumption of streams at another replica, and rollout order.
+* [`overload`] measures how much of the demand is served under overload.
 * [`poison`] detects requests that crash the replicas that run them.
 * [`placing`] lets one entry of a data hall select replicas for all entries of
   that hall.
@@ -69,6 +70,7 @@
 pub mod event;
 pub mod explanation;
 pub mod number;
+pub mod overload;
 pub mod placing;
 pub mod poison;
 pub mod rank;
