Order and refuse requests under overload by what callers can still get

Cause: returning callers that can only be late took the places of new callers that could be in time, and Retry-After did not follow the shortage. Change: admission control orders waiting requests by whether they can be in time, floor share, urgency and served share of the workspace, refuses late ones at once, and promises return times from spare capacity.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -1,10 +1,12 @@
 //! Selects a replica for each request and queues requests while none has
 //! capacity.
 
+mod admit;
 mod find;
 mod hall;
 mod known;
 mod news;
+mod no_place;
 mod notice;
 mod outcome;
 mod place;
@@ -20,13 +22,16 @@
     AllowedRegions, Contention, EvacuationBound, HallEntry, HallRegions,
     ReplicaState,
 };
+use stairhinge::overload::{Admission, OverloadSettings};
 use stairhinge::placing::{
     ChooserKind, Need, NoPlaceReason, RecentObjectives,
 };
 use stairhinge_shell::directory::{Facts, FactsView};
 
+use self::admit::Arrived;
 use self::find::layer_count;
 use self::known::{KnownReplica, ReceivedReport};
+pub(crate) use self::no_place::NoPlace;
 pub(crate) use self::place::Place;
 pub(crate) use self::queue::PlaceResult;
 use self::queue::Queue;
@@ -37,6 +42,8 @@
 struct State {
     known: HashMap<Arc<str>, KnownReplica>,
     waiting: Queue,
+    /// Admission control under overload, if the settings enable it.
+    admission: Option<Admission>,
     contention: Contention,
     recent_objectives: RecentObjectives,
     /// The first-ranked entries of each hall, as reported by agents of this
@@ -61,6 +68,8 @@
     pub cold: ColdLimits,
     /// The region of each hall.
     pub regions: HallRegions,
+    /// Admission control under overload; `None` disables it.
+    pub overload: Option<OverloadSettings>,
 }
 
 /// The number of replicas of a service, by whether they can take a request.
@@ -123,12 +132,14 @@
         hall: Arc<str>,
         bounds: DispatchBounds,
     ) -> Arc<Dispatcher> {
+        let admission = bounds.overload.map(Admission::new);
+        let state = State { admission, ..State::default() };
         Arc::new_cyclic(|this| Dispatcher {
             facts,
             instance,
             hall,
             bounds,
-            state: Mutex::default(),
+            state: Mutex::new(state),
             this: Weak::clone(this),
         })
     }
@@ -149,28 +160,37 @@
         need: Need,
         until: Instant,
         kind: ChooserKind,
-    ) -> Result<Place, NoPlaceReason> {
+    ) -> Result<Place, NoPlace> {
         let wait = until.saturating_duration_since(Instant::now());
-        match self.request_place(need, !wait.is_zero(), kind) {
+        match self.request_place(need, wait, kind) {
             PlaceResult::Place(place) => Ok(place),
-            PlaceResult::NoPlace(reason) => Err(reason),
+            PlaceResult::NoPlace(no_place) => Err(no_place),
             PlaceResult::Queued(pending) => {
-                pending.wait(wait).await.ok_or(NoPlaceReason::Room)
+                pending.wait(wait).await.map_err(|u| self.refuse_unplaced(u))
             }
         }
     }
 
-    /// Returns a place at a replica. If no suitable replica has capacity and
-    /// `waits` is set, the request is queued.
+    /// Returns a place at a replica. If no suitable replica has capacity, the
+    /// request is queued for up to `wait`, or refused at once under admission
+    /// control.
     pub(crate) fn request_place(
         &self,
         need: Need,
-        waits: bool,
+        wait: Duration,
         kind: ChooserKind,
     ) -> PlaceResult {
         let mut state = self.lock();
-        state.recent_objectives.record(&need, self.facts.now());
+        let now = self.facts.now();
+        state.recent_objectives.record(&need, now);
         let view = self.facts.view();
+        if let Some(admission) = &mut state.admission {
+            let engine = view.engine(&need.service);
+            let standing =
+                admission.record_arrival(&need, engine.as_ref(), now);
+            let arrived = Arrived { need, standing, wait, kind };
+            return self.admit(&mut state, &view, arrived, now);
+        }
         let ahead = state.waiting.has_waiter_ahead_of(&need);
         if !ahead
             && let Some(place) =
@@ -180,13 +200,13 @@
         }
         if !self.has_suitable_replica(&state, &view, &need) {
             return PlaceResult::NoPlace(
-                self.no_place_reason(&state, &view, need),
+                self.no_place_reason(&state, &view, need).into(),
             );
         }
-        if !waits {
-            return PlaceResult::NoPlace(NoPlaceReason::Room);
+        if wait.is_zero() {
+            return PlaceResult::NoPlace(NoPlaceReason::Room.into());
         }
-        PlaceResult::Queued(state.waiting.join(need, kind))
+        PlaceResult::Queued(state.waiting.join(need, kind, None))
     }
 
     /// Returns why no replica can serve the request: either there is none, or
@@ -258,17 +278,19 @@
             return;
         }
         let view = self.facts.view();
+        let now = self.facts.now();
         let mut granted = Vec::new();
-        for waiter in state.waiting.take_waiters() {
+        for waiter in state.take_waiters(now) {
             let (need, kind) = (&waiter.need, waiter.kind);
             match self.find_place(&mut state, &view, need, kind, only) {
                 Some(place) => {
-                    state.waiting.record_grant();
+                    state.record_grant(&waiter, now);
                     granted.push((waiter, place));
                 }
                 None => state.waiting.put_back(waiter),
             }
         }
+        state.remove_late(now);
         drop(state);
         for (waiter, place) in granted {
             // If the waiter has been cancelled, dropping the place releases
--- a/crates/gateway/src/dispatch/outcome.rs
+++ b/crates/gateway/src/dispatch/outcome.rs
@@ -67,7 +67,14 @@
         tokens: u32,
         took: Duration,
     ) {
-        if let Some(known) = self.lock().known.get_mut(incarnation) {
+        let mut state = self.lock();
+        if let Some(admission) = &mut state.admission
+            && let Some((replica, _)) =
+                self.facts.view().replicas.get(incarnation)
+        {
+            admission.record_begin(&replica.service, took);
+        }
+        if let Some(known) = state.known.get_mut(incarnation) {
             if took > SLOW_START {
                 known.slow_at = Some(Instant::now());
             }
--- a/crates/gateway/src/dispatch/queue_tests.rs
+++ b/crates/gateway/src/dispatch/queue_tests.rs
@@ -22,11 +22,15 @@
         objective: Duration::from_millis(400),
         regions: AllowedRegions::default(),
         suspicion: Suspicion::default(),
+        workspace: None,
+        left_ms: 0,
+        answer_tokens: None,
+        continued: false,
     }
 }
 
 fn join(queue: &mut Queue, priority: u8, route: u8) -> PendingPlace {
-    queue.join(need(priority, route), ChooserKind::Placer)
+    queue.join(need(priority, route), ChooserKind::Placer, None)
 }
 
 /// Grants places one at a time while each class always has queued requests,
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -78,6 +78,7 @@
         evacuation: settings.evacuation_bound(),
         cold: settings.cold,
         regions: settings.regions.clone().unwrap_or_default(),
+        overload: settings.overload,
     };
     let hall = Arc::clone(&settings.hall);
     let instance = Arc::clone(&settings.instance);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -142,6 +142,9 @@
         self.metrics.limited.set(restricted.limited as i64);
         self.metrics.leaving.set(restricted.leaving as i64);
         self.metrics.resting.set(restricted.resting as i64);
+        if let Some(totals) = self.dispatcher.admission_totals() {
+            self.metrics.set_admission(&totals);
+        }
         if let Some(age) = self.facts.routes_age() {
             self.metrics.routes_age.set(age.as_secs_f64());
         }
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -12,10 +12,11 @@
 use stairhinge::{Code, Error};
 use stairhinge_shell::http::{Body, Failed};
 
-use super::refuse::{lost, quarantined, refused};
+use super::refuse::{lost, quarantined, refused, shed};
 use super::{AttemptError, Forwarder};
 use crate::connect::has_ended;
-use crate::dispatch::{Place, ReplicaCount};
+use crate::dispatch::{NoPlace, Place, ReplicaCount};
+use crate::placing::millis;
 use crate::request_context::RequestContext;
 
 /// A request waits for a replica with capacity for at most its latency
@@ -143,13 +144,24 @@
             .deadline
             .min(from + context.route.objective() / WAIT_DIVISOR);
         let left = context.remaining();
+        let mut need = need.clone();
+        if self.dispatcher.has_admission() {
+            let hint = context.caller.answer_tokens;
+            need.workspace = context.workspace.clone();
+            need.left_ms = millis(left).max(1);
+            need.answer_tokens = (hint > 0).then_some(hint);
+        }
         let found = self.placing.place(need.clone(), until, left).await;
         self.metrics.observe_wait(from.elapsed().as_secs_f64());
         let reason = match found {
             Ok(place) => return Ok(place),
-            Err(reason) => reason,
+            Err(NoPlace::Full(full)) => {
+                self.log_overload(context, &need, &full, from);
+                return Err(shed(&full, ran));
+            }
+            Err(NoPlace::Reason(reason)) => reason,
         };
-        let count = self.log_no_replica(context, need, from);
+        let count = self.log_no_replica(context, &need, from);
         if ran {
             return Err(Failed::new(Error::new(Code::LostBackend, reason)));
         }
@@ -218,5 +230,9 @@
         objective: context.route.objective(),
         regions: context.regions.clone(),
         suspicion: Suspicion::default(),
+        workspace: None,
+        left_ms: 0,
+        answer_tokens: None,
+        continued: false,
     }
 }
--- a/crates/gateway/src/forward/log.rs
+++ b/crates/gateway/src/forward/log.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use stairhinge::direct::NextStep;
+use stairhinge::overload::Full;
 use stairhinge::placing::{Need, RateLimit};
 use stairhinge_shell::decisions::Decision;
 
@@ -59,6 +60,34 @@
         count
     }
 
+    /// Logs and counts the refusal of a request for lack of capacity, with the
+    /// estimate that decided.
+    pub(super) fn log_overload(
+        &self,
+        context: &RequestContext,
+        need: &Need,
+        full: &Full,
+        from: Instant,
+    ) {
+        let (priority, route_priority) = need.urgency();
+        self.metrics.count_shed(full, need.urgency());
+        self.facts.log().write(&Decision::OverloadRefused {
+            request: &context.caller.id,
+            service: &context.service,
+            reason: full.reason.name(),
+            priority,
+            route_priority,
+            retry_after_ms: full.retry_after_ms,
+            promised: full.promised,
+            capacity: full.capacity,
+            demand: full.demand,
+            age_ms: full.age_ms,
+            left_ms: need.left_ms,
+            waited_ms: from.elapsed().as_millis() as u64,
+            revision: context.revision,
+        });
+    }
+
     /// Logs and counts an attempt that is about to be sent.
     pub(super) fn log_sent(
         &self,
--- a/crates/gateway/src/forward/refuse.rs
+++ b/crates/gateway/src/forward/refuse.rs
@@ -5,6 +5,7 @@
 use hyper::Response;
 use rand::RngExt as _;
 use stairhinge::direct::Shortage;
+use stairhinge::overload::Full;
 use stairhinge::poison::Refusal;
 use stairhinge::{Code, Error, Ran};
 use stairhinge_shell::decisions::Decision;
@@ -57,6 +58,16 @@
     Failed::new(error).with_retry_after(span)
 }
 
+/// Returns the refusal of a request for lack of capacity under admission
+/// control. If an earlier attempt may have run, the refusal says so instead.
+pub(super) fn shed(full: &Full, ran: bool) -> Failed {
+    if ran {
+        return Failed::new(Error::new(Code::LostBackend, full));
+    }
+    Failed::new(Error::new(Code::NoBackend, full))
+        .with_retry_after(full.retry_after())
+}
+
 /// Returns the refusal of a quarantined request, with the time after which the
 /// caller may retry. If an earlier attempt may have run, the refusal says so
 /// instead.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -13,6 +13,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
+use stairhinge::overload::{AdmissionTotals, Full};
 use stairhinge_shell::directory::CallKind;
 use stairhinge_shell::http::{Body, Handler, full};
 
@@ -29,6 +30,14 @@
     by: &'static str,
 }
 
+/// Why a request was refused for lack of capacity, and its class.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ShedLabels {
+    reason: &'static str,
+    priority: u8,
+    route_priority: u8,
+}
+
 /// The kind of a call to the platform.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct CallLabels {
@@ -43,6 +52,11 @@
     answers: Family<AnswerLabels, Counter>,
     choices: Family<ChoiceLabels, Counter>,
     calls: Family<CallLabels, Gauge>,
+    shed: Family<ShedLabels, Counter>,
+    shortage: Gauge<f64, AtomicU64>,
+    promised: Counter,
+    expected: Gauge,
+    returned: Gauge,
     first_byte: Histogram,
     waited: Histogram,
     pub attempts: Counter,
@@ -77,6 +91,11 @@
             answers: Family::default(),
             choices: Family::default(),
             calls: Family::default(),
+            shed: Family::default(),
+            shortage: Gauge::default(),
+            promised: Counter::default(),
+            expected: Gauge::default(),
+            returned: Gauge::default(),
             first_byte: duration_histogram(),
             waited: duration_histogram(),
             attempts: Counter::default(),
@@ -197,6 +216,55 @@
             "Places of others whose end was not told, since the start",
             places_taken_back,
         );
+        self.register_overload();
+    }
+
+    fn register_overload(&mut self) {
+        let r = &mut self.registry;
+        r.register(
+            "overload_refusals",
+            "Requests refused for lack of capacity, by reason and class",
+            self.shed.clone(),
+        );
+        r.register(
+            "overload_shortage",
+            "The part of the demand that exceeds the capacity, 0 to 1",
+            self.shortage.clone(),
+        );
+        r.register(
+            "overload_promised",
+            "Refused callers that were given a promised return time",
+            self.promised.clone(),
+        );
+        r.register(
+            "overload_expected",
+            "Promised return times of this chooser that have not passed",
+            self.expected.clone(),
+        );
+        r.register(
+            "overload_returned",
+            "Callers that returned to this chooser as promised, since the \
+             start",
+            self.returned.clone(),
+        );
+    }
+
+    /// Counts a refusal for lack of capacity of a request with this urgency.
+    pub(crate) fn count_shed(&self, full: &Full, urgency: (u8, u8)) {
+        let (priority, route_priority) = urgency;
+        let reason = full.reason.name();
+        let labels = ShedLabels { reason, priority, route_priority };
+        self.shed.get_or_create(&labels).inc();
+        if full.promised {
+            self.promised.inc();
+        }
+    }
+
+    /// Sets the gauges of admission control.
+    pub(crate) fn set_admission(&self, totals: &AdmissionTotals) {
+        self.shortage.set(totals.shortage);
+        self.expected.set(totals.promised as i64);
+        self.returned.set(totals.returned as i64);
     }
 
     /// Sets how many calls to the platform of each kind have begun.
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -21,11 +21,12 @@
 use stairhinge::{Code, Error};
 use stairhinge_shell::decisions::Decision;
 
+pub(crate) use self::asker::millis;
 use self::asker::{Answer, Asker};
 pub(crate) use self::chooser::Chooser;
 pub(crate) use self::lease::Lease;
 use self::placer::GrantedPlaces;
-use crate::dispatch::{Dispatcher, Place};
+use crate::dispatch::{Dispatcher, NoPlace, Place};
 use crate::peer_socket::PeerSocket;
 use crate::poison::PoisonGossip;
 
@@ -99,7 +100,7 @@
         mut need: Need,
         until: Instant,
         left: Duration,
-    ) -> Result<Place, NoPlaceReason> {
+    ) -> Result<Place, NoPlace> {
         let resting = self.dispatcher.resting_replicas(&need.service);
         let mut placer_need = need.clone();
         placer_need
@@ -127,9 +128,10 @@
             };
             match self.ask(peers, placer, &placer_need, until, left).await {
                 Ok(place) => return Ok(place),
-                Err(AskError::Refused(NoPlaceReason::Room)) => {
-                    return Err(NoPlaceReason::Room);
-                }
+                Err(AskError::Refused(
+                    no_place @ (NoPlace::Full(_)
+                    | NoPlace::Reason(NoPlaceReason::Room)),
+                )) => return Err(no_place),
                 // This entry may know of a suitable replica itself.
                 Err(AskError::Refused(_)) => break,
                 Err(AskError::Unavailable(reason)) => own_reason = reason,
@@ -144,7 +146,7 @@
         need: Need,
         until: Instant,
         chooser: Chooser,
-    ) -> Result<Place, NoPlaceReason> {
+    ) -> Result<Place, NoPlace> {
         let kind = chooser.kind();
         let mut place = self.dispatcher.place(need, until, kind).await?;
         place.chooser = chooser;
@@ -174,7 +176,10 @@
         let placed = match verdict {
             Answer::Verdict(Verdict::Placed(placed)) => placed,
             Answer::Verdict(Verdict::Refused(reason)) => {
-                return Err(AskError::Refused(reason));
+                return Err(AskError::Refused(reason.into()));
+            }
+            Answer::Verdict(Verdict::Full(full)) => {
+                return Err(AskError::Refused(NoPlace::Full(full)));
             }
             Answer::Verdict(Verdict::Unready) => {
                 let now = self.dispatcher.facts().now();
@@ -257,6 +262,7 @@
                 );
             }
             Ok(Message::Answer { number, verdict }) => {
+                let verdict = self.checked(peers, from, verdict);
                 peers.asker.handle_answer(from, number, verdict);
             }
             Ok(Message::Event { number, event }) => {
@@ -274,6 +280,28 @@
         }
     }
 
+    /// Returns a verdict, or a refusal without a return time in place of one
+    /// whose values are out of range, which is logged once.
+    fn checked(
+        &self,
+        peers: &Peers,
+        from: SocketAddr,
+        verdict: Verdict,
+    ) -> Verdict {
+        let Verdict::Full(full) = &verdict else { return verdict };
+        if full.is_valid() {
+            return verdict;
+        }
+        if peers.wire.is_first_fault(from) {
+            self.dispatcher.facts().log().write(&Decision::SourceFailed {
+                source: &format!("entry {from}"),
+                code: Code::OutOfRange.number(),
+                reason: "the values of a refusal are out of range",
+            });
+        }
+        Verdict::Refused(NoPlaceReason::Room)
+    }
+
     fn upkeep(&self, peers: &Peers) {
         let leading = self.dispatcher.leading_entries();
         peers.choice().retain(&leading);
@@ -300,7 +328,7 @@
 /// The reason why a question to the placer yielded no place.
 enum AskError {
     /// The placer answered that there is no place.
-    Refused(NoPlaceReason),
+    Refused(NoPlace),
     /// The placer gave no usable answer.
     Unavailable(Chooser),
 }
--- a/crates/gateway/src/placing/asker.rs
+++ b/crates/gateway/src/placing/asker.rs
@@ -154,6 +154,6 @@
     pending.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-pub(super) fn millis(span: Duration) -> u32 {
+pub(crate) fn millis(span: Duration) -> u32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/gateway/src/placing/placer.rs
+++ b/crates/gateway/src/placing/placer.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use stairhinge::placing::{
-    ChooserKind, Message, NoPlaceReason, Outcome, PlaceEvent, PlaceKey,
-    PlaceTable, Placed, Question, Verdict,
+    ChooserKind, Message, Outcome, PlaceEvent, PlaceKey, PlaceTable, Placed,
+    Question, Verdict,
 };
 
-use crate::dispatch::{Dispatcher, Place, PlaceResult};
+use crate::dispatch::{Dispatcher, NoPlace, Place, PlaceResult};
 use crate::peer_socket::PeerSocket;
 
 /// The places that this entry has granted to other entries.
@@ -45,7 +45,7 @@
         let left = Duration::from_millis(u64::from(question.left_ms));
         match dispatcher.request_place(
             question.need,
-            !wait.is_zero(),
+            wait,
             ChooserKind::Placer,
         ) {
             PlaceResult::Place(place) => {
@@ -54,7 +54,7 @@
                     reply(placed);
                 }
             }
-            PlaceResult::NoPlace(reason) => reply(Verdict::Refused(reason)),
+            PlaceResult::NoPlace(no_place) => reply(refusal(no_place)),
             PlaceResult::Queued(pending) => {
                 reply(Verdict::Queued);
                 let places = Arc::clone(self);
@@ -63,10 +63,12 @@
                 tokio::spawn(async move {
                     let place = pending.wait(wait).await;
                     let verdict = match place {
-                        Some(place) => {
+                        Ok(place) => {
                             places.grant(&dispatcher, key, place, left)
                         }
-                        None => Some(Verdict::Refused(NoPlaceReason::Room)),
+                        Err(unplaced) => {
+                            Some(refusal(dispatcher.refuse_unplaced(unplaced)))
+                        }
                     };
                     let number = key.number;
                     let Some(verdict) = verdict else { return };
@@ -167,3 +169,10 @@
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+const fn refusal(no_place: NoPlace) -> Verdict {
+    match no_place {
+        NoPlace::Reason(reason) => Verdict::Refused(reason),
+        NoPlace::Full(full) => Verdict::Full(full),
+    }
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -321,6 +321,10 @@
             objective: self.context.route.objective(),
             regions: self.context.regions.clone(),
             suspicion: self.suspicion,
+            workspace: None,
+            left_ms: 0,
+            answer_tokens: None,
+            continued: self.forwarder.dispatcher.has_admission(),
         };
         let left = self.context.remaining();
         let until = Instant::now() + MAX_RESUME_WAIT.min(left);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -8,6 +8,7 @@
 use stairhinge::Error;
 use stairhinge::direct::{EvacuationBound, HallRegions};
 use stairhinge::number::{maybe_whole, whole};
+use stairhinge::overload::OverloadSettings;
 use stairhinge::placing::ColdBound;
 use stairhinge_shell::{LinkMbps, Settings, read_settings};
 
@@ -102,6 +103,9 @@
     /// The bound on requests to a cold replica.
     #[serde(default)]
     pub cold: ColdLimits,
+    /// Admission control under lasting overload; `None` disables it.
+    #[serde(default)]
+    pub overload: Option<OverloadSettings>,
     /// Whether the whole platform starts for the first time, so that no
     /// process serves callers yet.
     #[serde(default)]
@@ -168,6 +172,9 @@
             return Err(Error::range("grace_s", 0, "1 or more"));
         }
         settings.link_mbps.check()?;
+        if let Some(overload) = &settings.overload {
+            overload.check()?;
+        }
         if !(0.0..=1.0).contains(&settings.retry.ratio) {
             let ratio = settings.retry.ratio;
             return Err(Error::range("retry.ratio", ratio, "0 to 1"));
--- a/crates/shell/src/decisions/decision.rs
+++ b/crates/shell/src/decisions/decision.rs
@@ -240,6 +240,35 @@
         /// The revision of the routes that applied.
         revision: u64,
     },
+    /// A request was refused for lack of capacity under admission control.
+    OverloadRefused {
+        /// The request's id.
+        request: &'a str,
+        /// The service.
+        service: &'a str,
+        /// Why it was refused: `waited`, `late` or `behind`.
+        reason: &'static str,
+        /// The priority of its workspace or route.
+        priority: u8,
+        /// The priority of its route.
+        route_priority: u8,
+        /// The time after which the caller may return, in milliseconds.
+        retry_after_ms: u32,
+        /// Whether capacity is expected then.
+        promised: bool,
+        /// The estimated capacity, in work per second.
+        capacity: f64,
+        /// The demand of new callers, in work per second.
+        demand: f64,
+        /// The age of the estimate, in milliseconds.
+        age_ms: u32,
+        /// The time that the caller had left, in milliseconds.
+        left_ms: u32,
+        /// How long the request waited, in milliseconds.
+        waited_ms: u64,
+        /// The revision of the routes that applied.
+        revision: u64,
+    },
     /// An attempt did not return a complete response.
     AttemptFailed {
         /// The request's id.
--- a/src/placing/message.rs
+++ b/src/placing/message.rs
@@ -14,6 +14,7 @@
 
 use super::RateLimit;
 use crate::direct::AllowedRegions;
+use crate::overload::Full;
 use crate::poison::{PoisonMessage, Suspicion};
 
 /// The content of one datagram.
@@ -69,6 +70,35 @@
     /// How strongly it is suspected of crashing the replicas on which it runs.
     #[serde(default)]
     pub suspicion: Suspicion,
+    /// The workspace, if the requester applies admission control.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub workspace: Option<Arc<str>>,
+    /// The time that the caller has left, in milliseconds, or 0 if the
+    /// requester does not apply admission control.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub left_ms: u32,
+    /// The caller's hint of the length of the answer, in tokens, if any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub answer_tokens: Option<u32>,
+    /// Whether it continues a stream that has started.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub continued: bool,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_zero(value: &u32) -> bool {
+    *value == 0
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_false(value: &bool) -> bool {
+    !*value
 }
 
 impl Need {
@@ -102,6 +132,10 @@
     Queued,
     /// No place is given.
     Refused(NoPlaceReason),
+    /// No place is given for lack of capacity, and the caller is told when to
+    /// return. Sent only to requesters that state the time left in the
+    /// [`Need`]; others cannot read it.
+    Full(Full),
     /// The placer has not yet received enough reports from its hall.
     Unready,
 }
--- a/src/placing/recent_objectives_tests.rs
+++ b/src/placing/recent_objectives_tests.rs
@@ -45,6 +45,10 @@
         objective: Duration::from_millis(objective_ms),
         regions: AllowedRegions::default(),
         suspicion: Suspicion::default(),
+        workspace: None,
+        left_ms: 0,
+        answer_tokens: None,
+        continued: false,
     }
 }
 
