--- a/crates/gateway/src/dispatch/queue_tests.rs
+++ b/crates/gateway/src/dispatch/queue_tests.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use stairhinge::Time;
 use stairhinge::direct::AllowedRegions;
+use stairhinge::overload::{Admission, OverloadSettings};
 use stairhinge::placing::{ChooserKind, Need};
 use stairhinge::poison::Suspicion;
 
@@ -97,3 +99,32 @@
     assert_eq!(taken.len(), 1);
     assert_eq!(taken[0].need.urgency(), (1, 0));
 }
+
+/// Guards against an order by arrival or urgency under admission control, and
+/// against late requests that wait in vain.
+#[test]
+fn with_admission_control_late_requests_are_removed() {
+    let mut admission = Admission::new(OverloadSettings::default());
+    let mut queue = Queue::default();
+    let now = Time::from_millis(60_000);
+    let mut arrive = |queue: &mut Queue, route, left_ms, at| {
+        let mut need = need(1, route);
+        need.left_ms = left_ms;
+        let standing = admission.record_arrival(&need, None, at);
+        queue.join(need, ChooserKind::Placer, Some(standing))
+    };
+    let _first = arrive(&mut queue, 1, 6_000, now);
+    let mut late = arrive(&mut queue, 1, 4_000, now);
+    let _urgent = arrive(&mut queue, 0, 6_000, now);
+    let taken = queue.take_ranked(&admission, now);
+    let order: Vec<u32> = taken.iter().map(|w| w.need.left_ms).collect();
+    assert_eq!(order, [6_000, 6_000, 4_000]);
+    assert_eq!(taken[0].need.urgency(), (1, 0));
+    taken.into_iter().for_each(|waiter| queue.put_back(waiter));
+    assert_eq!(queue.remove_late(now), [Arc::from("pool")]);
+    assert_eq!(queue.len(), 2);
+    assert!(late.receiver.try_recv().is_err());
+    // Once all can only be late, each may still get a free place.
+    queue.remove_late(now.after(Duration::from_secs(1)));
+    assert_eq!(queue.len(), 2);
+}
--- a/src/explanation/cause.rs
+++ b/src/explanation/cause.rs
@@ -52,6 +52,22 @@
         /// How long the request waited, in milliseconds.
         waited_ms: u64,
     },
+    /// It was refused under admission control.
+    Overloaded {
+        /// Why: `waited`, `late` or `behind`.
+        reason: Arc<str>,
+        /// The time after which the caller may return, in milliseconds.
+        retry_after_ms: u64,
+        /// Whether capacity was expected then.
+        promised: bool,
+        /// The estimated capacity, as a percentage of the demand of new
+        /// callers, if both were known.
+        percent: Option<u64>,
+        /// The age of the estimate, in milliseconds.
+        age_ms: u64,
+        /// How long the request waited, in milliseconds.
+        waited_ms: u64,
+    },
     /// An attempt failed, and a retry was not allowed or there was no time for
     /// one.
     AttemptFailed {
@@ -123,6 +139,7 @@
             Cause::FailedAttempts { .. } => "earlier attempts failed",
             Cause::NoSuitableReplica { .. } => "no suitable replica",
             Cause::NoCapacity { .. } => "no capacity",
+            Cause::Overloaded { .. } => "overloaded",
             Cause::AttemptFailed { .. } => "attempt failed",
             Cause::Quarantined { .. } => "quarantined",
             Cause::Rejected { .. } => "rejected",
@@ -205,6 +222,24 @@
                 waited_ms: *waited_ms,
             })
         }
+        LoggedDecision::OverloadRefused {
+            reason,
+            retry_after_ms,
+            promised,
+            capacity,
+            demand,
+            age_ms,
+            waited_ms,
+            ..
+        } => Some(Cause::Overloaded {
+            reason: Arc::clone(reason),
+            retry_after_ms: *retry_after_ms,
+            promised: *promised,
+            percent: (*demand > 0.0)
+                .then(|| (100.0 * capacity / demand) as u64),
+            age_ms: *age_ms,
+            waited_ms: *waited_ms,
+        }),
         LoggedDecision::PoisonRefused {
             replicas, age_ms, back_ms, ..
         } => Some(Cause::Quarantined {
@@ -301,6 +336,35 @@
                 }
                 Ok(())
             }
+            Cause::Overloaded {
+                reason,
+                retry_after_ms,
+                promised,
+                percent,
+                age_ms,
+                waited_ms,
+            } => {
+                f.write_str(match &**reason {
+                    "late" => {
+                        "it could only be late while others could be in time"
+                    }
+                    "behind" => {
+                        "others were entitled to all capacity before it"
+                    }
+                    _ => "no replica had capacity in time",
+                })?;
+                write!(f, ", after {waited_ms} ms")?;
+                if let Some(percent) = percent {
+                    write!(f, "; the capacity was {percent} % of the demand")?;
+                    write!(f, " of new callers, {age_ms} ms before")?;
+                }
+                write!(f, "; its caller may return in {retry_after_ms} ms")?;
+                f.write_str(if *promised {
+                    ", when capacity was expected"
+                } else {
+                    ", without capacity being expected"
+                })
+            }
             Cause::AttemptFailed { replica, reason } => {
                 write!(f, "replica {replica} failed: {reason}")
             }
--- a/src/explanation/log_line.rs
+++ b/src/explanation/log_line.rs
@@ -122,6 +122,29 @@
         /// How long the request had waited, in milliseconds.
         waited_ms: u64,
     },
+    /// A request was refused for lack of capacity under admission control.
+    OverloadRefused {
+        /// The request's id.
+        request: Arc<str>,
+        /// Why: `waited`, `late` or `behind`.
+        reason: Arc<str>,
+        /// The time after which the caller may return, in milliseconds.
+        retry_after_ms: u64,
+        /// Whether capacity was expected then.
+        #[serde(default)]
+        promised: bool,
+        /// The estimated capacity, in work per second.
+        #[serde(default)]
+        capacity: f64,
+        /// The demand of new callers, in work per second.
+        #[serde(default)]
+        demand: f64,
+        /// The age of the estimate, in milliseconds.
+        #[serde(default)]
+        age_ms: u64,
+        /// How long the request had waited, in milliseconds.
+        waited_ms: u64,
+    },
     /// An attempt failed before the answer was complete.
     AttemptFailed {
         /// The request's id.
@@ -230,6 +253,7 @@
         match self {
             LoggedDecision::Sent { request, .. }
             | LoggedDecision::NoReplica { request, .. }
+            | LoggedDecision::OverloadRefused { request, .. }
             | LoggedDecision::AttemptFailed { request, .. }
             | LoggedDecision::PoisonSuspected { request, .. }
             | LoggedDecision::PoisonRefused { request, .. }
--- a/src/explanation/tests.rs
+++ b/src/explanation/tests.rs
@@ -185,3 +185,26 @@
     assert_eq!(explainer.summary().values().sum::<u64>(), 2);
     assert_eq!((explainer.lines_read(), explainer.lines_skipped()), (4, 1));
 }
+
+/// Guards against refusals under overload that cannot be explained, and
+/// against estimates that are missing from a line.
+#[test]
+fn a_refusal_under_overload_names_the_estimate() {
+    let line = r#"{"wall":1200,"ms":200,"event":"overload_refused",
+        "request":"r1","service":"pool","reason":"late","priority":1,
+        "route_priority":2,"retry_after_ms":1800,"promised":false,
+        "capacity":95.0,"demand":125.0,"age_ms":40,"left_ms":4100,
+        "waited_ms":0,"revision":1}"#;
+    let refused = ended(503, 3002, "no capacity");
+    let (outcome, found) = cause(&[START, line, &refused]);
+    assert_eq!(outcome, Outcome::Refused);
+    assert_eq!(found.kind(), "overloaded");
+    let text = found.to_string();
+    assert!(text.contains("could only be late"), "{text}");
+    assert!(text.contains("76 % of the demand"), "{text}");
+    assert!(text.contains("return in 1800 ms"), "{text}");
+    let unknown = line.replace("125.0", "0.0").replace("late", "waited");
+    let (_, found) = cause(&[START, &unknown, &refused]);
+    let text = found.to_string();
+    assert!(!text.contains("demand"), "{text}");
+}
