--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -145,7 +145,9 @@
             .min(from + context.route.objective() / WAIT_DIVISOR);
         let left = context.remaining();
         let mut need = need.clone();
-        if self.dispatcher.has_admission() {
+        // A request whose attempt failed is late for no fault of its caller,
+        // so its time left is not judged.
+        if self.dispatcher.has_admission() && need.tried.is_empty() {
             let hint = context.caller.answer_tokens;
             need.workspace = context.workspace.clone();
             need.left_ms = millis(left).max(1);
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -38,6 +38,10 @@
 /// which limits the size of the datagram.
 const MAX_RESTING_NAMED: usize = 32;
 
+/// Like [`MAX_RESTING_NAMED`], for questions with the fields for admission
+/// control, which take up to 120 bytes.
+const MAX_RESTING_WITH_CALLER: usize = 28;
+
 /// The maximum number of further datagrams that are read before the task
 /// yields to others.
 const MAX_BATCH: usize = 16;
@@ -103,9 +107,12 @@
     ) -> Result<Place, NoPlace> {
         let resting = self.dispatcher.resting_replicas(&need.service);
         let mut placer_need = need.clone();
-        placer_need
-            .tried
-            .extend(resting.iter().take(MAX_RESTING_NAMED).cloned());
+        let named = if need.left_ms > 0 {
+            MAX_RESTING_WITH_CALLER
+        } else {
+            MAX_RESTING_NAMED
+        };
+        placer_need.tried.extend(resting.iter().take(named).cloned());
         need.tried.extend(resting);
         let Some(peers) = self.peers.as_ref().filter(|p| p.hall_placing)
         else {
--- a/src/overload/admission.rs
+++ b/src/overload/admission.rs
@@ -34,6 +34,14 @@
 /// objective. Less is within the jitter of links.
 const RETURN_DIVISOR: u32 = 16;
 
+/// The minimum time since a caller began from which it has returned, for
+/// routes with short objectives.
+const MIN_RETURN: Duration = Duration::from_millis(10);
+
+/// The maximum number of services. Routes define them; the bound limits the
+/// memory if other processes send other names.
+const MAX_SERVICES: usize = 256;
+
 /// The part of the objective up to which the time to the first token is
 /// subtracted from it. If it usually takes longer, the objective is missed
 /// anyway.
@@ -128,6 +136,11 @@
         engine: Option<&Engine>,
         now: Time,
     ) -> Standing {
+        if self.services.len() >= MAX_SERVICES
+            && !self.services.contains_key(&need.service)
+        {
+            self.services.clear();
+        }
         let service = match self.services.get_mut(&need.service) {
             Some(service) => service,
             None => {
@@ -368,7 +381,8 @@
         standing.begun = Some(begun);
         standing.place_by =
             Some(begun.after(need.objective.saturating_sub(first)));
-        standing.is_new = ago < need.objective / RETURN_DIVISOR;
+        let returned = (need.objective / RETURN_DIVISOR).max(MIN_RETURN);
+        standing.is_new = ago < returned;
         if standing.is_new {
             self.record_asked(&standing, now);
         } else {
--- a/src/overload/tests.rs
+++ b/src/overload/tests.rs
@@ -354,3 +354,17 @@
         assert!(settings.check().is_err());
     }
 }
+
+/// Guards against questions that exceed a datagram of 1,200 bytes with the
+/// fields for admission control. A requester names 28 resting replicas.
+#[test]
+fn question_fits_into_a_datagram() {
+    let mut need = need(0, &"w".repeat(64), 60_000);
+    need.tried = (0..28).map(|n| Arc::from(format!("i-{n:020}"))).collect();
+    need.model = Some(Arc::from("m".repeat(24)));
+    need.answer_tokens = Some(100_000);
+    let question =
+        Question { number: 1 << 52, need, wait_ms: 100, left_ms: 60_000 };
+    let json = serde_json::to_vec(&Message::Ask(question)).unwrap();
+    assert!(json.len() <= 1_200, "{} bytes", json.len());
+}
--- a/src/placing/message.rs
+++ b/src/placing/message.rs
@@ -73,8 +73,9 @@
     /// The workspace, if the requester applies admission control.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub workspace: Option<Arc<str>>,
-    /// The time that the caller has left, in milliseconds, or 0 if the
-    /// requester does not apply admission control.
+    /// The time that the caller has left, in milliseconds, or 0 if it is not
+    /// to be judged by it: the requester does not apply admission control, or
+    /// an earlier attempt failed.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub left_ms: u32,
     /// The caller's hint of the length of the answer, in tokens, if any.
