--- a/crates/gateway/src/dispatch/admit.rs
+++ b/crates/gateway/src/dispatch/admit.rs
@@ -50,13 +50,13 @@
         if let Some(admission) = &mut state.admission {
             admission.record_contention(&need.service, now);
         }
-        let refused = match state.wait(&need, &standing, wait, now) {
+        let refused = match state.wait(&need, &standing, wait, kind, now) {
             _ if wait.is_zero() => Some(FullReason::Waited),
             Wait::No(reason) => Some(reason),
             Wait::Yes => None,
         };
         if let Some(reason) = refused {
-            let no_place = state.refuse(&need, &standing, reason, now);
+            let no_place = state.refuse(&need, &standing, reason, kind, now);
             return PlaceResult::NoPlace(no_place);
         }
         let pending = state.waiting.join(need, kind, Some(standing));
@@ -69,11 +69,11 @@
         let Some(admitted) = unplaced.0 else {
             return NoPlaceReason::Room.into();
         };
-        let (need, standing) = *admitted;
+        let (need, standing, kind) = *admitted;
         let now = self.facts.now();
         let late = standing.is_late(now);
         let reason = if late { FullReason::Late } else { FullReason::Waited };
-        self.lock().refuse(&need, &standing, reason, now)
+        self.lock().refuse(&need, &standing, reason, kind, now)
     }
 
     /// Returns the totals of admission control, or `None` if it is disabled.
@@ -106,6 +106,7 @@
         need: &Need,
         standing: &Standing,
         wait: Duration,
+        kind: ChooserKind,
         now: Time,
     ) -> Wait {
         let Some(admission) = &self.admission else { return Wait::Yes };
@@ -114,7 +115,9 @@
         let rank = admission.rank(service, standing, arrival, now);
         let queued = self.waiting.ranked(service, admission, now);
         let queued = queued.iter().map(|(rank, other)| (rank, *other));
-        admission.wait(service, (&rank, standing), queued, wait, now)
+        let is_placer = kind == ChooserKind::Placer;
+        let request = (&rank, standing);
+        admission.wait(service, request, queued, wait, is_placer, now)
     }
 
     /// Returns the refusal of a request for lack of capacity. Requesters that
@@ -124,6 +127,7 @@
         need: &Need,
         standing: &Standing,
         reason: FullReason,
+        kind: ChooserKind,
         now: Time,
     ) -> NoPlace {
         let Some(admission) = &mut self.admission else {
@@ -134,7 +138,11 @@
             return NoPlaceReason::Room.into();
         }
         let jitter = rand::rng().random();
-        NoPlace::Full(admission.refuse(need, standing, reason, now, jitter))
+        // Callers usually return to another entry, which asks the placer.
+        let is_placer = kind == ChooserKind::Placer;
+        let full =
+            admission.refuse(need, standing, reason, is_placer, now, jitter);
+        NoPlace::Full(full)
     }
 
     /// Removes and returns all waiting requests, in the order in which they
--- a/crates/gateway/src/dispatch/queue.rs
+++ b/crates/gateway/src/dispatch/queue.rs
@@ -26,7 +26,7 @@
 pub(crate) struct PendingPlace {
     receiver: oneshot::Receiver<Place>,
     /// What is needed to refuse the request under admission control.
-    admitted: Option<Box<(Need, Standing)>>,
+    admitted: Option<Box<(Need, Standing, ChooserKind)>>,
 }
 
 impl PendingPlace {
@@ -52,7 +52,9 @@
 
 /// A request that waited and got no place.
 #[derive(Debug)]
-pub(crate) struct Unplaced(pub(super) Option<Box<(Need, Standing)>>);
+pub(crate) struct Unplaced(
+    pub(super) Option<Box<(Need, Standing, ChooserKind)>>,
+);
 
 /// A queued request.
 #[derive(Debug)]
@@ -117,7 +119,7 @@
         let (sender, receiver) = oneshot::channel();
         let admitted = standing
             .as_ref()
-            .map(|standing| Box::new((need.clone(), standing.clone())));
+            .map(|standing| Box::new((need.clone(), standing.clone(), kind)));
         let arrival = self.next_arrival();
         self.arrivals = arrival;
         self.insert(Waiter { need, kind, sender, standing, arrival });
--- a/src/overload/admission.rs
+++ b/src/overload/admission.rs
@@ -62,6 +62,11 @@
 /// wrong hint does not outweigh all other requests of a second.
 const MAX_ANSWER_TOKENS: f64 = 100_000.0;
 
+/// The shortage from which an entry without a placer assumes that requests
+/// wait at other entries. Less is within the noise of an estimate over a
+/// second.
+const MIN_SHORTAGE: f64 = 0.1;
+
 /// How much longer than its wait the expected wait has to be until a request
 /// does not wait at all. The estimate of a queue of a few requests may be off
 /// by this factor.
@@ -176,13 +181,16 @@
     }
 
     /// Returns whether a request that got no place waits for up to `wait`.
-    /// `queued` are the waiting requests of its service.
+    /// `queued` are the waiting requests of its service. `is_placer` says
+    /// whether these are all of the hall; otherwise, requests that can be in
+    /// time wait at other entries while there is a shortage.
     pub fn wait<'a>(
         &self,
         service: &str,
         (rank, standing): (&Rank, &Standing),
         queued: impl Iterator<Item = (&'a Rank, &'a Standing)>,
         wait: Duration,
+        is_placer: bool,
         now: Time,
     ) -> Wait {
         if standing.continued {
@@ -198,6 +206,10 @@
             }
         }
         let Some(load) = self.load(service, now) else { return Wait::Yes };
+        let short = load.shortage() >= MIN_SHORTAGE;
+        if rank.is_late() && short && !is_placer {
+            return Wait::No(FullReason::Late);
+        }
         let enough = load.capacity * wait.as_secs_f64() * BEHIND_FACTOR;
         if ahead > enough.max(standing.work) {
             return Wait::No(FullReason::Behind);
@@ -248,13 +260,15 @@
         state.first_ms += MEAN_WEIGHT * (took_ms - state.first_ms);
     }
 
-    /// Returns the refusal of a request. `jitter` is a random number from 0 to
-    /// 1.
+    /// Returns the refusal of a request. Only a placer
+    /// promises a time, since its callers return to it whichever entry they
+    /// call. `jitter` is a random number from 0 to 1.
     pub fn refuse(
         &mut self,
         need: &Need,
         standing: &Standing,
         reason: FullReason,
+        is_placer: bool,
         now: Time,
         jitter: f64,
     ) -> Full {
@@ -265,7 +279,7 @@
         let state = self.services.get_mut(&need.service);
         let delay = state.and_then(|state| {
             // A caller that has returned once does not return again.
-            if !standing.is_new {
+            if !standing.is_new || !is_placer {
                 return None;
             }
             let caller = Returning { left_ms, ..returning(need, standing) };
--- a/src/overload/simulation_tests.rs
+++ b/src/overload/simulation_tests.rs
@@ -76,6 +76,8 @@
     short: Option<usize>,
     /// When a chooser loses its state, in milliseconds.
     restart: Option<u64>,
+    /// A period in which callers cannot return to another hall.
+    cut: Option<std::ops::Range<u64>>,
     /// A period with a factor on the arrivals.
     burst: Option<(std::ops::Range<u64>, f64)>,
 }
@@ -93,6 +95,7 @@
             roam: false,
             short: None,
             restart: None,
+            cut: None,
             burst: None,
         }
     }
@@ -389,11 +392,12 @@
             since: self.now,
         };
         let wait = objective / WAIT_DIVISOR;
+        let is_placer = self.load.choosers <= 2;
         if self.free[hall] > 0 && !chooser.has_ahead(&waiter, now) {
             self.grant(hall, at, waiter);
             return;
         }
-        if let Some(reason) = chooser.refusal(&waiter, wait, now) {
+        if let Some(reason) = chooser.refusal(&waiter, wait, is_placer, now) {
             self.refuse(hall, at, waiter, reason);
             return;
         }
@@ -474,10 +478,12 @@
             Some(admission) => {
                 let Some(standing) = &waiter.standing else { return };
                 admission.record_contention("pool", now);
+                let is_placer = self.load.choosers <= 2;
                 let full = admission.refuse(
                     &waiter.need,
                     standing,
                     reason,
+                    is_placer,
                     now,
                     jitter,
                 );
@@ -506,7 +512,9 @@
         } else {
             (retry_after.as_millis() as u64).min(left / 3)
         };
-        if self.load.roam {
+        let cut =
+            self.load.cut.as_ref().is_some_and(|cut| cut.contains(&self.now));
+        if self.load.roam && !cut {
             caller.hall = self.rng.random_range(0..self.load.halls);
         }
         let at = told + delay + self.transit();
@@ -554,6 +562,7 @@
         &self,
         arrived: &Waiter,
         wait_ms: u64,
+        is_placer: bool,
         now: Time,
     ) -> Option<FullReason> {
         let admission = self.admission.as_ref()?;
@@ -566,7 +575,10 @@
         }
         let queued = queued.iter().map(|(rank, standing)| (rank, *standing));
         let wait = Duration::from_millis(wait_ms);
-        match admission.wait("pool", (&rank, standing), queued, wait, now) {
+        let request = (&rank, standing);
+        let answer =
+            admission.wait("pool", request, queued, wait, is_placer, now);
+        match answer {
             Wait::Yes => None,
             Wait::No(reason) => Some(reason),
         }
@@ -766,6 +778,17 @@
     assert!(outcome.workspace_spread() <= 0.12);
 }
 
+/// Guards against decisions that need the other halls: while a hall is cut
+/// off, its callers return to it.
+#[test]
+fn hall_that_is_cut_off_reaches_the_goals() {
+    let cut = |load: &mut Load| {
+        load.roam = true;
+        load.cut = Some(16_000..22_000);
+    };
+    assert_goals(&play_all("hall cut off", policy(NEW_FIRST), cut));
+}
+
 /// Guards against wrong decisions after the placer died and its successor
 /// knows nothing of the callers.
 #[test]
--- a/src/overload/tests.rs
+++ b/src/overload/tests.rs
@@ -174,7 +174,7 @@
     let wait = |queued: &[(_, &Standing)]| {
         let queued = queued.iter().map(|(rank, standing)| (rank, *standing));
         let request = (&late_rank, &late);
-        admission.wait("pool", request, queued, OBJECTIVE / 8, now)
+        admission.wait("pool", request, queued, OBJECTIVE / 8, true, now)
     };
     assert_eq!(wait(&[(new_rank, &new)]), Wait::No(FullReason::Late));
     assert_eq!(wait(&[(late_rank, &late)]), Wait::Yes);
@@ -195,7 +195,7 @@
             (0..ahead).map(|n| (rank(n), &standing)).collect();
         let queued = queued.iter().map(|(rank, standing)| (rank, *standing));
         let request = (&rank(99), &standing);
-        admission.wait("pool", request, queued, OBJECTIVE / 8, now)
+        admission.wait("pool", request, queued, OBJECTIVE / 8, true, now)
     };
     assert_eq!(wait(4), Wait::Yes);
     assert_eq!(wait(30), Wait::No(FullReason::Behind));
@@ -368,3 +368,23 @@
     let json = serde_json::to_vec(&Message::Ask(question)).unwrap();
     assert!(json.len() <= 1_200, "{} bytes", json.len());
 }
+
+/// Guards against late requests taking places at entries without a placer,
+/// where those that can be in time wait at other entries, and against
+/// refusals of late requests without a shortage.
+#[test]
+fn without_a_placer_late_requests_do_not_wait_during_a_shortage() {
+    let answer = |served, is_placer| {
+        let mut admission = admission();
+        load(&mut admission, 0, 200, served);
+        let now = at(1_000);
+        let late = admission.record_arrival(&need(0, "w", 3_000), None, now);
+        let rank = admission.rank("pool", &late, 1, now);
+        let none = std::iter::empty();
+        let wait = OBJECTIVE / 8;
+        admission.wait("pool", (&rank, &late), none, wait, is_placer, now)
+    };
+    assert_eq!(answer(100, false), Wait::No(FullReason::Late));
+    assert_eq!(answer(100, true), Wait::Yes);
+    assert_eq!(answer(200, false), Wait::Yes);
+}
