--- a/src/overload/refusal.rs
+++ b/src/overload/refusal.rs
@@ -101,17 +101,23 @@
 /// refused at the same moment do not return at the same moment.
 const SPREAD: f64 = 1.0 / 3.0;
 
+/// The part of the time left after which callers return even if they are told
+/// to return later. A longer time would bring all of them back after the same
+/// time.
+const HONOURED_DIVISOR: u32 = 3;
+
 /// Returns the time after which a caller without a promised time may return,
 /// in milliseconds. It grows with the shortage, from 0 to 1, up to the time
-/// that the caller has left. `jitter` is a random number from 0 to 1.
+/// for which callers wait. `jitter` is a random number from 0 to 1.
 pub fn shortage_retry_after_ms(
     shortage: f64,
     left_ms: u32,
     jitter: f64,
 ) -> u32 {
     let growth = 1.0 + SHORTAGE_FACTOR * shortage.clamp(0.0, 1.0);
-    let max = f64::from(left_ms.min(Full::MAX_RETRY_AFTER_MS));
-    let mean = (MEAN_RETRY_AFTER_MS * growth).min(max / (1.0 + SPREAD));
-    let factor = 1.0 + SPREAD * (2.0 * jitter.clamp(0.0, 1.0) - 1.0);
-    (mean * factor) as u32
+    let mean = MEAN_RETRY_AFTER_MS * growth;
+    let honoured = (left_ms / HONOURED_DIVISOR).min(Full::MAX_RETRY_AFTER_MS);
+    let max = (mean * (1.0 + SPREAD)).min(f64::from(honoured));
+    let min = (mean * (1.0 - SPREAD)).min(max * (1.0 - SPREAD));
+    (min + (max - min) * jitter.clamp(0.0, 1.0)) as u32
 }
