Keep classes in order under overload at entries without a placer

Cause: requests of a less urgent class wait longer, and entries without a placer do not see the more urgent ones that wait elsewhere.

--- a/src/overload/admission.rs
+++ b/src/overload/admission.rs
@@ -207,8 +207,13 @@
         }
         let Some(load) = self.load(service, now) else { return Wait::Yes };
         let short = load.shortage() >= MIN_SHORTAGE;
-        if rank.is_late() && short && !is_placer {
-            return Wait::No(FullReason::Late);
+        if short && !is_placer {
+            if rank.is_late() {
+                return Wait::No(FullReason::Late);
+            }
+            if self.is_ahead_of_more_urgent(service, standing.urgency, now) {
+                return Wait::No(FullReason::Behind);
+            }
         }
         let enough = load.capacity * wait.as_secs_f64() * BEHIND_FACTOR;
         if ahead > enough.max(standing.work) {
@@ -217,6 +222,19 @@
         Wait::Yes
     }
 
+    /// Returns whether a class got a larger share than a more urgent one.
+    fn is_ahead_of_more_urgent(
+        &self,
+        service: &str,
+        urgency: (u8, u8),
+        now: Time,
+    ) -> bool {
+        let Some(state) = self.services.get(service) else { return false };
+        let Some(share) = state.share(urgency, now) else { return false };
+        let mut more_urgent = state.shares.range(..urgency);
+        more_urgent.any(|(_, s)| s.share(now).is_some_and(|s| s < share))
+    }
+
     /// Records that a request was given a place.
     pub fn record_grant(
         &mut self,
--- a/src/overload/simulation_tests.rs
+++ b/src/overload/simulation_tests.rs
@@ -805,11 +805,7 @@
     let two = |load: &mut Load| load.choosers = 2;
     assert_goals(&play_all("two placers", policy(NEW_FIRST), two));
     let none = |load: &mut Load| load.choosers = 6;
-    let outcome = play_all("no placer", policy(NEW_FIRST), none);
-    assert!(outcome.all().share_in_time() >= 0.90);
-    for class in &outcome.classes {
-        assert!(class.served() >= 0.45, "{class:?}");
-    }
+    assert_goals(&play_all("no placer", policy(NEW_FIRST), none));
     let alone = |load: &mut Load| {
         load.halls = 1;
         load.capacity = 0.76;
--- a/src/overload/tests.rs
+++ b/src/overload/tests.rs
@@ -391,3 +391,23 @@
     assert_eq!(answer(100, true), Wait::Yes);
     assert_eq!(answer(200, false), Wait::Yes);
 }
+
+/// Guards against a class that gets more than a more urgent one at entries
+/// without a placer, where the requests of the latter wait at other entries.
+#[test]
+fn without_a_placer_no_class_gets_more_than_a_more_urgent_one() {
+    let answer = |urgent_served, is_placer| {
+        let mut admission = admission();
+        load(&mut admission, 0, 200, urgent_served);
+        load(&mut admission, 1, 200, 100);
+        let now = at(1_000);
+        let new = admission.record_arrival(&need(1, "w", 6_000), None, now);
+        let rank = admission.rank("pool", &new, 1, now);
+        let none = std::iter::empty();
+        let wait = OBJECTIVE / 8;
+        admission.wait("pool", (&rank, &new), none, wait, is_placer, now)
+    };
+    assert_eq!(answer(50, false), Wait::No(FullReason::Behind));
+    assert_eq!(answer(50, true), Wait::Yes);
+    assert_eq!(answer(100, false), Wait::Yes);
+}
