--- a/src/overload.rs
+++ b/src/overload.rs
@@ -4,7 +4,7 @@
 //! * [`Admission`] decides which requests are served first, which are refused
 //!   at once, and when refused callers may return. It uses the following
 //!   parts.
-//! * [`UsualLeft`] recognises returning callers by the time they have left.
+//! * [`RefusedCallers`] recognises returning callers by their deadline.
 //! * [`Standing`] and [`Rank`] order waiting requests.
 //! * [`LoadEstimate`] estimates capacity and demand.
 //! * [`Calendar`] gives return times to callers.
@@ -14,18 +14,18 @@
 mod estimate;
 mod order;
 mod refusal;
+mod refused_callers;
 mod served_share;
 mod settings;
-mod usual_left;
 
 pub use self::admission::{Admission, AdmissionTotals, Wait};
 pub use self::calendar::{Calendar, Returning};
 pub use self::estimate::{LoadEstimate, ServiceLoad, work};
 pub use self::order::{Rank, Standing};
 pub use self::refusal::{Full, FullReason, shortage_retry_after_ms};
+pub use self::refused_callers::RefusedCallers;
 pub use self::served_share::ServedShare;
 pub use self::settings::{OverloadSettings, Policy};
-pub use self::usual_left::UsualLeft;
 
 #[cfg(test)]
 mod simulation_tests;
--- a/src/overload/admission.rs
+++ b/src/overload/admission.rs
@@ -8,9 +8,9 @@
 use super::estimate::{LoadEstimate, ServiceLoad, work};
 use super::order::{Rank, Standing};
 use super::refusal::{Full, FullReason, shortage_retry_after_ms};
+use super::refused_callers::RefusedCallers;
 use super::served_share::ServedShare;
 use super::settings::{OverloadSettings, Policy};
-use super::usual_left::UsualLeft;
 use crate::Time;
 use crate::direct::Engine;
 use crate::placing::Need;
@@ -30,10 +30,6 @@
 /// service has a few.
 const MAX_CLASSES: usize = 64;
 
-/// A caller has returned if it began longer ago than this fraction of its
-/// objective. Less is within the jitter of links.
-const RETURN_DIVISOR: u32 = 16;
-
 /// The part of the objective up to which the time to the first token is
 /// subtracted from it. If it usually takes longer, the objective is missed
 /// anyway.
@@ -63,7 +59,6 @@
 /// objective.
 #[derive(Debug)]
 struct Class {
-    usual: UsualLeft,
     /// The mean length of the answers for which a hint was given, in tokens.
     answer: Option<f64>,
 }
@@ -77,6 +72,7 @@
     workspaces: HashMap<Arc<str>, (ServedShare, Time)>,
     estimate: LoadEstimate,
     calendar: Calendar,
+    refused: RefusedCallers,
     /// The number of consecutive places that went to classes below their floor
     /// share.
     raised_run: u32,
@@ -251,6 +247,8 @@
         let spare = load.map_or(0.0, |load| self.spare_per_s(&load));
         let state = self.services.get_mut(&need.service);
         let delay = state.and_then(|state| {
+            let began = standing.begun.unwrap_or(standing.arrived);
+            state.refused.record(need, began, standing.arrived);
             // A caller that has returned once does not return again.
             if !standing.is_new {
                 return None;
@@ -331,10 +329,8 @@
         {
             self.classes.clear();
         }
-        let class = self.classes.entry(key).or_insert_with(|| Class {
-            usual: UsualLeft::new(),
-            answer: None,
-        });
+        let class =
+            self.classes.entry(key).or_insert_with(|| Class { answer: None });
         let hint = need.answer_tokens.map(f64::from);
         if let Some(hint) = hint {
             let mean = class.answer.get_or_insert(hint);
@@ -359,16 +355,14 @@
         if need.continued || need.left_ms == 0 {
             return standing;
         }
-        let workspace = need.workspace.as_ref();
-        let ago = class.usual.begun_ago(workspace, need.left_ms, now);
-        class.usual.record(workspace, need.left_ms, now);
+        let began = self.refused.take(need, now);
         let max_first = need.objective.as_millis() as f64 * MAX_FIRST_FRACTION;
         let first = Duration::from_millis(self.first_ms.min(max_first) as u64);
-        let begun = now.before(ago);
+        let begun = began.unwrap_or(now);
         standing.begun = Some(begun);
         standing.place_by =
             Some(begun.after(need.objective.saturating_sub(first)));
-        standing.is_new = ago < need.objective / RETURN_DIVISOR;
+        standing.is_new = began.is_none();
         if standing.is_new {
             self.record_asked(&standing, now);
         } else {
