--- a/src/overload/admission.rs
+++ b/src/overload/admission.rs
@@ -405,7 +405,9 @@
     /// below the floor and below that of every more urgent class.
     fn is_raised(&self, urgency: (u8, u8), floor: f64, now: Time) -> bool {
         let Some(share) = self.share(urgency, now) else { return false };
-        if share >= floor || self.raised_run >= MAX_RAISED_RUN {
+        if self.raised_run >= MAX_RAISED_RUN
+            || share >= floor * self.overall_share(now)
+        {
             return false;
         }
         for more_urgent in self.shares.range(..urgency) {
@@ -421,6 +423,18 @@
         self.shares.get(&urgency)?.share(now)
     }
 
+    /// Returns the served share of the new callers of all classes.
+    fn overall_share(&self, now: Time) -> f64 {
+        let mut asked = 0.0;
+        let mut served = 0.0;
+        for share in self.shares.values() {
+            let count = share.asked(now);
+            asked += count;
+            served += count * share.share(now).unwrap_or_default();
+        }
+        if asked > 0.0 { served / asked } else { 1.0 }
+    }
+
     fn workspace_share(&self, standing: &Standing, now: Time) -> f64 {
         let workspace = standing.workspace.as_ref();
         let known = workspace.and_then(|w| self.workspaces.get(w));
