--- a/src/overload/admission.rs
+++ b/src/overload/admission.rs
@@ -30,6 +30,10 @@
 /// service has a few.
 const MAX_CLASSES: usize = 64;
 
+/// The maximum number of services. Routes define them; the bound limits the
+/// memory if other processes send other names.
+const MAX_SERVICES: usize = 256;
+
 /// The part of the objective up to which the time to the first token is
 /// subtracted from it. If it usually takes longer, the objective is missed
 /// anyway.
@@ -50,6 +54,11 @@
 /// wrong hint does not outweigh all other requests of a second.
 const MAX_ANSWER_TOKENS: f64 = 100_000.0;
 
+/// The shortage from which an entry without a placer assumes that requests
+/// wait at other entries. Less is within the noise of an estimate over a
+/// second.
+const MIN_SHORTAGE: f64 = 0.1;
+
 /// How much longer than its wait the expected wait has to be until a request
 /// does not wait at all. The estimate of a queue of a few requests may be off
 /// by this factor.
@@ -124,6 +133,11 @@
         engine: Option<&Engine>,
         now: Time,
     ) -> Standing {
+        if self.services.len() >= MAX_SERVICES
+            && !self.services.contains_key(&need.service)
+        {
+            self.services.clear();
+        }
         let service = match self.services.get_mut(&need.service) {
             Some(service) => service,
             None => {
@@ -159,13 +173,16 @@
     }
 
     /// Returns whether a request that got no place waits for up to `wait`.
-    /// `queued` are the waiting requests of its service.
+    /// `queued` are the waiting requests of its service. `is_placer` says
+    /// whether these are all of the hall; otherwise, requests that can be in
+    /// time wait at other entries while there is a shortage.
     pub fn wait<'a>(
         &self,
         service: &str,
         (rank, standing): (&Rank, &Standing),
         queued: impl Iterator<Item = (&'a Rank, &'a Standing)>,
         wait: Duration,
+        is_placer: bool,
         now: Time,
     ) -> Wait {
         if standing.continued {
@@ -181,6 +198,10 @@
             }
         }
         let Some(load) = self.load(service, now) else { return Wait::Yes };
+        let short = load.shortage() >= MIN_SHORTAGE;
+        if rank.is_late() && short && !is_placer {
+            return Wait::No(FullReason::Late);
+        }
         let enough = load.capacity * wait.as_secs_f64() * BEHIND_FACTOR;
         if ahead > enough.max(standing.work) {
             return Wait::No(FullReason::Behind);
@@ -231,13 +252,15 @@
         state.first_ms += MEAN_WEIGHT * (took_ms - state.first_ms);
     }
 
-    /// Returns the refusal of a request. `jitter` is a random number from 0 to
-    /// 1.
+    /// Returns the refusal of a request. Only a placer
+    /// promises a time, since its callers return to it whichever entry they
+    /// call. `jitter` is a random number from 0 to 1.
     pub fn refuse(
         &mut self,
         need: &Need,
         standing: &Standing,
         reason: FullReason,
+        is_placer: bool,
         now: Time,
         jitter: f64,
     ) -> Full {
@@ -250,7 +273,7 @@
             let began = standing.begun.unwrap_or(standing.arrived);
             state.refused.record(need, began, standing.arrived);
             // A caller that has returned once does not return again.
-            if !standing.is_new {
+            if !standing.is_new || !is_placer {
                 return None;
             }
             let caller = Returning { left_ms, ..returning(need, standing) };
