--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -22,7 +22,7 @@
 /// A request waits for a replica with capacity for at most its latency
 /// objective divided by this, so that its caller can still retry in time. In
 /// a hall of 24 engines a slot becomes free every 6 ms.
-const WAIT_DIVISOR: u32 = 8;
+const WAIT_DIVISOR: u32 = 4;
 
 /// An attempt that failed.
 pub(crate) struct FailedAttempt {
--- a/src/overload/refused_callers.rs
+++ b/src/overload/refused_callers.rs
@@ -99,6 +99,16 @@
         Some(caller.began)
     }
 
+    /// Returns the number of refused callers that are known.
+    pub const fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Returns whether no refused caller is known.
+    pub const fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
     /// Drops callers whose deadline has passed.
     fn sweep(&mut self, now: Time) {
         if now.since(self.swept_at) < RefusedCallers::SWEEP_INTERVAL {
--- a/src/overload/simulation_tests.rs
+++ b/src/overload/simulation_tests.rs
@@ -338,7 +338,8 @@
             workspace,
             hall: self.rng.random_range(0..self.load.halls),
             began: self.now,
-            deadline: if short { DEADLINE_MS / 2 } else { DEADLINE_MS },
+            deadline: (if short { DEADLINE_MS / 2 } else { DEADLINE_MS })
+                - self.rng.random_range(0..DEADLINE_MS / 7),
             often: kind < self.load.often,
             never: kind > 1.0 - self.load.never,
             refused: 0,
--- a/src/overload/tests.rs
+++ b/src/overload/tests.rs
@@ -5,7 +5,7 @@
 
 use super::{
     Admission, Calendar, Full, FullReason, LoadEstimate, OverloadSettings,
-    Returning, Standing, UsualLeft, Wait, shortage_retry_after_ms, work,
+    RefusedCallers, Returning, Standing, Wait, shortage_retry_after_ms, work,
 };
 use crate::Time;
 use crate::direct::{AllowedRegions, Engine};
@@ -54,54 +54,81 @@
     }
 }
 
-/// Guards against jitter of links making new callers appear as returning, and
-/// against returning ones that are not recognised.
+/// Returns the standing of a caller that is refused at `now` and returns
+/// after `later_ms`.
+fn returned(
+    admission: &mut Admission,
+    need: &Need,
+    now: Time,
+    later_ms: u32,
+) -> Standing {
+    let standing = admission.record_arrival(need, None, now);
+    let reason = FullReason::Waited;
+    admission.refuse(need, &standing, reason, true, now, 0.5);
+    let back = Need { left_ms: need.left_ms - later_ms, ..need.clone() };
+    let then = now.after(Duration::from_millis(u64::from(later_ms)));
+    admission.record_arrival(&back, None, then)
+}
+
+/// Guards against callers with shorter deadlines than others being taken for
+/// returning ones, and against returning ones that are not recognised.
 #[test]
-fn time_left_tells_returning_callers_from_new_ones() {
+fn deadline_tells_returning_callers_from_new_ones() {
     let mut admission = admission();
     for n in 0..100_u32 {
-        let need = need(0, "w", 6_000 - n % 12);
-        let now = at(u64::from(n) * 30);
+        let need = need(0, "w", 6_000 - n * 30);
+        let now = at(u64::from(n) * 20);
         assert!(admission.record_arrival(&need, None, now).is_new());
     }
-    let now = at(3_000);
-    let back = admission.record_arrival(&need(0, "w", 4_000), None, now);
-    assert!(!back.is_new() && back.is_late(now));
-    let soon = admission.record_arrival(&need(0, "w", 5_900), None, now);
-    assert!(!soon.is_new() && !soon.is_late(now));
-    assert!(soon.is_late(now.after(OBJECTIVE)));
+    let back = returned(&mut admission, &need(0, "w", 5_100), at(0), 2_000);
+    assert!(!back.is_new() && back.is_late(at(2_000)));
+    let soon = returned(&mut admission, &need(0, "w", 5_100), at(0), 100);
+    assert!(!soon.is_new() && !soon.is_late(at(100)));
+    assert!(soon.is_late(at(100).after(OBJECTIVE)));
+    assert_eq!(soon.begun_ago(at(100)), Duration::from_millis(100));
 }
 
-/// Guards against one caller with a long deadline making all others late.
+/// Guards against a caller that counts as new when it is refused again, and
+/// against a refused caller that is found more than once.
 #[test]
-fn a_few_longer_deadlines_do_not_make_others_late() {
-    let mut usual = UsualLeft::new();
-    for n in 0..100_u64 {
-        let left = if n % 20 == 0 { 60_000 } else { 6_000 };
-        usual.record(None, left, at(n * 30));
-    }
-    assert!(usual.begun_ago(None, 6_000, at(3_000)).is_zero());
+fn refused_callers_are_found_once_for_each_refusal() {
+    let mut admission = admission();
+    let first = need(0, "w", 5_500);
+    let mut standing = returned(&mut admission, &first, at(0), 1_000);
+    let again = Need { left_ms: 4_500, ..first };
+    assert!(admission.record_arrival(&again, None, at(1_000)).is_new());
+    let reason = FullReason::Late;
+    admission.refuse(&again, &standing, reason, true, at(1_000), 0.5);
+    let last = Need { left_ms: 3_500, ..again };
+    standing = admission.record_arrival(&last, None, at(2_000));
+    assert_eq!(standing.begun_ago(at(2_000)), Duration::from_secs(2));
 }
 
-/// Guards against a workspace with its own shorter deadline being taken for
-/// returning callers, and against memory that grows with names.
+/// Guards against other callers that are taken for a returning one, and
+/// against memory that grows with refused callers.
 #[test]
-fn workspaces_have_their_own_usual_time() {
-    let mut usual = UsualLeft::new();
-    let own = Arc::from("short");
-    for n in 0..100_u64 {
-        let other = Arc::from(format!("w{}", n % 9));
-        usual.record(Some(&other), 6_000, at(n * 30));
-        if n % 20 == 0 {
-            usual.record(Some(&own), 2_000, at(n * 30 + 1));
-        }
+fn refused_callers_are_told_apart_and_bounded() {
+    let mut refused = RefusedCallers::default();
+    let first = need(0, "w", 6_000);
+    refused.record(&first, at(0), at(0));
+    let mut longer = need(0, "w", 5_000);
+    longer.prompt_tokens = 700;
+    let others = [
+        need(0, "other", 5_000),
+        need(1, "w", 5_000),
+        need(0, "w", 4_900),
+        longer,
+    ];
+    for other in others {
+        assert_eq!(refused.take(&other, at(1_000)), None, "{other:?}");
     }
-    let ago = |name: &Arc<str>, left| {
-        usual.begun_ago(Some(name), left, at(3_000)).as_millis()
-    };
-    assert_eq!(ago(&own, 2_000), 0);
-    assert_eq!(ago(&own, 1_500), 500);
-    assert_eq!(ago(&Arc::from("unseen"), 2_000), 4_000);
+    assert_eq!(refused.take(&need(0, "w", 4_980), at(1_000)), Some(at(0)));
+    for n in 0..100_000 {
+        refused.record(&need(0, "w", 6_000), at(n), at(n));
+    }
+    assert!(refused.len() <= 16_384);
+    refused.record(&need(0, "w", 6_000), at(200_000), at(200_000));
+    assert_eq!(refused.len(), 1, "the others' deadlines have passed");
 }
 
 /// Guards against an order that differs from the one in the design.
@@ -111,13 +138,14 @@
     load(&mut admission, 0, 100, 100);
     load(&mut admission, 1, 100, 100);
     let now = at(600);
-    let mut arrive = |priority, left| {
-        let need = need(priority, "w", left);
+    let mut arrive = |priority| {
+        let need = need(priority, "w", 6_000);
         admission.record_arrival(&need, None, now)
     };
-    let urgent = arrive(0, 6_000);
-    let other = arrive(1, 6_000);
-    let late = arrive(0, 4_000);
+    let urgent = arrive(0);
+    let other = arrive(1);
+    let began = now.before(Duration::from_secs(2));
+    let late = returned(&mut admission, &need(0, "w", 6_000), began, 2_000);
     let rank = |standing: &Standing, arrival| {
         admission.rank("pool", standing, arrival, now)
     };
@@ -168,7 +196,8 @@
     load(&mut admission, 0, 100, 100);
     let now = at(600);
     let new = admission.record_arrival(&need(0, "w", 6_000), None, now);
-    let late = admission.record_arrival(&need(0, "w", 3_000), None, now);
+    let began = now.before(Duration::from_secs(3));
+    let late = returned(&mut admission, &need(0, "w", 6_000), began, 3_000);
     let [new_rank, late_rank] =
         [&new, &late].map(|s| admission.rank("pool", s, 1, now));
     let wait = |queued: &[(_, &Standing)]| {
