Detect failing replicas by the outcomes of their requests

Cause: a replica that answers every request with an error looks idle and attracts load, since an error response changed nothing about its health.

Change: outcomes carry the source of the request, and a cumulative-sum test compares each replica's failures with those of the others of its service. A replica that exceeds them is ejected, tried and readmitted. The section health of the entry's settings enables it.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -3,6 +3,7 @@
 
 mod find;
 mod hall;
+mod health;
 mod known;
 mod news;
 mod notice;
@@ -26,6 +27,8 @@
 use stairhinge_shell::directory::{Facts, FactsView};
 
 use self::find::layer_count;
+pub(crate) use self::health::HealthBounds;
+use self::health::HealthState;
 use self::known::{KnownReplica, ReceivedReport};
 pub(crate) use self::place::Place;
 pub(crate) use self::queue::PlaceResult;
@@ -39,6 +42,7 @@
     waiting: Queue,
     contention: Contention,
     recent_objectives: RecentObjectives,
+    health: HealthState,
     /// The first-ranked entries of each hall, as reported by agents of this
     /// hall.
     entries: Arc<Vec<HallEntry>>,
@@ -61,6 +65,8 @@
     pub cold: ColdLimits,
     /// The region of each hall.
     pub regions: HallRegions,
+    /// The limits on the exclusion of failing replicas, if it is enabled.
+    pub health: Option<HealthBounds>,
 }
 
 /// The number of replicas of a service, by whether they can take a request.
--- a/crates/gateway/src/dispatch/find.rs
+++ b/crates/gateway/src/dispatch/find.rs
@@ -5,6 +5,7 @@
 
 use stairhinge::direct::Replica;
 use stairhinge::direct::balance::{Candidate, LatencyModel, choose};
+use stairhinge::health::HealthCheck;
 use stairhinge::placing::{ChooserKind, Need, SendPace};
 use stairhinge::rank;
 use stairhinge_shell::decisions::Decision;
@@ -33,39 +34,78 @@
 }
 
 impl CandidateSet {
-    fn best(&self) -> Option<(Arc<Replica>, Terms)> {
+    fn best(&self) -> Option<Choice> {
         let chosen = choose(&self.candidates)?;
         let (replica, terms) = self.replicas.get(chosen)?;
-        Some((Arc::clone(replica), *terms))
+        let candidate = self.candidates.get(chosen)?;
+        Some(Choice {
+            replica: Arc::clone(replica),
+            terms: *terms,
+            candidate: *candidate,
+            trial: false,
+        })
     }
 }
 
+/// The chosen replica.
+#[derive(Debug)]
+struct Choice {
+    replica: Arc<Replica>,
+    terms: Terms,
+    candidate: Candidate,
+    /// Whether the request is a trial of a replica that was ejected.
+    trial: bool,
+}
+
 /// Replicas that can take a request, by fitness.
 #[derive(Debug, Default)]
 struct CandidateSets {
+    /// Replicas that were ejected and may get this request as a trial.
+    trial: CandidateSet,
     /// Replicas without known problems.
     healthy: CandidateSet,
+    /// Replicas that may be failing, if the request cannot be repeated.
+    suspect: CandidateSet,
     /// Replicas that run a request suspected of crashing replicas.
     at_risk: CandidateSet,
     /// Replicas that failed recently.
     failing: CandidateSet,
+    /// Replicas that are ejected.
+    ejected: CandidateSet,
+    /// Whether any suitable replica, or one that the request has been sent to,
+    /// is not ejected, even if it has no capacity now.
+    in_service: bool,
 }
 
 impl CandidateSets {
     fn get_mut(&mut self, fitness: Fitness) -> &mut CandidateSet {
         match fitness {
+            Fitness::Trial => &mut self.trial,
             Fitness::Healthy => &mut self.healthy,
+            Fitness::Suspect => &mut self.suspect,
             Fitness::AtRisk => &mut self.at_risk,
             Fitness::Failing => &mut self.failing,
+            Fitness::Ejected => &mut self.ejected,
         }
     }
 
     /// Chooses the best replica. Failing replicas are considered only if there
     /// are no others.
-    fn best(&self) -> Option<(Arc<Replica>, Terms)> {
-        let available = self.healthy.best().or_else(|| self.at_risk.best());
-        let has_available = !self.healthy.candidates.is_empty()
-            || !self.at_risk.candidates.is_empty();
+    fn best(&self) -> Option<Choice> {
+        if let Some(choice) = self.trial.best() {
+            return Some(Choice { trial: true, ..choice });
+        }
+        if !self.in_service {
+            return self.ejected.best();
+        }
+        let available = self
+            .healthy
+            .best()
+            .or_else(|| self.suspect.best())
+            .or_else(|| self.at_risk.best());
+        let has_available = [&self.healthy, &self.suspect, &self.at_risk]
+            .iter()
+            .any(|set| !set.candidates.is_empty());
         if has_available { available } else { self.failing.best() }
     }
 }
@@ -73,9 +113,12 @@
 /// How well a replica is suited to a request, best first.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Fitness {
+    Trial,
     Healthy,
+    Suspect,
     AtRisk,
     Failing,
+    Ejected,
 }
 
 impl Dispatcher {
@@ -88,9 +131,18 @@
     ) -> bool {
         let now = self.facts.now();
         let layers = layer_count(view, need);
-        view.of_service(&need.service).any(|(replica, _)| {
-            self.terms(state, view, need, replica, layers, now).is_some()
-        })
+        let mut only_ejected = false;
+        for (replica, _) in view.of_service(&need.service) {
+            let terms = self.terms(state, view, need, replica, layers, now);
+            if terms.is_none() {
+                continue;
+            }
+            if self.is_in_service(state, replica, now) {
+                return true;
+            }
+            only_ejected = true;
+        }
+        only_ejected && !self.has_tried_in_service(state, view, need, now)
     }
 
     /// Takes a place for a request at the best replica. If `only` is set, no
@@ -119,7 +171,10 @@
                 self.candidate_sets(state, view, need, kind, all)
             }
         };
-        let (replica, terms) = sets.best()?;
+        let Choice { replica, terms, candidate, trial } = sets.best()?;
+        if trial {
+            self.record_trial_sent(state, &replica.incarnation);
+        }
         let known =
             state.known.entry(Arc::clone(&replica.incarnation)).or_default();
         known.record_assigned(need, self.facts.now());
@@ -136,6 +191,12 @@
             lease: None,
             given_at: Instant::now(),
             began: false,
+            trial,
+            expected_ms: candidate.expected_first_token_ms(need.prompt_tokens),
+            failed: None,
+            is_retry: false,
+            source: None,
+            took: None,
             replica,
             dispatcher: Weak::clone(&self.this),
         })
@@ -155,13 +216,17 @@
         let listed = view
             .of_service(&need.service)
             .any(|(_, standing)| *standing == Standing::Listed);
-        let mut sets = CandidateSets::default();
+        let mut sets = CandidateSets {
+            in_service: self.has_tried_in_service(state, view, need, now),
+            ..CandidateSets::default()
+        };
         for (replica, standing) in replicas {
             if listed && *standing == Standing::Doubtful {
                 continue;
             }
             let terms = self.terms(state, view, need, replica, layers, now);
             let Some(terms) = terms else { continue };
+            sets.in_service |= self.is_in_service(state, replica, now);
             let candidate = self.candidate(state, view, need, kind, replica);
             let Some((candidate, fitness)) = candidate else { continue };
             let set = sets.get_mut(fitness);
@@ -193,6 +258,7 @@
         let objective = state
             .recent_objectives
             .effective_objective(need, self.facts.now());
+        let usual = state.health.usual(&need.service);
         let known =
             state.known.entry(Arc::clone(&replica.incarnation)).or_default();
         let now = self.facts.now();
@@ -228,11 +294,19 @@
         }
         let suspected = need.suspicion.ended > 0;
         let at_risk = known.has_trial() || (suspected && known.has_suspect());
-        let fitness = match known.health.is_available(self.facts.now()) {
-            true if at_risk => Fitness::AtRisk,
-            true => Fitness::Healthy,
-            false => Fitness::Failing,
+        let available = known.health.is_available(now);
+        let check = self.check_health(known, replica, need, now);
+        let fitness = match check {
+            HealthCheck::Full => return None,
+            HealthCheck::Ejected => Fitness::Ejected,
+            HealthCheck::Trial if !available || at_risk => Fitness::Ejected,
+            HealthCheck::Trial => Fitness::Trial,
+            _ if !available => Fitness::Failing,
+            _ if at_risk => Fitness::AtRisk,
+            HealthCheck::Suspect => Fitness::Suspect,
+            HealthCheck::Passed => Fitness::Healthy,
         };
+        let (factor, failure_ms) = self.health_cost(known, usual, now);
         let capacity_fraction = self.evacuation_capacity(view, &replica.hall);
         let slots = (f64::from(replica.slots) * capacity_fraction) as u32;
         let latency = engine.map_or_else(
@@ -245,8 +319,8 @@
             near,
             queue: queue_capacity(slots, engine.is_some()),
             offset,
-            link_delay_ms: known.delay_ms(),
-            slowdown: known.slowdown(),
+            link_delay_ms: known.delay_ms() + failure_ms,
+            slowdown: known.slowdown() * factor,
             max_backlog_ms: MAX_BACKLOG_FRACTION
                 * objective.as_millis() as f64,
         };
@@ -292,7 +366,10 @@
         let listed = view.replicas.get(only);
         let known = state.known.get(only);
         listed.is_some_and(|(r, _)| r.service == need.service)
-            && known.is_none_or(|k| k.health.is_available(self.facts.now()))
+            && known.is_none_or(|k| {
+                let now = self.facts.now();
+                k.health.is_available(now) && !self.is_ejected(k, now)
+            })
     }
 }
 
--- a/crates/gateway/src/dispatch/hall.rs
+++ b/crates/gateway/src/dispatch/hall.rs
@@ -187,6 +187,12 @@
             prompt_tokens: need.prompt_tokens,
             given_at: Instant::now(),
             began: false,
+            trial: false,
+            expected_ms: None,
+            failed: None,
+            is_retry: false,
+            source: None,
+            took: None,
             dispatcher: Weak::clone(&self.this),
         })
     }
--- a/crates/gateway/src/dispatch/known.rs
+++ b/crates/gateway/src/dispatch/known.rs
@@ -5,6 +5,7 @@
 use stairhinge::Time;
 use stairhinge::direct::Replica;
 use stairhinge::direct::balance::Load;
+use stairhinge::health::{FirstByteSpeed, ReplicaHealth};
 use stairhinge::placing::{
     KnownLeaving, KnownLimit, KnownRetryAfter, Need, SentWindow,
 };
@@ -79,7 +80,12 @@
     pub born: Option<u64>,
     pub load: Load,
     pub offset: Option<f64>,
+    /// Its exclusion after failed connections, timeouts and `Retry-After`.
     pub health: Health,
+    /// Its exclusion by the outcomes of its requests.
+    pub outcomes: ReplicaHealth,
+    /// Its observed speed.
+    pub first_byte: FirstByteSpeed,
     /// When it last failed or was slow to start a request.
     pub slow_at: Option<Instant>,
     pub reported: Option<ReceivedReport>,
--- a/crates/gateway/src/dispatch/place.rs
+++ b/crates/gateway/src/dispatch/place.rs
@@ -5,6 +5,7 @@
 
 use stairhinge::Time;
 use stairhinge::direct::Replica;
+use stairhinge::health::Source;
 use stairhinge::placing::{Outcome, RateLimit};
 
 use super::Dispatcher;
@@ -35,6 +36,21 @@
     pub(super) prompt_tokens: u32,
     pub(super) given_at: Instant,
     pub(super) began: bool,
+    /// Whether the request is a trial of a replica that was ejected.
+    pub(super) trial: bool,
+    /// The expected time to the first token, if this entry chose the replica
+    /// and the service has an engine, in milliseconds.
+    pub(super) expected_ms: Option<f64>,
+    /// Whether the request failed, if its outcome says anything about the
+    /// replica.
+    pub(super) failed: Option<bool>,
+    /// Whether the request was sent to another replica before.
+    pub(super) is_retry: bool,
+    /// The source of the request, if outcomes are evaluated.
+    pub(super) source: Option<Source>,
+    /// How long the replica took, as reported by the entry that used the
+    /// place.
+    pub(super) took: Option<Duration>,
     pub(super) dispatcher: Weak<Dispatcher>,
 }
 
@@ -56,6 +72,7 @@
         if let Some(dispatcher) = self.dispatcher.upgrade() {
             let tokens = self.prompt_tokens;
             dispatcher.record_begin(&self.replica.incarnation, tokens, took);
+            dispatcher.record_first_byte(self, took);
         }
     }
 
@@ -129,15 +146,54 @@
         dispatcher.record_retry_after(&self.replica.incarnation, retry_after);
     }
 
-    /// Records what the outcome of the request shows about the replica.
+    /// Sets the source of the request for which the place is used, and whether
+    /// this is its first attempt.
+    pub(crate) const fn set_source(&mut self, source: Source, first: bool) {
+        self.source = Some(source);
+        self.is_retry = !first;
+    }
+
+    /// Records that the replica's answer was complete.
+    pub(crate) fn record_whole(&mut self) {
+        self.failed = self.failed.or(Some(false));
+    }
+
+    /// Records the end of the request as reported by the entry that used the
+    /// place. `source` is `None` if the outcome says nothing about whether the
+    /// replica fails.
+    pub(crate) fn record_reported_end(
+        &mut self,
+        outcome: Outcome,
+        source: Option<Source>,
+        took: Option<Duration>,
+    ) {
+        if outcome != Outcome::Unknown {
+            self.record_outcome(outcome);
+        }
+        self.source = source;
+        self.took = took;
+        if source.is_some() && outcome == Outcome::Succeeded {
+            self.record_whole();
+        }
+    }
+
+    /// Records what the outcome of the request shows about the replica. An
+    /// answer counts as complete only by [`Self::record_whole`].
     pub(crate) fn record_outcome(&mut self, outcome: Outcome) {
+        // An error response to a request that another replica has answered
+        // with an error is due to the request, which counts once.
+        let counts = outcome == Outcome::Failed
+            || (outcome == Outcome::Errored && !self.is_retry);
+        if counts {
+            self.failed = Some(true);
+        }
         if let Some(lease) = &mut self.lease {
             lease.set_outcome(outcome);
         }
         let Some(dispatcher) = self.dispatcher.upgrade() else { return };
         let incarnation = &self.replica.incarnation;
         match outcome {
-            Outcome::Unknown => {}
+            Outcome::Unknown | Outcome::Errored => {}
             Outcome::Succeeded => dispatcher.record_success(incarnation),
             Outcome::Failed => dispatcher.record_failure(incarnation),
             Outcome::Full => dispatcher.record_full(incarnation),
@@ -150,6 +206,15 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
+        let took = self.took.unwrap_or_else(|| self.given_at.elapsed());
+        if let Some(lease) = &mut self.lease
+            && self.failed.is_some()
+        {
+            lease.set_evidence(self.source, took);
+        }
+        if let Some(dispatcher) = self.dispatcher.upgrade() {
+            dispatcher.record_ended(self, self.failed, self.source, took);
+        }
         if let Some(dispatcher) = self.dispatcher.upgrade() {
             dispatcher.release_place(self);
         }
--- a/crates/gateway/src/dispatch/queue_tests.rs
+++ b/crates/gateway/src/dispatch/queue_tests.rs
@@ -22,6 +22,7 @@
         objective: Duration::from_millis(400),
         regions: AllowedRegions::default(),
         suspicion: Suspicion::default(),
+        repeatable: true,
     }
 }
 
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -19,7 +19,7 @@
 
 use crate::cache_site::FeedSite;
 use crate::dialect::Dialect;
-use crate::dispatch::{DispatchBounds, Dispatcher};
+use crate::dispatch::{DispatchBounds, Dispatcher, HealthBounds};
 use crate::feed::{FeedConfig, follow_agents};
 use crate::forward::Forwarder;
 use crate::hall_reader::HallReaders;
@@ -78,6 +78,7 @@
         evacuation: settings.evacuation_bound(),
         cold: settings.cold,
         regions: settings.regions.clone().unwrap_or_default(),
+        health: settings.health.map(HealthBounds::new).transpose()?,
     };
     let hall = Arc::clone(&settings.hall);
     let instance = Arc::clone(&settings.instance);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -142,6 +142,10 @@
         self.metrics.limited.set(restricted.limited as i64);
         self.metrics.leaving.set(restricted.leaving as i64);
         self.metrics.resting.set(restricted.resting as i64);
+        let health = self.dispatcher.count_health();
+        self.metrics.ejected.set(health.ejected as i64);
+        self.metrics.ejections.set(health.ejections as i64);
+        self.metrics.trials.set(health.trials as i64);
         if let Some(age) = self.facts.routes_age() {
             self.metrics.routes_age.set(age.as_secs_f64());
         }
@@ -276,12 +280,15 @@
         if is_framed(&head.headers) {
             self.poison.record_answer(context);
         }
-        let mut retry = false;
         let failed = status.is_server_error();
-        if failed && context.route.repeat != Repeat::Never {
-            retry = self.has_retry_left(context, &place);
-        } else {
+        let repeatable = context.route.repeat != Repeat::Never;
+        let retry =
+            failed && repeatable && self.has_retry_left(context, &place);
+        if failed && self.dispatcher.tracks_health() {
+            place.record_outcome(Outcome::Errored);
+        } else if !failed || !repeatable {
             place.record_outcome(Outcome::Succeeded);
+            place.record_whole();
         }
         let why = format!("the replica answered {status}");
         let error = AttemptError::new(AttemptResult::NoResponse, why);
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -5,7 +5,7 @@
 
 use hyper::Response;
 use stairhinge::direct::{
-    AttemptResult, NextStep, Replica, Shortage, next_step,
+    AttemptResult, NextStep, Repeat, Replica, Shortage, next_step,
 };
 use stairhinge::placing::{Need, NoPlaceReason};
 use stairhinge::poison::Suspicion;
@@ -64,6 +64,8 @@
         let mut attempt = 1;
         loop {
             let place = self.admitted_place(context, &mut need, ran).await?;
+            // The retry of a request that failed is no trial.
+            need.repeatable = false;
             let suspicion = need.suspicion;
             need.tried.push(Arc::clone(&place.replica.incarnation));
             let sent = Instant::now();
@@ -218,5 +220,7 @@
         objective: context.route.objective(),
         regions: context.regions.clone(),
         suspicion: Suspicion::default(),
+        repeatable: context.route.repeat != Repeat::Never
+            && context.route.attempts > 1,
     }
 }
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -34,6 +34,9 @@
         after_event: Option<u64>,
     ) -> Result<Answered, AttemptError> {
         let replica = Arc::clone(&place.replica);
+        if self.dispatcher.tracks_health() {
+            place.set_source(context.source(), attempt == 1);
+        }
         let never = context.route.repeat == Repeat::Never;
         let incarnation = &replica.incarnation;
         let got = self.pool.get(incarnation, replica.addr, never).await;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -46,4 +46,4 @@
 pub use self::news::fetch_routes;
 pub use self::published::{FetchError, fetch_published};
 pub use self::report::EngineReport;
-pub use self::settings::{EntrySettings, RetryBound};
+pub use self::settings::{EntrySettings, HealthSettings, RetryBound};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -65,6 +65,9 @@
     pub limited: Gauge,
     pub leaving: Gauge,
     pub resting: Gauge,
+    pub ejected: Gauge,
+    pub ejections: Gauge,
+    pub trials: Gauge,
 }
 
 impl EntryMetrics {
@@ -99,6 +102,9 @@
             limited: Gauge::default(),
             leaving: Gauge::default(),
             resting: Gauge::default(),
+            ejected: Gauge::default(),
+            ejections: Gauge::default(),
+            trials: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -189,6 +195,20 @@
             "Replicas that asked for rest",
             resting,
         );
+        let ejected = self.ejected.clone();
+        r.register(
+            "replicas_ejected",
+            "Replicas excluded for their failures",
+            ejected,
+        );
+        let ejections = self.ejections.clone();
+        r.register("ejections", "Ejections since the start", ejections);
+        let trials = self.trials.clone();
+        r.register(
+            "trials",
+            "Requests sent as trials to ejected replicas, since the start",
+            trials,
+        );
         let places_given = self.places_given.clone();
         r.register("places_given", "Places that others have", places_given);
         let places_taken_back = self.places_taken_back.clone();
--- a/crates/gateway/src/placing/asker.rs
+++ b/crates/gateway/src/placing/asker.rs
@@ -144,7 +144,7 @@
 }
 
 fn return_place(wire: &PeerSocket, placer: SocketAddr, number: u64) {
-    let event = PlaceEvent::Ended { outcome: Outcome::Unknown };
+    let event = PlaceEvent::ended(Outcome::Unknown, None, None);
     wire.send(placer, &Message::Event { number, event });
 }
 
--- a/crates/gateway/src/placing/lease.rs
+++ b/crates/gateway/src/placing/lease.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use stairhinge::health::Source;
 use stairhinge::placing::{Message, Outcome, PlaceEvent, RateLimit};
 
 use super::asker::millis;
@@ -17,6 +18,9 @@
     placer: SocketAddr,
     number: u64,
     outcome: Outcome,
+    /// The source of the request and how long the replica took, if the outcome
+    /// says whether the replica fails.
+    evidence: Option<(Source, Duration)>,
 }
 
 impl Lease {
@@ -26,7 +30,8 @@
         placer: SocketAddr,
         number: u64,
     ) -> Lease {
-        Lease { wire, placer, number, outcome: Outcome::Unknown }
+        let outcome = Outcome::Unknown;
+        Lease { wire, placer, number, outcome, evidence: None }
     }
 
     /// Reports to the placer that the replica has started to answer, `took`
@@ -73,6 +78,16 @@
         self.outcome = outcome;
     }
 
+    /// Sets the source of the request, and how long the replica took, which
+    /// are reported with an outcome that says whether the replica fails.
+    pub(crate) fn set_evidence(
+        &mut self,
+        source: Option<Source>,
+        took: Duration,
+    ) {
+        self.evidence = source.map(|source| (source, took));
+    }
+
     fn send_event(&self, event: PlaceEvent) {
         let message = Message::Event { number: self.number, event };
         self.wire.send(self.placer, &message);
@@ -81,6 +96,8 @@
 
 impl Drop for Lease {
     fn drop(&mut self) {
-        self.send_event(PlaceEvent::Ended { outcome: self.outcome });
+        let source = self.evidence.map(|(source, _)| source);
+        let took_ms = self.evidence.map(|(_, took)| millis(took));
+        self.send_event(PlaceEvent::ended(self.outcome, source, took_ms));
     }
 }
--- a/crates/gateway/src/placing/placer.rs
+++ b/crates/gateway/src/placing/placer.rs
@@ -135,12 +135,12 @@
                     place.apply_retry_after(retry_after);
                 }
             }
-            PlaceEvent::Ended { outcome } => {
+            PlaceEvent::Ended { outcome, errored, source, took_ms } => {
                 let ended = self.lock().remove(&key);
                 let Some(mut place) = ended else { return };
-                if outcome != Outcome::Unknown {
-                    place.record_outcome(outcome);
-                }
+                let outcome = if errored { Outcome::Errored } else { outcome };
+                let took = took_ms.map(u64::from).map(Duration::from_millis);
+                place.record_reported_end(outcome, source, took);
             }
         }
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -222,7 +222,8 @@
     fn finish(&mut self) {
         self.ended = true;
         if let Some(upstream) = self.upstream.take() {
-            let Upstream { connection, place, body, .. } = upstream;
+            let Upstream { connection, mut place, body, .. } = upstream;
+            place.record_whole();
             drop(body);
             if is_framed(&self.headers) {
                 self.forwarder.poison.record_answer(&self.context);
@@ -321,6 +322,8 @@
             objective: self.context.route.objective(),
             regions: self.context.regions.clone(),
             suspicion: self.suspicion,
+            // A stream that has been interrupted once is no trial.
+            repeatable: false,
         };
         let left = self.context.remaining();
         let until = Instant::now() + MAX_RESUME_WAIT.min(left);
--- a/crates/gateway/src/request_context.rs
+++ b/crates/gateway/src/request_context.rs
@@ -7,6 +7,7 @@
 use hyper::header::HOST;
 use hyper::http::request::Parts;
 use stairhinge::direct::{AllowedRegions, Route};
+use stairhinge::health::Source;
 use stairhinge::poison::{Fingerprint, Identity};
 
 use crate::dialect::CallerRequest;
@@ -52,6 +53,12 @@
         })
     }
 
+    /// Returns the source by which outcomes are compared.
+    pub(crate) fn source(&self) -> Source {
+        let route = &self.route;
+        Source::new(&route.host, &route.prefix, self.workspace.as_deref())
+    }
+
     /// Returns the workspace's name or, if the route requires no key, the key
     /// that the caller sent anyway.
     fn caller_name(&self) -> &str {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 use stairhinge::Error;
 use stairhinge::direct::{EvacuationBound, HallRegions};
+use stairhinge::health::EjectionLimits;
 use stairhinge::number::{maybe_whole, whole};
 use stairhinge::placing::ColdBound;
 use stairhinge_shell::{LinkMbps, Settings, read_settings};
@@ -42,6 +43,38 @@
     }
 }
 
+/// The detection and exclusion of failing and slow replicas by the outcomes of
+/// their requests.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+pub struct HealthSettings {
+    /// The maximum share of a service's replicas that is ejected at a time;
+    /// 0.5 by default.
+    #[serde(default)]
+    pub max_ejected: Option<f64>,
+    /// How long a replica is excluded the first time, in milliseconds; 1,000
+    /// by default.
+    #[serde(default, deserialize_with = "maybe_whole")]
+    pub eject_ms: Option<u64>,
+    /// Whether the observed speed of replicas counts; true by default.
+    #[serde(default)]
+    pub speed: Option<bool>,
+}
+
+impl HealthSettings {
+    /// Returns the limits on ejections.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::OutOfRange`](stairhinge::Code::OutOfRange) for a value outside
+    /// its range.
+    pub fn limits(self) -> Result<EjectionLimits, Error> {
+        let first =
+            self.eject_ms.map_or(EjectionLimits::FIRST, Duration::from_millis);
+        let max = self.max_ejected.unwrap_or(EjectionLimits::MAX_EJECTED);
+        EjectionLimits::new(max, first)
+    }
+}
+
 /// The settings of an entry that sends requests directly to replicas.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct EntrySettings {
@@ -102,6 +135,10 @@
     /// The bound on requests to a cold replica.
     #[serde(default)]
     pub cold: ColdLimits,
+    /// The detection of failing and slow replicas by the outcomes of their
+    /// requests; `None` disables it.
+    #[serde(default)]
+    pub health: Option<HealthSettings>,
     /// Whether the whole platform starts for the first time, so that no
     /// process serves callers yet.
     #[serde(default)]
@@ -168,6 +205,7 @@
             return Err(Error::range("grace_s", 0, "1 or more"));
         }
         settings.link_mbps.check()?;
+        settings.health.unwrap_or_default().limits()?;
         if !(0.0..=1.0).contains(&settings.retry.ratio) {
             let ratio = settings.retry.ratio;
             return Err(Error::range("retry.ratio", ratio, "0 to 1"));
--- a/crates/shell/src/decisions/decision.rs
+++ b/crates/shell/src/decisions/decision.rs
@@ -181,6 +181,39 @@
         /// The duration in milliseconds.
         for_ms: u64,
     },
+    /// A replica is excluded because it fails more requests than the others of
+    /// its service, or because it failed its trials.
+    ReplicaEjected {
+        /// The incarnation of the replica.
+        replica: &'a str,
+        /// The requests that failed since it was suspected.
+        failures: u32,
+        /// All requests since it was suspected.
+        requests: u32,
+        /// The rate at which such requests fail at the other replicas.
+        expected: f64,
+        /// The number of consecutive ejections.
+        ejections: u32,
+        /// The duration in milliseconds.
+        for_ms: u64,
+        /// Whether it failed its trials.
+        trial: bool,
+    },
+    /// An ejected replica gets a request as a trial.
+    ReplicaTrial {
+        /// The incarnation of the replica.
+        replica: &'a str,
+        /// The number of consecutive ejections.
+        ejections: u32,
+    },
+    /// An ejected replica returns.
+    ReplicaReadmitted {
+        /// The incarnation of the replica.
+        replica: &'a str,
+        /// Whether it passed its trials. It also returns if there are no
+        /// requests for trials, or if another replica fails more.
+        tried: bool,
+    },
     /// A request was sent to a replica.
     Sent {
         /// The request's id.
--- a/src/direct/balance.rs
+++ b/src/direct/balance.rs
@@ -155,6 +155,19 @@
             && self.latency.backlog_ms(&self.load) <= self.max_backlog_ms
     }
 
+    /// Returns the expected time to the first token of a request with this
+    /// many prompt tokens, in milliseconds, or `None` if the latency
+    /// parameters do not include prompts.
+    pub fn expected_first_token_ms(&self, prompt_tokens: u32) -> Option<f64> {
+        let rate = self.latency.tokens_per_ms;
+        let prompt = f64::from(prompt_tokens) / rate;
+        (rate > 0.0).then(|| {
+            self.latency.first_token_ms(&self.load)
+                + Candidate::IDLE_FIRST_TOKEN_MS
+                + prompt
+        })
+    }
+
     fn cost(&self) -> f64 {
         let cross_hall =
             if self.near { 0.0 } else { Candidate::CROSS_HALL_MS };
--- a/src/explanation/log_line.rs
+++ b/src/explanation/log_line.rs
@@ -77,6 +77,22 @@
         /// How long it is excluded, in milliseconds.
         for_ms: u64,
     },
+    /// A replica is excluded because it fails more requests than the others.
+    ReplicaEjected {
+        /// The replica's incarnation.
+        replica: Arc<str>,
+        /// The requests that failed since it was suspected.
+        failures: u32,
+        /// All requests since it was suspected.
+        requests: u32,
+        /// How long it is excluded, in milliseconds.
+        for_ms: u64,
+    },
+    /// An ejected replica returns.
+    ReplicaReadmitted {
+        /// The replica's incarnation.
+        replica: Arc<str>,
+    },
     /// A request was sent to a replica.
     Sent {
         /// The request's id.
@@ -251,6 +267,8 @@
             | LoggedDecision::Resumed { replica, .. }
             | LoggedDecision::ReplicaListed { replica, .. }
             | LoggedDecision::ReplicaUnlisted { replica, .. }
+            | LoggedDecision::ReplicaEjected { replica, .. }
+            | LoggedDecision::ReplicaReadmitted { replica }
             | LoggedDecision::ReplicaSuspect { replica, .. } => Some(replica),
             _ => None,
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,8 @@
 * [`poison`] detects requests that crash the replicas that run them.
 * [`placing`] lets one entry of a data hall select replicas for all entries of
   that hall.
+* [`health`] detects and excludes failing and slow replicas by the outcomes of
+  their requests.
 * [`event`] merges the events of all processes into one timeline.
 * [`explanation`] derives from logs why a request ended as it did.
 * [`number`] parses numbers in settings and documents.
@@ -68,6 +70,7 @@
 pub mod document;
 pub mod event;
 pub mod explanation;
+pub mod health;
 pub mod number;
 pub mod placing;
 pub mod poison;
--- a/src/placing.rs
+++ b/src/placing.rs
@@ -55,6 +55,8 @@
 #[cfg(test)]
 mod cold_bound_tests;
 #[cfg(test)]
+mod message_tests;
+#[cfg(test)]
 mod notice_tests;
 #[cfg(test)]
 mod placer_simulation_tests;
--- a/src/placing/message.rs
+++ b/src/placing/message.rs
@@ -14,6 +14,7 @@
 
 use super::RateLimit;
 use crate::direct::AllowedRegions;
+use crate::health::Source;
 use crate::poison::{PoisonMessage, Suspicion};
 
 /// The content of one datagram.
@@ -69,6 +70,10 @@
     /// How strongly it is suspected of crashing the replicas on which it runs.
     #[serde(default)]
     pub suspicion: Suspicion,
+    /// Whether it can be sent to another replica if the first one fails. Only
+    /// such requests are sent as trials to replicas that have failed.
+    #[serde(default)]
+    pub repeatable: bool,
 }
 
 impl Need {
@@ -185,11 +190,40 @@
     },
     /// The request has ended, so the place is free.
     Ended {
-        /// The outcome of the request.
+        /// The outcome of the request; never [`Outcome::Errored`], which
+        /// placers of earlier builds cannot decode.
         outcome: Outcome,
+        /// Whether the outcome is [`Outcome::Errored`].
+        #[serde(default, skip_serializing_if = "is_false")]
+        errored: bool,
+        /// The source of the request, if its outcome says whether the replica
+        /// fails: it failed, or its answer was complete.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        source: Option<Source>,
+        /// The time that the replica took, in milliseconds.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        took_ms: Option<u32>,
     },
 }
 
+impl PlaceEvent {
+    /// Returns the end of a request. `source` is given if the outcome says
+    /// whether the replica fails, which it did after `took_ms` milliseconds.
+    pub const fn ended(
+        outcome: Outcome,
+        source: Option<Source>,
+        took_ms: Option<u32>,
+    ) -> PlaceEvent {
+        let errored = matches!(outcome, Outcome::Errored);
+        let outcome = if errored { Outcome::Unknown } else { outcome };
+        PlaceEvent::Ended { outcome, errored, source, took_ms }
+    }
+}
+
+const fn is_false(value: &bool) -> bool {
+    !*value
+}
+
 /// The outcome of a request, as an indication of the replica's health.
 #[derive(
     Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize,
@@ -203,6 +237,9 @@
     Succeeded,
     /// The replica failed.
     Failed,
+    /// The replica answered with an error of its own. This may be due to the
+    /// request.
+    Errored,
     /// The replica rejected the request because it had no capacity.
     Full,
     /// The replica answered that it is a different one or has a different
--- a/src/placing/recent_objectives_tests.rs
+++ b/src/placing/recent_objectives_tests.rs
@@ -45,6 +45,7 @@
         objective: Duration::from_millis(objective_ms),
         regions: AllowedRegions::default(),
         suspicion: Suspicion::default(),
+        repeatable: true,
     }
 }
 
