--- a/src/health/tests.rs
+++ b/src/health/tests.rs
@@ -49,8 +49,9 @@
 #[test]
 fn an_ejected_replica_returns_by_trials() {
     let mut health = ReplicaHealth::default();
-    record(&mut health, 3, true, at(0));
-    assert_eq!(health.standing(at(0)), Standing::InService);
+    let mut three = health.clone();
+    record(&mut three, 3, true, at(0));
+    assert_eq!(three.standing(at(0)), Standing::InService);
     record(&mut health, 4, true, at(0));
     assert_eq!(health.standing(at(999)), Standing::Ejected);
     assert_eq!(health.standing(at(1_000)), Standing::OnTrial);
@@ -71,8 +72,14 @@
     assert_eq!(health.max_requests(12, at(5_000)), None);
     assert_eq!(health.check(false, true, 1, 12, at(3_000)), HealthCheck::Full);
     // Two failures after the return eject it again.
-    record(&mut health, 2, true, at(5_000));
-    assert_eq!(health.standing(at(8_900)), Standing::Ejected);
+    let limits = EjectionLimits::default();
+    let [one, other] = [10, 11].map(|workspace| {
+        let sample = sample(workspace, true, false);
+        health.record(&sample, Expectation::default(), limits, at(4_000))
+    });
+    assert_eq!([one, other], [None, Some(HealthChange::Failing)]);
+    health.eject(limits, at(4_000));
+    assert_eq!(health.standing(at(7_900)), Standing::Ejected);
 }
 
 /// Guards against replicas of services without repeatable requests that stay
