--- a/crates/gateway/src/dispatch/find.rs
+++ b/crates/gateway/src/dispatch/find.rs
@@ -11,6 +11,7 @@
 use stairhinge_shell::decisions::Decision;
 use stairhinge_shell::directory::{FactsView, Standing};
 
+use super::place::PlaceOutcome;
 use super::terms::Terms;
 use super::{Dispatcher, Place, State};
 use crate::placing::Chooser;
@@ -179,6 +180,11 @@
             state.known.entry(Arc::clone(&replica.incarnation)).or_default();
         known.record_assigned(need, self.facts.now());
         let reported = known.reported.as_ref();
+        let outcome = PlaceOutcome {
+            trial,
+            expected_ms: candidate.expected_first_token_ms(need.prompt_tokens),
+            ..PlaceOutcome::default()
+        };
         Some(Place {
             version: terms.version.or(need.version),
             begin_by: terms.begin_by,
@@ -191,12 +197,7 @@
             lease: None,
             given_at: Instant::now(),
             began: false,
-            trial,
-            expected_ms: candidate.expected_first_token_ms(need.prompt_tokens),
-            failed: None,
-            is_retry: false,
-            source: None,
-            took: None,
+            outcome: Box::new(outcome),
             replica,
             dispatcher: Weak::clone(&self.this),
         })
--- a/crates/gateway/src/dispatch/hall.rs
+++ b/crates/gateway/src/dispatch/hall.rs
@@ -183,16 +183,11 @@
             report_age: placed.report_age_ms.map(Duration::from_millis),
             limit: placed.limit,
             chooser: Chooser::Placer(placer),
-            lease: Some(lease),
+            lease: Some(Box::new(lease)),
             prompt_tokens: need.prompt_tokens,
             given_at: Instant::now(),
             began: false,
-            trial: false,
-            expected_ms: None,
-            failed: None,
-            is_retry: false,
-            source: None,
-            took: None,
+            outcome: Box::default(),
             dispatcher: Weak::clone(&self.this),
         })
     }
--- a/crates/gateway/src/dispatch/health.rs
+++ b/crates/gateway/src/dispatch/health.rs
@@ -159,7 +159,7 @@
     /// Records the time to the first byte of a request.
     pub(super) fn record_first_byte(&self, place: &Place, took: Duration) {
         let Some(bounds) = &self.bounds.health else { return };
-        let Some(expected_ms) = place.expected_ms else { return };
+        let Some(expected_ms) = place.outcome.expected_ms else { return };
         if !bounds.speed {
             return;
         }
@@ -190,7 +190,7 @@
         let Some(HealthBounds { limits, .. }) = self.bounds.health else {
             return;
         };
-        let trial = place.trial;
+        let trial = place.outcome.trial;
         let Some((failed, source)) = failed.zip(source) else {
             if trial {
                 self.record_trial_void(&place.replica);
--- a/crates/gateway/src/dispatch/place.rs
+++ b/crates/gateway/src/dispatch/place.rs
@@ -12,6 +12,26 @@
 use crate::dialect::ReplicaNotice;
 use crate::placing::{Chooser, Lease};
 
+/// What is known of the outcome of the request that uses a place.
+#[derive(Debug, Default)]
+pub(super) struct PlaceOutcome {
+    /// Whether the request is a trial of a replica that was ejected.
+    pub trial: bool,
+    /// The expected time to the first token, if this entry chose the replica
+    /// and the service has an engine, in milliseconds.
+    pub expected_ms: Option<f64>,
+    /// Whether the request failed, if its outcome says anything about the
+    /// replica.
+    pub failed: Option<bool>,
+    /// Whether the request was sent to another replica before.
+    pub is_retry: bool,
+    /// The source of the request, if outcomes are evaluated.
+    pub source: Option<Source>,
+    /// How long the replica took, as reported by the entry that used the
+    /// place.
+    pub took: Option<Duration>,
+}
+
 /// A place at a replica, released on drop.
 #[derive(Debug)]
 pub(crate) struct Place {
@@ -32,47 +52,40 @@
     /// Which process chose the replica, and why.
     pub chooser: Chooser,
     /// The lease from the placer, if the placer granted the place.
-    pub(super) lease: Option<Lease>,
+    pub(super) lease: Option<Box<Lease>>,
     pub(super) prompt_tokens: u32,
     pub(super) given_at: Instant,
     pub(super) began: bool,
-    /// Whether the request is a trial of a replica that was ejected.
-    pub(super) trial: bool,
-    /// The expected time to the first token, if this entry chose the replica
-    /// and the service has an engine, in milliseconds.
-    pub(super) expected_ms: Option<f64>,
-    /// Whether the request failed, if its outcome says anything about the
-    /// replica.
-    pub(super) failed: Option<bool>,
-    /// Whether the request was sent to another replica before.
-    pub(super) is_retry: bool,
-    /// The source of the request, if outcomes are evaluated.
-    pub(super) source: Option<Source>,
-    /// How long the replica took, as reported by the entry that used the
-    /// place.
-    pub(super) took: Option<Duration>,
+    pub(super) outcome: Box<PlaceOutcome>,
     pub(super) dispatcher: Weak<Dispatcher>,
 }
 
 impl Place {
-    /// Records that the replica has started to answer.
-    pub(crate) fn record_begin(&mut self) {
-        self.record_begin_after(self.given_at.elapsed());
+    /// Records that the replica has started to answer, with an error response
+    /// if `errored` is set.
+    pub(crate) fn record_begin(&mut self, errored: bool) {
+        self.record_begin_after(self.given_at.elapsed(), errored);
     }
 
     /// Records that the replica has started to answer `took` after the place
     /// was granted.
-    pub(crate) fn record_begin_after(&mut self, took: Duration) {
+    pub(crate) fn record_begin_after(
+        &mut self,
+        took: Duration,
+        errored: bool,
+    ) {
         if std::mem::replace(&mut self.began, true) {
             return;
         }
         if let Some(lease) = &self.lease {
-            lease.report_began(took);
+            lease.report_began(took, errored);
         }
         if let Some(dispatcher) = self.dispatcher.upgrade() {
             let tokens = self.prompt_tokens;
             dispatcher.record_begin(&self.replica.incarnation, tokens, took);
-            dispatcher.record_first_byte(self, took);
+            if !errored {
+                dispatcher.record_first_byte(self, took);
+            }
         }
     }
 
@@ -149,13 +162,13 @@
     /// Sets the source of the request for which the place is used, and whether
     /// this is its first attempt.
     pub(crate) const fn set_source(&mut self, source: Source, first: bool) {
-        self.source = Some(source);
-        self.is_retry = !first;
+        self.outcome.source = Some(source);
+        self.outcome.is_retry = !first;
     }
 
     /// Records that the replica's answer was complete.
     pub(crate) fn record_whole(&mut self) {
-        self.failed = self.failed.or(Some(false));
+        self.outcome.failed = self.outcome.failed.or(Some(false));
     }
 
     /// Records the end of the request as reported by the entry that used the
@@ -170,8 +183,8 @@
         if outcome != Outcome::Unknown {
             self.record_outcome(outcome);
         }
-        self.source = source;
-        self.took = took;
+        self.outcome.source = source;
+        self.outcome.took = took;
         if source.is_some() && outcome == Outcome::Succeeded {
             self.record_whole();
         }
@@ -183,9 +196,9 @@
         // An error response to a request that another replica has answered
         // with an error is due to the request, which counts once.
         let counts = outcome == Outcome::Failed
-            || (outcome == Outcome::Errored && !self.is_retry);
+            || (outcome == Outcome::Errored && !self.outcome.is_retry);
         if counts {
-            self.failed = Some(true);
+            self.outcome.failed = Some(true);
         }
         if let Some(lease) = &mut self.lease {
             lease.set_outcome(outcome);
@@ -206,14 +219,20 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        let took = self.took.unwrap_or_else(|| self.given_at.elapsed());
+        let took =
+            self.outcome.took.unwrap_or_else(|| self.given_at.elapsed());
         if let Some(lease) = &mut self.lease
-            && self.failed.is_some()
+            && self.outcome.failed.is_some()
         {
-            lease.set_evidence(self.source, took);
+            lease.set_evidence(self.outcome.source, took);
         }
         if let Some(dispatcher) = self.dispatcher.upgrade() {
-            dispatcher.record_ended(self, self.failed, self.source, took);
+            dispatcher.record_ended(
+                self,
+                self.outcome.failed,
+                self.outcome.source,
+                took,
+            );
         }
         if let Some(dispatcher) = self.dispatcher.upgrade() {
             dispatcher.release_place(self);
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -80,7 +80,7 @@
         }
         match judgement {
             ResponseKind::Answer { version } => {
-                place.record_begin();
+                place.record_begin(head.status.is_server_error());
                 let upstream =
                     Upstream { body, connection, place, sent: at, version };
                 Ok(Answered { head, upstream })
--- a/crates/gateway/src/placing/lease.rs
+++ b/crates/gateway/src/placing/lease.rs
@@ -35,9 +35,11 @@
     }
 
     /// Reports to the placer that the replica has started to answer, `took`
-    /// after the place was granted.
-    pub(crate) fn report_began(&self, took: Duration) {
-        self.send_event(PlaceEvent::Began { took_ms: millis(took) });
+    /// after the place was granted, with an error response if `errored` is
+    /// set.
+    pub(crate) fn report_began(&self, took: Duration, errored: bool) {
+        let took_ms = millis(took);
+        self.send_event(PlaceEvent::Began { took_ms, errored });
     }
 
     /// Reports the replica's rate limit to the placer. `sent_ago` and
--- a/crates/gateway/src/placing/placer.rs
+++ b/crates/gateway/src/placing/placer.rs
@@ -109,10 +109,10 @@
     ) {
         let key = PlaceKey { requester: from, number };
         match event {
-            PlaceEvent::Began { took_ms } => {
+            PlaceEvent::Began { took_ms, errored } => {
                 let took = Duration::from_millis(u64::from(took_ms));
                 if let Some(place) = self.lock().get_mut(&key) {
-                    place.record_begin_after(took);
+                    place.record_begin_after(took, errored);
                 }
             }
             PlaceEvent::Limit { limit, sent_ms, received_ms } => {
--- a/src/health/simulation_tests.rs
+++ b/src/health/simulation_tests.rs
@@ -59,6 +59,10 @@
     bad: bool,
 }
 
+/// Returns the time until the failure, in milliseconds, if a replica fails a
+/// request at a time. The last argument is a random number.
+type Fault = dyn Fn(usize, u64, &Request, f64) -> Option<u64>;
+
 /// A service under load, and its fault.
 struct Day {
     replicas: usize,
@@ -68,9 +72,7 @@
     entries: usize,
     placers: usize,
     routes: Vec<Route>,
-    /// Returns the time until the failure, in milliseconds, if a replica fails
-    /// a request at a time.
-    fault: Box<dyn Fn(usize, u64, &Request, f64) -> Option<u64>>,
+    fault: Box<Fault>,
     /// When all placers are replaced by new ones.
     replace_placers_at: Option<u64>,
     /// When all entries restart.
--- a/src/placing/message.rs
+++ b/src/placing/message.rs
@@ -164,6 +164,10 @@
     Began {
         /// The time since the place was given, in milliseconds.
         took_ms: u32,
+        /// Whether the answer is an error response, whose time says nothing
+        /// about the replica's speed.
+        #[serde(default, skip_serializing_if = "is_false")]
+        errored: bool,
     },
     /// The replica's rate limit differs from the one that the placer knew.
     Limit {
--- a/src/placing/message_tests.rs
+++ b/src/placing/message_tests.rs
@@ -12,6 +12,11 @@
     let message = Message::Event { number: 7, event };
     assert_eq!(serde_json::to_string(&message).unwrap(), old);
     assert_eq!(serde_json::from_str::<Message>(old).unwrap(), message);
+    let old = r#"{"event":{"number":7,"event":{"began":{"took_ms":9}}}}"#;
+    let event = PlaceEvent::Began { took_ms: 9, errored: false };
+    let message = Message::Event { number: 7, event };
+    assert_eq!(serde_json::to_string(&message).unwrap(), old);
+    assert_eq!(serde_json::from_str::<Message>(old).unwrap(), message);
     let source = Source::new("a.example", "/x/", None);
     let event = PlaceEvent::ended(Outcome::Errored, Some(source), Some(85));
     let json = serde_json::to_value(event).unwrap();
