Test the observed speed of engines in virtual time

Cause: the speed factor was tested only on single series of ratios.

Change: a simulation of 20 engines that are slow for periods of 0.6 s.

--- a/src/health.rs
+++ b/src/health.rs
@@ -43,4 +43,6 @@
 #[cfg(test)]
 mod simulation_tests;
 #[cfg(test)]
+mod speed_simulation_tests;
+#[cfg(test)]
 mod tests;
