--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -4,6 +4,7 @@
 mod admit;
 mod find;
 mod hall;
+mod health;
 mod known;
 mod news;
 mod no_place;
@@ -30,6 +31,8 @@
 
 use self::admit::Arrived;
 use self::find::layer_count;
+pub(crate) use self::health::HealthBounds;
+use self::health::HealthState;
 use self::known::{KnownReplica, ReceivedReport};
 pub(crate) use self::no_place::NoPlace;
 pub(crate) use self::place::Place;
@@ -46,6 +49,7 @@
     admission: Option<Admission>,
     contention: Contention,
     recent_objectives: RecentObjectives,
+    health: HealthState,
     /// The first-ranked entries of each hall, as reported by agents of this
     /// hall.
     entries: Arc<Vec<HallEntry>>,
@@ -70,6 +74,8 @@
     pub regions: HallRegions,
     /// Admission control under overload; `None` disables it.
     pub overload: Option<OverloadSettings>,
+    /// The limits on the exclusion of failing replicas, if it is enabled.
+    pub health: Option<HealthBounds>,
 }
 
 /// The number of replicas of a service, by whether they can take a request.
--- a/crates/gateway/src/dispatch/queue_tests.rs
+++ b/crates/gateway/src/dispatch/queue_tests.rs
@@ -28,6 +28,7 @@
         left_ms: 0,
         answer_tokens: None,
         continued: false,
+        repeatable: true,
     }
 }
 
--- a/crates/gateway/src/placing/placer.rs
+++ b/crates/gateway/src/placing/placer.rs
@@ -111,10 +111,10 @@
     ) {
         let key = PlaceKey { requester: from, number };
         match event {
-            PlaceEvent::Began { took_ms } => {
+            PlaceEvent::Began { took_ms, errored } => {
                 let took = Duration::from_millis(u64::from(took_ms));
                 if let Some(place) = self.lock().get_mut(&key) {
-                    place.record_begin_after(took);
+                    place.record_begin_after(took, errored);
                 }
             }
             PlaceEvent::Limit { limit, sent_ms, received_ms } => {
@@ -137,12 +137,12 @@
                     place.apply_retry_after(retry_after);
                 }
             }
-            PlaceEvent::Ended { outcome } => {
+            PlaceEvent::Ended { outcome, errored, source, took_ms } => {
                 let ended = self.lock().remove(&key);
                 let Some(mut place) = ended else { return };
-                if outcome != Outcome::Unknown {
-                    place.record_outcome(outcome);
-                }
+                let outcome = if errored { Outcome::Errored } else { outcome };
+                let took = took_ms.map(u64::from).map(Duration::from_millis);
+                place.record_reported_end(outcome, source, took);
             }
         }
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -222,7 +222,8 @@
     fn finish(&mut self) {
         self.ended = true;
         if let Some(upstream) = self.upstream.take() {
-            let Upstream { connection, place, body, .. } = upstream;
+            let Upstream { connection, mut place, body, .. } = upstream;
+            place.record_whole();
             drop(body);
             if is_framed(&self.headers) {
                 self.forwarder.poison.record_answer(&self.context);
@@ -325,6 +326,8 @@
             left_ms: 0,
             answer_tokens: None,
             continued: self.forwarder.dispatcher.has_admission(),
+            // A stream that has been interrupted once is no trial.
+            repeatable: false,
         };
         let left = self.context.remaining();
         let until = Instant::now() + MAX_RESUME_WAIT.min(left);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,8 @@
 * [`poison`] detects requests that crash the replicas that run them.
 * [`placing`] lets one entry of a data hall select replicas for all entries of
   that hall.
+* [`health`] detects and excludes failing and slow replicas by the outcomes of
+  their requests.
 * [`event`] merges the events of all processes into one timeline.
 * [`explanation`] derives from logs why a request ended as it did.
 * [`number`] parses numbers in settings and documents.
@@ -69,6 +71,7 @@
 pub mod document;
 pub mod event;
 pub mod explanation;
+pub mod health;
 pub mod number;
 pub mod overload;
 pub mod placing;
--- a/src/overload/simulation_tests.rs
+++ b/src/overload/simulation_tests.rs
@@ -375,6 +375,7 @@
             left_ms: left as u32,
             answer_tokens: Some(answer),
             continued: false,
+            repeatable: true,
         };
         let hall = caller.hall;
         let at = self.rng.random_range(0..self.load.choosers);
--- a/src/overload/tests.rs
+++ b/src/overload/tests.rs
@@ -34,6 +34,7 @@
         left_ms,
         answer_tokens: None,
         continued: false,
+        repeatable: true,
     }
 }
 
--- a/src/placing/recent_objectives_tests.rs
+++ b/src/placing/recent_objectives_tests.rs
@@ -49,6 +49,7 @@
         left_ms: 0,
         answer_tokens: None,
         continued: false,
+        repeatable: true,
     }
 }
 
