--- a/crates/gateway/src/dispatch/queue_tests.rs
+++ b/crates/gateway/src/dispatch/queue_tests.rs
@@ -27,6 +27,7 @@
         workspace: None,
         left_ms: 0,
         answer_tokens: None,
+        fingerprint: None,
         continued: false,
         repeatable: true,
     }
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -154,6 +154,7 @@
             need.workspace = context.workspace.clone();
             need.left_ms = millis(left).max(1);
             need.answer_tokens = (hint > 0).then_some(hint);
+            need.fingerprint = Some(context.fingerprint());
         }
         let found = self.placing.place(need.clone(), until, left).await;
         self.metrics.observe_wait(from.elapsed().as_secs_f64());
@@ -237,6 +238,7 @@
         workspace: None,
         left_ms: 0,
         answer_tokens: None,
+        fingerprint: None,
         continued: false,
         repeatable: context.route.repeat != Repeat::Never
             && context.route.attempts > 1,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -325,6 +325,7 @@
             workspace: None,
             left_ms: 0,
             answer_tokens: None,
+            fingerprint: None,
             continued: self.forwarder.dispatcher.has_admission(),
             // A stream that has been interrupted once is no trial.
             repeatable: false,
--- a/src/overload/admission.rs
+++ b/src/overload/admission.rs
@@ -11,6 +11,7 @@
 use super::refused_callers::RefusedCallers;
 use super::served_share::ServedShare;
 use super::settings::{OverloadSettings, Policy};
+use super::usual_left::UsualLeft;
 use crate::Time;
 use crate::direct::Engine;
 use crate::placing::Need;
@@ -68,6 +69,7 @@
 /// objective.
 #[derive(Debug)]
 struct Class {
+    usual: UsualLeft,
     /// The mean length of the answers for which a hint was given, in tokens.
     answer: Option<f64>,
 }
@@ -352,8 +354,10 @@
         {
             self.classes.clear();
         }
-        let class =
-            self.classes.entry(key).or_insert_with(|| Class { answer: None });
+        let class = self.classes.entry(key).or_insert_with(|| Class {
+            usual: UsualLeft::new(),
+            answer: None,
+        });
         let hint = need.answer_tokens.map(f64::from);
         if let Some(hint) = hint {
             let mean = class.answer.get_or_insert(hint);
@@ -378,7 +382,13 @@
         if need.continued || need.left_ms == 0 {
             return standing;
         }
-        let began = self.refused.take(need, now);
+        let workspace = need.workspace.as_ref();
+        let ago = class.usual.begun_ago(workspace, need.left_ms, now);
+        class.usual.record(workspace, need.left_ms, now);
+        let began = self
+            .refused
+            .take(need, now)
+            .or_else(|| (!ago.is_zero()).then(|| now.before(ago)));
         let max_first = need.objective.as_millis() as f64 * MAX_FIRST_FRACTION;
         let first = Duration::from_millis(self.first_ms.min(max_first) as u64);
         let begun = began.unwrap_or(now);
--- a/src/overload/refused_callers.rs
+++ b/src/overload/refused_callers.rs
@@ -7,36 +7,14 @@
 //!
 //! A caller is taken for a new one if it was refused by another process, or
 //! if it has more time than its route allows, because its time left is then
-//! that of the route whenever it comes. A new caller is taken for a returning
-//! one if a refused request of its workspace and class had as many prompt
-//! tokens and the same deadline.
+//! that of the route whenever it comes.
 
 use std::collections::HashMap;
-use std::sync::Arc;
 use std::time::Duration;
 
 use crate::Time;
 use crate::placing::Need;
-
-/// What a request keeps when its caller returns.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-struct CallerKey {
-    workspace: Option<Arc<str>>,
-    urgency: (u8, u8),
-    objective: Duration,
-    prompt_tokens: u32,
-}
-
-impl CallerKey {
-    fn of(need: &Need) -> CallerKey {
-        CallerKey {
-            workspace: need.workspace.clone(),
-            urgency: need.urgency(),
-            objective: need.objective,
-            prompt_tokens: need.prompt_tokens,
-        }
-    }
-}
+use crate::poison::Fingerprint;
 
 /// A refused caller.
 #[derive(Clone, Copy, Debug)]
@@ -49,13 +27,13 @@
 /// passed.
 #[derive(Clone, Debug, Default)]
 pub struct RefusedCallers {
-    callers: HashMap<CallerKey, Vec<RefusedCaller>>,
+    callers: HashMap<Fingerprint, Vec<RefusedCaller>>,
     len: usize,
     swept_at: Time,
 }
 
 impl RefusedCallers {
-    /// The maximum number of callers, at most 3 MB: those that a hall refuses
+    /// The maximum number of callers, at most 2 MB: those that a hall refuses
     /// in six seconds if it refuses half of 5,000 requests a second.
     const MAX_CALLERS: usize = 16_384;
 
@@ -73,9 +51,9 @@
         if self.len >= RefusedCallers::MAX_CALLERS {
             return;
         }
+        let Some(fingerprint) = need.fingerprint else { return };
         let deadline = deadline(need, arrived);
-        let key = CallerKey::of(need);
-        let known = self.callers.entry(key).or_default();
+        let known = self.callers.entry(fingerprint).or_default();
         known.push(RefusedCaller { began, deadline });
         self.len += 1;
     }
@@ -84,8 +62,8 @@
     /// was refused before, and forgets it.
     pub fn take(&mut self, need: &Need, now: Time) -> Option<Time> {
         let deadline = deadline(need, now);
-        let key = CallerKey::of(need);
-        let known = self.callers.get_mut(&key)?;
+        let fingerprint = need.fingerprint?;
+        let known = self.callers.get_mut(&fingerprint)?;
         let found = known.iter().position(|caller| {
             let early = caller.deadline.since(deadline);
             let late = deadline.since(caller.deadline);
@@ -93,7 +71,7 @@
         })?;
         let caller = known.swap_remove(found);
         if known.is_empty() {
-            self.callers.remove(&key);
+            self.callers.remove(&fingerprint);
         }
         self.len -= 1;
         Some(caller.began)
--- a/src/overload/settings.rs
+++ b/src/overload/settings.rs
@@ -32,7 +32,7 @@
 }
 
 const fn default_floor() -> f64 {
-    0.6
+    0.66
 }
 
 impl OverloadSettings {
--- a/src/overload/simulation_tests.rs
+++ b/src/overload/simulation_tests.rs
@@ -18,7 +18,7 @@
 use crate::Time;
 use crate::direct::{AllowedRegions, Engine, Shortage};
 use crate::placing::Need;
-use crate::poison::Suspicion;
+use crate::poison::{Fingerprint, Identity, Suspicion};
 
 /// The rate per second, the route priority, the objective in milliseconds,
 /// the tokens of a prompt and those of an answer of each class.
@@ -111,6 +111,8 @@
     workspace: usize,
     hall: usize,
     began: u64,
+    /// Distinguishes the bodies of requests.
+    body: u64,
     deadline: u64,
     often: bool,
     never: bool,
@@ -338,6 +340,7 @@
             workspace,
             hall: self.rng.random_range(0..self.load.halls),
             began: self.now,
+            body: self.rng.random(),
             deadline: (if short { DEADLINE_MS / 2 } else { DEADLINE_MS })
                 - self.rng.random_range(0..DEADLINE_MS / 7),
             often: kind < self.load.often,
@@ -374,6 +377,12 @@
             workspace: Some(Arc::from(format!("w{}", caller.workspace))),
             left_ms: left as u32,
             answer_tokens: Some(answer),
+            fingerprint: Some(Fingerprint::of(&Identity {
+                host: "",
+                path: "/",
+                caller: "",
+                body: &caller.body.to_le_bytes(),
+            })),
             continued: false,
             repeatable: true,
         };
--- a/src/placing/message.rs
+++ b/src/placing/message.rs
@@ -16,7 +16,7 @@
 use crate::direct::AllowedRegions;
 use crate::health::Source;
 use crate::overload::Full;
-use crate::poison::{PoisonMessage, Suspicion};
+use crate::poison::{Fingerprint, PoisonMessage, Suspicion};
 
 /// The content of one datagram.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -82,6 +82,10 @@
     /// The caller's hint of the length of the answer, in tokens, if any.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub answer_tokens: Option<u32>,
+    /// The fingerprint of the request, by which its caller is recognised when
+    /// it returns.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fingerprint: Option<Fingerprint>,
     /// Whether it continues a stream that has started.
     #[serde(default, skip_serializing_if = "is_false")]
     pub continued: bool,
--- a/src/placing/recent_objectives_tests.rs
+++ b/src/placing/recent_objectives_tests.rs
@@ -48,6 +48,7 @@
         workspace: None,
         left_ms: 0,
         answer_tokens: None,
+        fingerprint: None,
         continued: false,
         repeatable: true,
     }
