--- a/src/overload/tests.rs
+++ b/src/overload/tests.rs
@@ -149,7 +149,7 @@
     admission.record_contention("pool", at(3_000));
     for n in 0..100_u32 {
         let now = at(3_000 + u64::from(n) * 200);
-        let back = need(0, "w", 4_000);
+        let back = need(0, "w", 3_600);
         let back = admission.record_arrival(&back, None, now);
         assert!(!back.is_new() && back.is_late(now));
         let new = need(0, "w", 6_000 - n * 9);
