--- a/crates/gateway/src/dispatch/find.rs
+++ b/crates/gateway/src/dispatch/find.rs
@@ -179,10 +179,14 @@
         let known =
             state.known.entry(Arc::clone(&replica.incarnation)).or_default();
         known.record_assigned(need, self.facts.now());
+        let expected_ms =
+            candidate.expected_first_token_ms(need.prompt_tokens);
+        let number = self.record_awaited(known, expected_ms);
         let reported = known.reported.as_ref();
         let outcome = PlaceOutcome {
             trial,
-            expected_ms: candidate.expected_first_token_ms(need.prompt_tokens),
+            expected_ms,
+            number,
             ..PlaceOutcome::default()
         };
         Some(Place {
--- a/crates/gateway/src/dispatch/health.rs
+++ b/crates/gateway/src/dispatch/health.rs
@@ -156,6 +156,30 @@
         self.facts.log().write(&line);
     }
 
+    /// Records that the first byte of a request is expected after
+    /// `expected_ms` milliseconds. Returns its number.
+    pub(super) fn record_awaited(
+        &self,
+        known: &mut KnownReplica,
+        expected_ms: Option<f64>,
+    ) -> Option<u64> {
+        self.bounds.health.filter(|bounds| bounds.speed)?;
+        let now = self.facts.now();
+        Some(known.first_byte.record_sent(expected_ms?, now))
+    }
+
+    /// Records that the first byte of a request is no longer awaited.
+    pub(super) fn forget_awaited(&self, place: &Place) {
+        let Some(number) = place.outcome.number else { return };
+        let mut state = self.lock();
+        let known = state.known.get_mut(&place.replica.incarnation);
+        if let Some(known) =
+            known.filter(|k| k.matches_process(&place.replica))
+        {
+            known.first_byte.forget(number);
+        }
+    }
+
     /// Records the time to the first byte of a request.
     pub(super) fn record_first_byte(&self, place: &Place, took: Duration) {
         let Some(bounds) = &self.bounds.health else { return };
--- a/crates/gateway/src/dispatch/place.rs
+++ b/crates/gateway/src/dispatch/place.rs
@@ -20,6 +20,9 @@
     /// The expected time to the first token, if this entry chose the replica
     /// and the service has an engine, in milliseconds.
     pub expected_ms: Option<f64>,
+    /// The number of the request among those of the replica whose first byte
+    /// is awaited.
+    pub number: Option<u64>,
     /// Whether the request failed, if its outcome says anything about the
     /// replica.
     pub failed: Option<bool>,
@@ -83,6 +86,7 @@
         if let Some(dispatcher) = self.dispatcher.upgrade() {
             let tokens = self.prompt_tokens;
             dispatcher.record_begin(&self.replica.incarnation, tokens, took);
+            dispatcher.forget_awaited(self);
             if !errored {
                 dispatcher.record_first_byte(self, took);
             }
@@ -227,6 +231,9 @@
             lease.set_evidence(self.outcome.source, took);
         }
         if let Some(dispatcher) = self.dispatcher.upgrade() {
+            if !self.began {
+                dispatcher.forget_awaited(self);
+            }
             dispatcher.record_ended(
                 self,
                 self.outcome.failed,
--- a/src/health/speed_simulation_tests.rs
+++ b/src/health/speed_simulation_tests.rs
@@ -15,15 +15,15 @@
 const ENGINES: usize = 20;
 const SLOTS: u32 = 12;
 /// Prompt tokens that an engine reads per millisecond.
-const TOKENS_PER_MS: f64 = 8.0;
+const TOKENS_PER_MS: f64 = 31.9;
 /// The mean number of prompt tokens.
-const MEAN_TOKENS: f64 = 600.0;
+const MEAN_TOKENS: f64 = 900.0;
 /// The time from the first token to the end of an answer, in milliseconds.
-const ANSWER_MS: f64 = 300.0;
+const ANSWER_MS: f64 = 500.0;
 /// The time of a forward pass, in milliseconds.
 const STEP_MS: f64 = 12.0;
-/// Requests per millisecond, 0.6 of what the engines read.
-const REQUESTS_PER_MS: f64 = 0.16;
+/// Requests per millisecond, 14 a second at each engine.
+const REQUESTS_PER_MS: f64 = 0.28;
 /// The length of a slow period, in milliseconds.
 const SLOW_MS: u64 = 600;
 /// The share of slow periods.
@@ -37,7 +37,7 @@
 
 enum Event {
     Arrive,
-    Begin { engine: usize, tokens: u32, took: f64, expected: f64 },
+    Begin { engine: usize, tokens: u32, took: f64, expected: f64, number: u64 },
     End { engine: usize },
 }
 
@@ -45,6 +45,8 @@
 struct Outcome {
     requests: u32,
     in_time: u32,
+    /// The sum of the times to the first token, in milliseconds.
+    first_ms: f64,
     /// The times from the start of slow periods until they were noticed, in
     /// milliseconds, and the number of periods.
     noticed: Vec<u64>,
@@ -121,15 +123,23 @@
                     read_until[engine] = done;
                     let took = done + STEP_MS * factor - now as f64;
                     outcome.in_time += u32::from(took <= OBJECTIVE_MS);
+                    outcome.first_ms += took;
                     loads[engine].own_pending += 1;
                     loads[engine].own_pending_tokens += tokens;
                     let expected = expected.unwrap();
-                    let begin =
-                        Event::Begin { engine, tokens, took, expected };
+                    let number = speeds[engine].record_sent(expected, time);
+                    let begin = Event::Begin {
+                        engine,
+                        tokens,
+                        took,
+                        expected,
+                        number,
+                    };
                     let at = now + took.ceil() as u64;
                     events.entry(at).or_default().push(begin);
                 }
-                Event::Begin { engine, tokens, took, expected } => {
+                Event::Begin { engine, tokens, took, expected, number } => {
+                    speeds[engine].forget(number);
                     loads[engine].own_pending -= 1;
                     loads[engine].own_pending_tokens -= tokens;
                     loads[engine].own_running += 1;
@@ -176,25 +186,27 @@
         let without = play(false, SLOW_SHARE, seed);
         let with = play(true, SLOW_SHARE, seed);
         let share = |o: &Outcome| f64::from(o.in_time) / f64::from(o.requests);
+        let mean = |o: &Outcome| o.first_ms / f64::from(o.requests);
         let median = with.noticed[with.noticed.len() / 2];
+        let noticed = with.noticed.len();
         println!(
-            "{:.4} without, {:.4} with; noticed {} of {} after {median} ms; \
-             mistaken {:.4}",
+            "in time {:.4} without, {:.4} with; first token after {:.1} ms \
+             without, {:.1} ms with; noticed {noticed} of {} after {median} ms",
             share(&without),
             share(&with),
-            with.noticed.len(),
+            mean(&without),
+            mean(&with),
             with.slow_periods,
-            with.mistaken_ms as f64 / with.sound_ms as f64,
         );
         let quiet = play(true, 0.0, seed);
         let mistaken = quiet.mistaken_ms as f64 / quiet.sound_ms as f64;
-        println!(
-            "no engine is slow: {:.4} in time, mistaken {mistaken:.4}; \
-             {:.4} without",
-            share(&quiet),
-            share(&play(false, 0.0, seed)),
-        );
+        println!("no engine is slow: mistaken {mistaken:.4}");
         assert!(share(&with) >= share(&without) - 0.002);
-        assert!(mistaken <= 0.05);
+        assert!(mean(&with) < mean(&without));
+        assert!(median <= 250, "noticed after {median} ms");
+        assert!(noticed * 10 >= with.slow_periods * 9, "{noticed} noticed");
+        assert!(mistaken <= 0.02, "{mistaken}");
+        let mistaken = with.mistaken_ms as f64 / with.sound_ms as f64;
+        assert!(mistaken <= 0.02, "{mistaken}");
     }
 }
