Send trials one at a time in the simulation; read lines about ejections

Cause: the simulation did not record trials as sent, so that several ran at a time and its shares were too high. No test read the new log lines or refused settings out of range.

Without the section, choices skip the look-up of ejections.

--- a/crates/gateway/src/dispatch/health.rs
+++ b/crates/gateway/src/dispatch/health.rs
@@ -81,6 +81,9 @@
         replica: &Replica,
         now: Time,
     ) -> bool {
+        if !self.tracks_health() {
+            return true;
+        }
         let known = state.known.get(&replica.incarnation);
         let known = known.filter(|k| k.matches_process(replica));
         known.is_none_or(|k| !self.is_ejected(k, now))
--- a/src/explanation/tests.rs
+++ b/src/explanation/tests.rs
@@ -176,6 +176,31 @@
     assert_eq!(agent_times, [900, 1_400]);
 }
 
+/// Guards against log lines about ejections that cannot be read or are left out
+/// of the explanation of a request to that replica.
+#[test]
+fn ejections_of_the_replicas_involved_are_context() {
+    let ejected = |replica: &str| {
+        format!(
+            r#"{{"wall":1060,"ms":60,"event":"replica_ejected",
+            "replica":"{replica}","failures":4,"requests":5,"expected":0.05,
+            "ejections":1,"for_ms":1000,"trial":false}}"#
+        )
+    };
+    let (known, other) = (ejected("i-a"), ejected("i-b"));
+    let trial = r#"{"wall":1070,"ms":70,"event":"replica_trial",
+        "replica":"i-a","ejections":1}"#;
+    let readmitted = r#"{"wall":1080,"ms":80,"event":"replica_readmitted",
+        "replica":"i-a","tried":true}"#;
+    let lost = failed("loading");
+    let lines = [START, &known, &other, trial, readmitted, SENT, &lost];
+    let explainer = read_lines(&lines);
+    let explanation = explainer.explain("r1").unwrap();
+    let entry_lines: Vec<&str> =
+        explanation.entry_lines.iter().map(|line| line.text()).collect();
+    assert_eq!(entry_lines, [START, &*known, readmitted]);
+}
+
 #[test]
 fn failed_requests_are_listed_and_counted() {
     let other = ended(503, 3002, "no room").replace("r1", "r2");
--- a/src/health/simulation_tests.rs
+++ b/src/health/simulation_tests.rs
@@ -364,6 +364,10 @@
         };
         let load = &mut self.views[view].loads[replica];
         load.own_running += 1;
+        if trial {
+            let now = Time::from_millis(self.now);
+            self.views[view].health[replica].record_trial_sent(now);
+        }
         let outcome = &mut self.outcome;
         outcome.once_trials += u32::from(trial && !route.repeatable);
         if self.now >= FAULT_AT_MS + 500 {
