--- a/src/health/speed_simulation_tests.rs
+++ b/src/health/speed_simulation_tests.rs
@@ -76,8 +76,8 @@
     let mut loads = vec![Load::default(); ENGINES];
     let mut speeds = vec![FirstByteSpeed::default(); ENGINES];
     let mut usual = UsualRatio::default();
-    let mut read_until = vec![0.0_f64; ENGINES];
-    let mut noticed = vec![false; ENGINES];
+    let mut read_until = [0.0_f64; ENGINES];
+    let mut noticed = [false; ENGINES];
     let mut events: BTreeMap<u64, Vec<Event>> = BTreeMap::new();
     let mut at = 0.0;
     while (at as u64) < DURATION_MS {
