--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -5,7 +5,7 @@
 
 use hyper::Response;
 use stairhinge::direct::{
-    AttemptResult, NextStep, Replica, Shortage, next_step,
+    AttemptResult, NextStep, Repeat, Replica, Shortage, next_step,
 };
 use stairhinge::placing::{Need, NoPlaceReason};
 use stairhinge::poison::Suspicion;
@@ -22,7 +22,7 @@
 /// A request waits for a replica with capacity for at most its latency
 /// objective divided by this, so that its caller can still retry in time. In
 /// a hall of 24 engines a slot becomes free every 6 ms.
-const WAIT_DIVISOR: u32 = 8;
+const WAIT_DIVISOR: u32 = 4;
 
 /// An attempt that failed.
 pub(crate) struct FailedAttempt {
@@ -65,6 +65,8 @@
         let mut attempt = 1;
         loop {
             let place = self.admitted_place(context, &mut need, ran).await?;
+            // The retry of a request that failed is no trial.
+            need.repeatable = false;
             let suspicion = need.suspicion;
             need.tried.push(Arc::clone(&place.replica.incarnation));
             let sent = Instant::now();
@@ -152,6 +154,7 @@
             need.workspace = context.workspace.clone();
             need.left_ms = millis(left).max(1);
             need.answer_tokens = (hint > 0).then_some(hint);
+            need.fingerprint = Some(context.fingerprint());
         }
         let found = self.placing.place(need.clone(), until, left).await;
         self.metrics.observe_wait(from.elapsed().as_secs_f64());
@@ -235,6 +238,9 @@
         workspace: None,
         left_ms: 0,
         answer_tokens: None,
+        fingerprint: None,
         continued: false,
+        repeatable: context.route.repeat != Repeat::Never
+            && context.route.attempts > 1,
     }
 }
--- a/src/overload/admission.rs
+++ b/src/overload/admission.rs
@@ -8,6 +8,7 @@
 use super::estimate::{LoadEstimate, ServiceLoad, work};
 use super::order::{Rank, Standing};
 use super::refusal::{Full, FullReason, shortage_retry_after_ms};
+use super::refused_callers::RefusedCallers;
 use super::served_share::ServedShare;
 use super::settings::{OverloadSettings, Policy};
 use super::usual_left::UsualLeft;
@@ -30,14 +31,6 @@
 /// service has a few.
 const MAX_CLASSES: usize = 64;
 
-/// A caller has returned if it began longer ago than this fraction of its
-/// objective. Less is within the jitter of links.
-const RETURN_DIVISOR: u32 = 16;
-
-/// The minimum time since a caller began from which it has returned, for
-/// routes with short objectives.
-const MIN_RETURN: Duration = Duration::from_millis(10);
-
 /// The maximum number of services. Routes define them; the bound limits the
 /// memory if other processes send other names.
 const MAX_SERVICES: usize = 256;
@@ -90,6 +83,7 @@
     workspaces: HashMap<Arc<str>, (ServedShare, Time)>,
     estimate: LoadEstimate,
     calendar: Calendar,
+    refused: RefusedCallers,
     /// The number of consecutive places that went to classes below their floor
     /// share.
     raised_run: u32,
@@ -296,6 +290,8 @@
         let spare = load.map_or(0.0, |load| self.spare_per_s(&load));
         let state = self.services.get_mut(&need.service);
         let delay = state.and_then(|state| {
+            let began = standing.begun.unwrap_or(standing.arrived);
+            state.refused.record(need, began, standing.arrived);
             // A caller that has returned once does not return again.
             if !standing.is_new || !is_placer {
                 return None;
@@ -407,14 +403,17 @@
         let workspace = need.workspace.as_ref();
         let ago = class.usual.begun_ago(workspace, need.left_ms, now);
         class.usual.record(workspace, need.left_ms, now);
+        let began = self
+            .refused
+            .take(need, now)
+            .or_else(|| (!ago.is_zero()).then(|| now.before(ago)));
         let max_first = need.objective.as_millis() as f64 * MAX_FIRST_FRACTION;
         let first = Duration::from_millis(self.first_ms.min(max_first) as u64);
-        let begun = now.before(ago);
+        let begun = began.unwrap_or(now);
         standing.begun = Some(begun);
         standing.place_by =
             Some(begun.after(need.objective.saturating_sub(first)));
-        let returned = (need.objective / RETURN_DIVISOR).max(MIN_RETURN);
-        standing.is_new = ago < returned;
+        standing.is_new = began.is_none();
         if standing.is_new {
             self.record_asked(&standing, now);
         } else {
@@ -457,7 +456,9 @@
     /// below the floor and below that of every more urgent class.
     fn is_raised(&self, urgency: (u8, u8), floor: f64, now: Time) -> bool {
         let Some(share) = self.share(urgency, now) else { return false };
-        if share >= floor || self.raised_run >= MAX_RAISED_RUN {
+        if self.raised_run >= MAX_RAISED_RUN
+            || share >= floor * self.overall_share(now)
+        {
             return false;
         }
         for more_urgent in self.shares.range(..urgency) {
@@ -473,6 +474,18 @@
         self.shares.get(&urgency)?.share(now)
     }
 
+    /// Returns the served share of the new callers of all classes.
+    fn overall_share(&self, now: Time) -> f64 {
+        let mut asked = 0.0;
+        let mut served = 0.0;
+        for share in self.shares.values() {
+            let count = share.asked(now);
+            asked += count;
+            served += count * share.share(now).unwrap_or_default();
+        }
+        if asked > 0.0 { served / asked } else { 1.0 }
+    }
+
     fn workspace_share(&self, standing: &Standing, now: Time) -> f64 {
         let workspace = standing.workspace.as_ref();
         let known = workspace.and_then(|w| self.workspaces.get(w));
--- a/src/overload/usual_left.rs
+++ b/src/overload/usual_left.rs
@@ -1,11 +1,12 @@
-//! The time that callers usually have left, by which returning callers are
-//! recognised.
+//! The time that callers usually have left, by which callers that were
+//! refused by other processes are recognised.
 //!
-//! A caller that was refused and returns has less time left than one that
-//! begins. The time since a caller began is therefore the usual time left of
-//! its class minus its own. This errs for callers that set shorter deadlines
-//! than the others of their workspace, or of their class if their workspace
-//! sends few requests: they appear to have begun earlier than they did.
+//! A caller that returns has less time left than when it began. Callers set
+//! different deadlines, so only one with much less time left than is usual in
+//! its class is taken for a returning one. This errs for callers that set much
+//! shorter deadlines than the others of their workspace, or of their class if
+//! their workspace sends few requests, and it does not recognise callers that
+//! return soon.
 
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
@@ -113,6 +114,10 @@
     /// a small workspace sends a request every few seconds.
     const WORKSPACE_MAX_AGE: Duration = Duration::from_secs(30);
 
+    /// The part of the usual time by which the deadlines of new callers may
+    /// differ. Callers that return have mostly waited for longer.
+    const SPREAD_DIVISOR: u32 = 6;
+
     /// The maximum number of workspaces for each class; at most 0.5 MB.
     const MAX_WORKSPACES: usize = 1_024;
 
@@ -159,8 +164,8 @@
         self.workspaces.insert(Arc::clone(workspace), known);
     }
 
-    /// Returns how long ago a caller with `left_ms` left probably began. It is
-    /// zero for callers with more time than usual.
+    /// Returns how long ago a caller with `left_ms` left began at least. It is
+    /// zero for callers that may be new.
     pub fn begun_ago(
         &self,
         workspace: Option<&Arc<str>>,
@@ -172,7 +177,8 @@
             .and_then(|known| known.usual(UsualLeft::WORKSPACE_MIN, now))
             .or_else(|| self.class.usual(1, now))
             .unwrap_or(left_ms);
-        Duration::from_millis(u64::from(usual.saturating_sub(left_ms)))
+        let shortest = usual - usual / UsualLeft::SPREAD_DIVISOR;
+        Duration::from_millis(u64::from(shortest.saturating_sub(left_ms)))
     }
 }
 
