--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -22,7 +22,12 @@
 /// A request waits for a replica with capacity for at most its latency
 /// objective divided by this, so that its caller can still retry in time. In
 /// a hall of 24 engines a slot becomes free every 6 ms.
-const WAIT_DIVISOR: u32 = 4;
+const WAIT_DIVISOR: u32 = 8;
+
+/// Like [`WAIT_DIVISOR`], with admission control. Requests wait in the order
+/// of their urgency then, and a longer wait keeps urgent ones from being
+/// refused between two places that become free.
+const ADMISSION_WAIT_DIVISOR: u32 = 4;
 
 /// An attempt that failed.
 pub(crate) struct FailedAttempt {
@@ -142,14 +147,16 @@
         ran: bool,
     ) -> Result<Place, Failed> {
         let from = Instant::now();
-        let until = context
-            .deadline
-            .min(from + context.route.objective() / WAIT_DIVISOR);
+        let admission = self.dispatcher.has_admission();
+        let divisor =
+            if admission { ADMISSION_WAIT_DIVISOR } else { WAIT_DIVISOR };
+        let until =
+            context.deadline.min(from + context.route.objective() / divisor);
         let left = context.remaining();
         let mut need = need.clone();
         // A request whose attempt failed is late for no fault of its caller,
         // so its time left is not judged.
-        if self.dispatcher.has_admission() && need.tried.is_empty() {
+        if admission && need.tried.is_empty() {
             let hint = context.caller.answer_tokens;
             need.workspace = context.workspace.clone();
             need.left_ms = millis(left).max(1);
