--- a/src/health/simulation_tests.rs
+++ b/src/health/simulation_tests.rs
@@ -570,9 +570,6 @@
         let purchases = Day { entries, ..Day::purchases() };
         let outcome = purchases.failing_in(ms).play();
         println!("purchases, {ms} ms, {entries}: {outcome:?}");
-        // Learning and trials at three placers, and at entries whose questions
-        // are lost, exceed 1 in 100 of only 78 requests a second.
-        assert!(outcome.first_share() <= 0.04, "{outcome:?}");
         assert!(outcome.once_share() >= 0.97, "{outcome:?}");
         assert_eq!(outcome.once_trials, 0);
     }
@@ -586,10 +583,24 @@
         let outcome = day.failing_in(600).play();
         println!("{outcome:?}");
         assert!(outcome.ejections_first >= 1, "{outcome:?}");
-        assert!(outcome.first_share() <= 0.03, "{outcome:?}");
     }
 }
 
+/// Guards against a replica of a service with few requests, or one that fails
+/// slowly, that gets more than 1 in 100 requests from 0.5 s after it starts
+/// failing. Each placer, and each entry whose question is lost, learns from
+/// its own requests.
+#[test]
+fn a_failing_replica_of_a_small_service_gets_one_in_a_hundred() {
+    let mut shares = Vec::new();
+    for (ms, entries) in [(2, 39), (85, 39), (85, 51), (85, 300), (600, 39)] {
+        let purchases = Day { entries, ..Day::purchases() };
+        shares.push(purchases.failing_in(ms).play().first_share());
+    }
+    shares.push(Day::streams().failing_in(600).play().first_share());
+    assert!(shares.iter().all(|share| *share <= 0.01), "{shares:?}");
+}
+
 /// Guards against a test that detects only replicas that fail everything.
 #[test]
 fn a_replica_that_fails_45_in_100_is_ejected() {
@@ -766,6 +777,8 @@
     ] {
         let outcome = day.failing_in(85).play();
         println!("{outcome:?}");
+        // 1 in 100, and at most a third of the requests for the second in
+        // which a chooser learns, of 11 s in total.
         assert!(outcome.first_share() <= 0.04, "{outcome:?}");
         assert!(outcome.served_share() >= 0.97, "{outcome:?}");
     }
