Keep incomplete versions and fetch one at a time

Cause: a cache dropped what it held of a version once a newer one was requested and less than 0.75 of it was held, so that each fetch of two versions in quick succession began with no chunk. Holdings also dropped chunks of the oldest manifest that a younger one contains. After an origin outage, the copies for the agents of a hall filled the links of its three caches, and chunks for other caches waited behind them.

Change: with the new section `versions` of entries and agents, a version is kept while requests may begin on it, bounded by memory, oldest first out. A cache fetches one version at a time, chosen from what the caches of all halls hold and from the origin's state. In a succession half of a hall's agents pass chunks on to the other half, caches get chunks ahead of agents, and the rarest chunks are requested first. Without the section nothing changes, except that shared chunks are no longer dropped with the oldest version.

--- a/crates/chunks/src/cache.rs
+++ b/crates/chunks/src/cache.rs
@@ -5,10 +5,13 @@
 //! The link of an entry is several times as fast: it fetches each requested
 //! version once for all agents, and holds it while they request it.
 
+mod choice;
 mod owner;
+mod retention;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -18,13 +21,14 @@
 use stairhinge::{Code, Error};
 use stairhinge_shell::Shaper;
 use stairhinge_shell::http::{Body, answer};
+use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
 use self::owner::CacheOwner;
 use crate::fetch::fetch;
 use crate::find_manifest::find_manifest;
 use crate::owner::{FetchContext, log_failure};
-use crate::peers::{ANY, CacheStatus, DRAW, STANDING};
+use crate::peers::{ANY, CacheStatus, DRAW, MAX_STATUS_BITS, STANDING};
 use crate::server::{ChunkServer, query_duration, version_path};
 
 /// How long a fetch continues after the last request for the version. The
@@ -76,9 +80,21 @@
 
 type CacheKey = (Arc<str>, u64);
 
+/// How a cache keeps several versions and chooses which to fetch first.
+#[derive(Clone, Copy, Debug)]
+pub struct Retention {
+    /// How long requests may begin on a version after a newer one has become
+    /// the target.
+    pub version_bound: Duration,
+    /// The rate of the cache's link, in bytes per second.
+    pub link_rate: u64,
+}
+
 /// The state of a cached version.
 #[derive(Clone, Copy, Debug)]
 struct CacheEntry {
+    /// Identifies the task that fetches and holds the version.
+    task: u64,
     /// When an agent last requested it.
     last_request: Instant,
     /// When the last chunk arrived.
@@ -94,14 +110,29 @@
     server: ChunkServer,
     /// The versions that are fetched or held.
     versions: Mutex<HashMap<CacheKey, CacheEntry>>,
+    /// How versions are retained; `None` drops an incomplete version once a
+    /// newer one is requested.
+    retention: Option<Retention>,
+    /// The version of each model that is fetched first.
+    choices: Mutex<HashMap<Arc<str>, watch::Sender<Option<u64>>>>,
+    /// Notified when another version is requested.
+    requested: Notify,
+    /// The number of tasks started.
+    tasks: AtomicU64,
+    /// How often another version was chosen while one was being fetched.
+    switches: AtomicU64,
 }
 
 impl ChunkCache {
-    /// Returns an empty cache that sends over a rate-limited link.
+    /// Returns an empty cache that sends over a rate-limited link. With a
+    /// `retention` its holdings have to be [`Holdings::retaining`].
+    ///
+    /// [`Holdings::retaining`]: crate::Holdings::retaining
     pub fn new(
         context: FetchContext,
         peers: Arc<dyn CachePeers>,
         uplink: Shaper,
+        retention: Option<Retention>,
     ) -> Arc<ChunkCache> {
         let holdings = Arc::clone(&context.holdings);
         Arc::new(ChunkCache {
@@ -109,6 +140,11 @@
             context,
             peers,
             versions: Mutex::default(),
+            retention,
+            choices: Mutex::default(),
+            requested: Notify::new(),
+            tasks: AtomicU64::new(0),
+            switches: AtomicU64::new(0),
         })
     }
 
@@ -149,6 +185,9 @@
         if let Some(manifest) = holdings.manifest(model, version) {
             status.held = holdings.count(&manifest);
             status.chunks = manifest.digests.len();
+            if status.chunks <= MAX_STATUS_BITS {
+                status.bits = holdings.bits(&manifest);
+            }
         }
         if let Some(entry) = self.lock().get(&(Arc::from(model), version)) {
             status.quiet_ms = entry.last_progress.elapsed().as_millis() as u64;
@@ -184,15 +223,23 @@
             entry.last_request = entry.last_request.max(at);
             return;
         }
-        if idle > FETCH_IDLE_TIMEOUT {
+        if idle > FETCH_IDLE_TIMEOUT || self.has_expired(&key) {
             return;
         }
+        let task = self.tasks.fetch_add(1, Ordering::Relaxed);
         let entry = CacheEntry {
+            task,
             last_request: at,
             last_progress: Instant::now(),
             origin_lost: false,
         };
         versions.insert(key.clone(), entry);
+        if self.retention.is_some() {
+            drop(versions);
+            self.start_choice(&key);
+            tokio::spawn(Arc::clone(self).hold_retained(key, task));
+            return;
+        }
         while versions.len() > MAX_VERSIONS {
             let oldest =
                 versions.iter().min_by_key(|(_, entry)| entry.last_request);
@@ -235,7 +282,9 @@
     }
 
     async fn fetch_version(&self, key: &CacheKey) {
-        self.wait_for_older_version(key).await;
+        if self.retention.is_none() {
+            self.wait_for_older_version(key).await;
+        }
         let (model, version) = (&key.0, key.1);
         let may_be_held = self.may_be_partly_held(key);
         let owner = CacheOwner { cache: self, key, may_be_held };
@@ -253,17 +302,30 @@
     async fn until_idle(&self, key: &CacheKey, timeout: Duration) {
         loop {
             tokio::time::sleep(REQUEST_CHECK_INTERVAL).await;
-            let at = self.lock().get(key).map(|entry| entry.last_request);
+            let at = self.last_request(key);
             if at.is_none_or(|at| at.elapsed() > timeout) {
                 return;
             }
         }
     }
 
+    /// Returns when an agent last requested a version, if it is held. With
+    /// retention a request for another version of the model counts as well,
+    /// since an older version may be completed first.
+    fn last_request(&self, key: &CacheKey) -> Option<Instant> {
+        let versions = self.lock();
+        let own = versions.get(key)?.last_request;
+        if self.retention.is_none() {
+            return Some(own);
+        }
+        let of_model = versions.iter().filter(|(other, _)| other.0 == key.0);
+        of_model.map(|(_, entry)| entry.last_request).max()
+    }
+
     /// Waits until a version is requested again.
     async fn until_requested(&self, key: &CacheKey) {
         loop {
-            let at = self.lock().get(key).map(|entry| entry.last_request);
+            let at = self.last_request(key);
             if at.is_some_and(|at| at.elapsed() < FETCH_IDLE_TIMEOUT) {
                 return;
             }
--- a/crates/chunks/src/cache/owner.rs
+++ b/crates/chunks/src/cache/owner.rs
@@ -67,11 +67,14 @@
     }
 
     fn idle(&self) -> Duration {
-        let at =
-            self.cache.lock().get(self.key).map(|state| state.last_request);
+        let at = self.cache.last_request(self.key);
         at.map_or(RETENTION, |at| at.elapsed())
     }
 
+    fn goes_ahead(&self) -> bool {
+        self.cache.is_succession(&self.key.0)
+    }
+
     fn store_chunk<'a>(
         &'a self,
         _: &'a VersionManifest,
--- a/crates/chunks/src/fetch.rs
+++ b/crates/chunks/src/fetch.rs
@@ -84,9 +84,9 @@
             queue.push(request);
         }
         let mut limit = owner.max_requests(sources.count());
-        // Without a cache other processes depend on the chunks fetched here,
-        // so the fetch isn't slowed down.
-        if let Some(pace) = owner.pace().filter(|_| sources.has_cache()) {
+        // Where other processes depend on the chunks fetched here, the fetch
+        // isn't slowed down.
+        if let Some(pace) = owner.pace().filter(|_| sources.may_be_paced()) {
             let missing = puller.missing().count();
             limit = limit.min(missing.saturating_sub(pace.missing_at(now)));
         }
--- a/crates/chunks/src/holdings.rs
+++ b/crates/chunks/src/holdings.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use stairhinge::Digest;
+use stairhinge::weights::{RetainedVersion, versions_to_evict};
 use tokio::sync::Notify;
 
 use crate::manifest::VersionManifest;
@@ -28,32 +29,116 @@
     held: HashMap<Digest, ChunkLocation>,
 }
 
+impl Inner {
+    /// Removes the manifest at a position, with the chunks that no other
+    /// version contains.
+    fn remove(&mut self, position: usize) {
+        let removed = self.manifests.remove(position);
+        for digest in &removed.digests {
+            let shared =
+                self.manifests.iter().any(|m| m.digests.contains(digest));
+            if !shared {
+                self.held.remove(digest);
+            }
+        }
+    }
+}
+
 /// The chunks and manifests that a process holds, shared by the fetch and the
 /// server.
 #[derive(Debug, Default)]
 pub struct Holdings {
     inner: Mutex<Inner>,
     arrived: Notify,
+    /// The maximum size of all chunks in memory, in bytes, if versions are
+    /// evicted by [`Holdings::evict`] and not by their number.
+    capacity: Option<u64>,
 }
 
 impl Holdings {
     /// The maximum number of manifests kept.
     const MAX_MANIFESTS: usize = 3;
 
+    /// The maximum number of manifests kept if memory is bounded by a number
+    /// of bytes. More versions than this do not become the target within the
+    /// time for which one may be served.
+    const MAX_RETAINED: usize = 16;
+
+    /// Returns empty holdings that keep versions while they are needed and
+    /// fit into `capacity` bytes.
+    pub fn retaining(capacity: u64) -> Holdings {
+        Holdings { capacity: Some(capacity), ..Holdings::default() }
+    }
+
+    /// Returns whether versions are evicted by [`Holdings::evict`].
+    pub const fn is_retaining(&self) -> bool {
+        self.capacity.is_some()
+    }
+
+    /// Evicts the versions of a model that are not needed, and the oldest ones
+    /// that do not fit into the memory. Returns them with the number of chunks
+    /// that were held of each.
+    pub fn evict(
+        &self,
+        model: &str,
+        needed: impl Fn(u64) -> bool,
+    ) -> Vec<(u64, usize)> {
+        let Some(capacity) = self.capacity else { return Vec::new() };
+        let mut versions = Vec::new();
+        let inner = self.lock();
+        for manifest in &inner.manifests {
+            if *manifest.model != *model {
+                continue;
+            }
+            let held = manifest.digests.iter().filter(|d| {
+                let held = inner.held.get(*d);
+                matches!(held, Some(ChunkLocation::Memory(_)))
+            });
+            versions.push(RetainedVersion {
+                version: manifest.version,
+                held: held.copied().collect(),
+                chunk_bytes: manifest.chunk_bytes,
+                needed: needed(manifest.version),
+            });
+        }
+        drop(inner);
+        let mut evicted = Vec::new();
+        for version in versions_to_evict(&versions, capacity) {
+            self.remove_version(model, version);
+            let found = versions.iter().find(|v| v.version == version);
+            evicted.push((version, found.map_or(0, |v| v.held.len())));
+        }
+        evicted
+    }
+
+    /// Returns the versions of all models, each with the number of chunks
+    /// held.
+    pub fn held_by_version(&self) -> Vec<(Arc<str>, u64, usize)> {
+        let manifests = self.lock().manifests.clone();
+        let mut held = Vec::new();
+        for manifest in manifests {
+            let count = self.count(&manifest);
+            held.push((Arc::clone(&manifest.model), manifest.version, count));
+        }
+        held
+    }
+
     /// Adds a manifest. Beyond [`Holdings::MAX_MANIFESTS`] the oldest one is
-    /// removed with its chunks.
+    /// removed, with the chunks that no other version contains.
     pub fn add_manifest(&self, manifest: &Arc<VersionManifest>) {
         let mut inner = self.lock();
         inner.manifests.retain(|m| {
             m.version != manifest.version || m.model != manifest.model
         });
-        if inner.manifests.len() >= Holdings::MAX_MANIFESTS {
-            let oldest = inner.manifests.remove(0);
-            for digest in &oldest.digests {
-                inner.held.remove(digest);
-            }
-        }
+        let limit = if self.capacity.is_some() {
+            Holdings::MAX_RETAINED
+        } else {
+            Holdings::MAX_MANIFESTS
+        };
         inner.manifests.push(Arc::clone(manifest));
+        if inner.manifests.len() > limit {
+            inner.remove(0);
+        }
         drop(inner);
         self.arrived.notify_waiters();
     }
@@ -90,14 +175,7 @@
         else {
             return;
         };
-        let removed = inner.manifests.remove(position);
-        for digest in &removed.digests {
-            let shared =
-                inner.manifests.iter().any(|m| m.digests.contains(digest));
-            if !shared {
-                inner.held.remove(digest);
-            }
-        }
+        inner.remove(position);
     }
 
     /// Inserts a verified chunk.
@@ -128,6 +206,15 @@
         digests.filter(|d| inner.held.contains_key(*d)).count()
     }
 
+    /// Returns `1` for each chunk of a version that is held, and `0` for each
+    /// other one.
+    pub(crate) fn bits(&self, manifest: &VersionManifest) -> String {
+        let inner = self.lock();
+        let digests = manifest.digests.iter();
+        let held = digests.map(|d| inner.held.contains_key(d));
+        held.map(|held| if held { '1' } else { '0' }).collect()
+    }
+
     /// Returns the bytes of a chunk, if they are in memory.
     pub fn bytes(&self, digest: &Digest) -> Option<Bytes> {
         match self.lock().held.get(digest) {
--- a/crates/chunks/src/lib.rs
+++ b/crates/chunks/src/lib.rs
@@ -15,10 +15,11 @@
 mod owner;
 mod peers;
 mod server;
+mod settings;
 mod sources;
 mod transfer;
 
-pub use self::cache::{CachePeers, ChunkCache};
+pub use self::cache::{CachePeers, ChunkCache, Retention};
 pub use self::fetch::fetch;
 pub use self::find_manifest::find_manifest;
 pub use self::holdings::{ChunkLocation, Holdings};
@@ -30,3 +31,4 @@
     AnyChunkRequest, CacheStatus, STALL_TIMEOUT, cache_status,
 };
 pub use self::server::ChunkServer;
+pub use self::settings::VersionSettings;
--- a/crates/chunks/src/owner.rs
+++ b/crates/chunks/src/owner.rs
@@ -104,6 +104,19 @@
         Duration::ZERO
     }
 
+    /// Returns whether peers should send chunks to this process ahead of those
+    /// for agents.
+    fn goes_ahead(&self) -> bool {
+        false
+    }
+
+    /// Returns whether the agents of the hall take chunks of a version from
+    /// each other as well as from the caches.
+    fn exchanges(&self, model: &str) -> bool {
+        let _ = model;
+        false
+    }
+
     /// Records that a request to the origin failed.
     fn record_origin_failure(&self) {}
 
--- a/crates/chunks/src/peers.rs
+++ b/crates/chunks/src/peers.rs
@@ -31,6 +31,10 @@
 /// The maximum size of a status response, in bytes.
 const MAX_STATUS_BYTES: usize = 1_024;
 
+/// The maximum number of chunks whose holdings a status names, for which the
+/// response stays below [`MAX_STATUS_BYTES`].
+pub(crate) const MAX_STATUS_BITS: usize = 512;
+
 /// The timeout of a status request. The cache is in the same hall, less than
 /// a millisecond away.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(300);
@@ -62,12 +66,14 @@
     /// knows, in milliseconds.
     #[serde(default)]
     pub idle_ms: u64,
+    /// Whether the chunk is sent ahead of those for agents: a cache passes it
+    /// on to the agents of its hall.
+    #[serde(default)]
+    pub ahead: bool,
 }
 
 /// The state of a version in a cache.
-#[derive(
-    Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize,
-)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CacheStatus {
     /// The number of chunks held.
     pub held: usize,
@@ -77,6 +83,11 @@
     pub quiet_ms: u64,
     /// Whether the last request to the origin failed.
     pub origin_lost: bool,
+    /// `1` for each chunk that is held and `0` for each other one, in manifest
+    /// order. Empty if the manifest is unknown or has more than
+    /// [`MAX_STATUS_BITS`] chunks.
+    #[serde(default)]
+    pub bits: String,
 }
 
 /// The response of a peer to an [`AnyChunkRequest`].
--- a/crates/chunks/src/server.rs
+++ b/crates/chunks/src/server.rs
@@ -10,7 +10,7 @@
 use stairhinge::{Code, Digest, Error};
 use stairhinge_shell::Shaper;
 use stairhinge_shell::http::{
-    Body, answer, empty, full_in_turn, headers, read,
+    Body, answer, empty, full_ahead, full_in_turn, headers, read,
 };
 use tokio::time::Instant;
 
@@ -124,7 +124,12 @@
             }
             Some((index, bytes)) => {
                 let uplink = self.uplink.clone();
-                let mut response = Response::new(full_in_turn(bytes, uplink));
+                let body = if request.ahead {
+                    full_ahead(bytes, uplink)
+                } else {
+                    full_in_turn(bytes, uplink)
+                };
+                let mut response = Response::new(body);
                 let index = HeaderValue::from(index);
                 response.headers_mut().insert(headers::CHUNK, index);
                 response
@@ -218,12 +223,7 @@
     /// held, `0` if not.
     fn held_bits(&self, request: &AnyChunkRequest) -> String {
         let known = self.holdings.manifest(&request.model, request.version);
-        let mut bits = String::new();
-        for digest in known.iter().flat_map(|m| &m.digests) {
-            let held = self.holdings.holds(digest);
-            bits.push(if held { '1' } else { '0' });
-        }
-        bits
+        known.map_or_else(String::new, |m| self.holdings.bits(&m))
     }
 }
 
--- a/crates/chunks/src/sources.rs
+++ b/crates/chunks/src/sources.rs
@@ -37,6 +37,8 @@
     caches: Vec<SocketAddr>,
     holders: Vec<SocketAddr>,
     partial_holders: Vec<SocketAddr>,
+    exchanges: bool,
+    rarest_first: bool,
 }
 
 impl Sources {
@@ -50,6 +52,9 @@
             caches: owner.caches(),
             holders: owner.holders(&manifest.model, manifest.version),
             partial_holders: owner.partial_holders(),
+            exchanges: owner.exchanges(&manifest.model),
+            rarest_first: owner.goes_ahead()
+                || owner.exchanges(&manifest.model),
         }
     }
 
@@ -61,9 +66,10 @@
         (self.peers.len() + near).max(1) + 1
     }
 
-    /// Returns whether a cache of the hall serves this process.
-    pub(crate) fn has_cache(&self) -> bool {
-        !self.caches.is_empty()
+    /// Returns whether no other process depends on the chunks fetched here,
+    /// because the caches of the hall serve all agents.
+    pub(crate) fn may_be_paced(&self) -> bool {
+        !self.caches.is_empty() && !self.exchanges
     }
 
     /// Returns the ranking of all sources for a version.
@@ -92,6 +98,8 @@
         )
         .with_fanout(FANOUT)
         .with_caches(names(&self.caches))
+        .with_exchange(self.exchanges)
+        .with_rarest_first(self.rarest_first)
         .with_holders(names(&self.holders))
         .with_partial_holders(names(&self.partial_holders))
     }
--- a/crates/chunks/src/transfer.rs
+++ b/crates/chunks/src/transfer.rs
@@ -62,6 +62,7 @@
         model: manifest.model.clone(),
         version: manifest.version,
         idle_ms: owner.idle().as_millis() as u64,
+        ahead: owner.goes_ahead(),
     };
     request_any(&context.client, addr, &any_request).await
 }
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use stairhinge::{Code, Error};
-use stairhinge_chunks::{ChunkCache, FetchContext, WeightOrigin};
+use stairhinge_chunks::{
+    ChunkCache, FetchContext, Holdings, Retention, WeightOrigin,
+};
 use stairhinge_shell::decisions::{Decision, DecisionLog};
 use stairhinge_shell::directory::{
     Collection, CountedDirectory, Directory, Facts, Follow, HallReader, Share,
@@ -131,7 +133,6 @@
         Arc::clone(&metrics),
         shutdown.clone(),
     ));
-    tokio::spawn(keep_house(Arc::clone(&forwarder), counted));
     let peer_handler = settings.peers.map(|addr| {
         (
             addr,
@@ -141,6 +142,8 @@
             },
         )
     });
+    let cache = peer_handler.as_ref().map(|(_, h)| Arc::clone(&h.cache));
+    tokio::spawn(keep_house(Arc::clone(&forwarder), counted, cache));
     // Dropping the stopper stops the side listeners, so it is held until the
     // end.
     let _side_stopper = serve_side_listeners(
@@ -243,9 +246,16 @@
     dispatcher: &Arc<Dispatcher>,
     origin: Arc<dyn WeightOrigin>,
 ) -> Arc<ChunkCache> {
+    let holdings = settings.versions.map_or_else(Holdings::default, |v| {
+        Holdings::retaining(v.memory_bytes())
+    });
+    let retention = settings.versions.map(|_| Retention {
+        version_bound: settings.version_bound(),
+        link_rate: settings.chunk_rate(),
+    });
     let drawing = FetchContext {
         facts: Arc::clone(dispatcher.facts()),
-        holdings: Arc::default(),
+        holdings: Arc::new(holdings),
         client: Client::new(),
         origin,
         addr,
@@ -255,7 +265,8 @@
         dispatcher: Arc::clone(dispatcher),
         agent_port: settings.agent_port,
     });
-    ChunkCache::new(drawing, site, Shaper::new(settings.chunk_rate()))
+    let uplink = Shaper::new(settings.chunk_rate());
+    ChunkCache::new(drawing, site, uplink, retention)
 }
 
 async fn serve_side_listeners(
@@ -292,12 +303,16 @@
 async fn keep_house(
     forwarder: Arc<Forwarder>,
     directory: Arc<CountedDirectory>,
+    cache: Option<Arc<ChunkCache>>,
 ) {
     let mut timer = tokio::time::interval(HOUSEKEEPING_INTERVAL);
     loop {
         timer.tick().await;
         forwarder.sweep_and_update_gauges();
         forwarder.metrics.set_platform_calls(&directory.counts());
+        if let Some(cache) = &cache {
+            forwarder.metrics.set_chunks(cache);
+        }
     }
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -13,6 +13,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
+use stairhinge_chunks::ChunkCache;
 use stairhinge_shell::directory::CallKind;
 use stairhinge_shell::http::{Body, Handler, full};
 
@@ -29,6 +30,13 @@
     by: &'static str,
 }
 
+/// A version whose chunks are held.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct VersionLabels {
+    model: String,
+    version: u64,
+}
+
 /// The kind of a call to the platform.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct CallLabels {
@@ -43,6 +51,8 @@
     answers: Family<AnswerLabels, Counter>,
     choices: Family<ChoiceLabels, Counter>,
     calls: Family<CallLabels, Gauge>,
+    chunks_held: Family<VersionLabels, Gauge>,
+    version_switches: Gauge,
     first_byte: Histogram,
     waited: Histogram,
     pub attempts: Counter,
@@ -77,6 +87,8 @@
             answers: Family::default(),
             choices: Family::default(),
             calls: Family::default(),
+            chunks_held: Family::default(),
+            version_switches: Gauge::default(),
             first_byte: duration_histogram(),
             waited: duration_histogram(),
             attempts: Counter::default(),
@@ -131,6 +143,14 @@
             "Attempts under which the replica's process ended",
             replica_ended_under,
         );
+        let chunks_held = self.chunks_held.clone();
+        r.register("chunks_held", "Chunks held by version", chunks_held);
+        let version_switches = self.version_switches.clone();
+        r.register(
+            "version_switches",
+            "Changes of the version fetched first, since the start",
+            version_switches,
+        );
         let suspected = self.suspected.clone();
         r.register(
             "requests_suspected",
@@ -207,6 +227,18 @@
         }
     }
 
+    /// Sets how many chunks of each version are held, and how often the
+    /// version fetched first changed.
+    pub(crate) fn set_chunks(&self, cache: &ChunkCache) {
+        self.chunks_held.clear();
+        for (model, version, held) in cache.held_by_version() {
+            let model = model.to_string();
+            let labels = VersionLabels { model, version };
+            self.chunks_held.get_or_create(&labels).set(held as i64);
+        }
+        self.version_switches.set(cache.switches() as i64);
+    }
+
     /// Counts a final answer.
     pub(crate) fn count_answer(&self, status: u16, code: u16) {
         self.answers.get_or_create(&AnswerLabels { status, code }).inc();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -9,6 +9,7 @@
 use stairhinge::direct::{EvacuationBound, HallRegions};
 use stairhinge::number::{maybe_whole, whole};
 use stairhinge::placing::ColdBound;
+use stairhinge_chunks::VersionSettings;
 use stairhinge_shell::{LinkMbps, Settings, read_settings};
 
 /// The bound on the retries of all entries together.
@@ -108,6 +109,10 @@
     pub first_start: bool,
     /// The bound on retries.
     pub retry: RetryBound,
+    /// How versions in quick succession are kept and fetched; `None` drops an
+    /// incomplete version once a newer one is requested.
+    #[serde(default)]
+    pub versions: Option<VersionSettings>,
     /// The maximum size of a request body, in bytes.
     #[serde(default = "default_body_bytes")]
     pub body_bytes: usize,
@@ -168,6 +173,9 @@
             return Err(Error::range("grace_s", 0, "1 or more"));
         }
         settings.link_mbps.check()?;
+        if let Some(versions) = settings.versions {
+            versions.check()?;
+        }
         if !(0.0..=1.0).contains(&settings.retry.ratio) {
             let ratio = settings.retry.ratio;
             return Err(Error::range("retry.ratio", ratio, "0 to 1"));
--- a/crates/loader/src/agent.rs
+++ b/crates/loader/src/agent.rs
@@ -246,9 +246,12 @@
         tokio::spawn(live.clone().follow(watch, log.clone()));
     }
     let uplink = Shaper::new(settings.chunk_rate());
+    let holdings = settings.versions.map_or_else(Holdings::default, |v| {
+        Holdings::retaining(v.memory_bytes())
+    });
     let fetch_context = FetchContext {
         facts: Arc::clone(&facts),
-        holdings: Arc::default(),
+        holdings: Arc::new(holdings),
         client,
         origin,
         addr: own,
--- a/crates/loader/src/fetch_owner.rs
+++ b/crates/loader/src/fetch_owner.rs
@@ -50,6 +50,15 @@
         Vec::new()
     }
 
+    fn exchanges(&self, model: &str) -> bool {
+        if self.agent.settings.versions.is_none() {
+            return false;
+        }
+        let bound = self.agent.live.get().version_bound();
+        let view = self.agent.facts.view();
+        view.targets.is_succession(model, bound)
+    }
+
     fn origin_interval(&self, chunk_bytes: u32) -> Duration {
         let transfer = self.agent.live.get().transfer(chunk_bytes);
         transfer.mul_f64(ORIGIN_INTERVAL_FRACTION)
--- a/crates/loader/src/reconcile.rs
+++ b/crates/loader/src/reconcile.rs
@@ -197,6 +197,7 @@
     let manifest =
         find_manifest(fetch_context, &owner, &wanted.model, wanted.version)
             .await;
+    evict_versions(agent, &wanted.model);
     reuse_staged(agent, &manifest).await;
     let turn = Turn::for_manifest(agent, &manifest);
     owner.set_pace(turn.pace(agent, &manifest));
@@ -229,6 +230,26 @@
     Ok(())
 }
 
+/// Evicts the versions that may not be served any more or do not fit into the
+/// memory, if the agent keeps versions in quick succession.
+fn evict_versions(agent: &Agent, model: &str) {
+    let bound = agent.live.get().version_bound();
+    let now = agent.facts.now();
+    let needed = |version| {
+        let view = agent.facts.view();
+        let outdated = view.targets.outdated_since(model, version);
+        outdated.is_none_or(|since| now.since(since) < bound)
+    };
+    for (version, held) in agent.holdings.evict(model, needed) {
+        agent.facts.log().write(&Decision::VersionEvicted {
+            model,
+            version,
+            held,
+            needed: needed(version),
+        });
+    }
+}
+
 /// Unloads an outdated version when it may no longer be served, by ordering
 /// the engine to keep only one layer of it.
 ///
--- a/crates/loader/src/settings.rs
+++ b/crates/loader/src/settings.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 use stairhinge::Error;
 use stairhinge::number::whole;
+use stairhinge_chunks::VersionSettings;
 use stairhinge_shell::{LinkMbps, Settings, read_settings};
 
 /// The settings of an agent beside an engine.
@@ -40,6 +41,10 @@
     /// process serves callers yet.
     #[serde(default)]
     pub first_start: bool,
+    /// How versions in quick succession are kept and fetched; `None` lets
+    /// agents read all chunks from the caches of their hall.
+    #[serde(default)]
+    pub versions: Option<VersionSettings>,
     /// The interval between queries of the engine's state, in milliseconds.
     #[serde(default = "default_poll_ms")]
     pub poll_ms: u64,
@@ -56,6 +61,9 @@
     fn parse(text: &str) -> Result<AgentSettings, Error> {
         let settings: AgentSettings = read_settings(text)?;
         settings.link_mbps.check()?;
+        if let Some(versions) = settings.versions {
+            versions.check()?;
+        }
         if settings.poll_ms == 0 {
             return Err(Error::range("poll_ms", 0, "1 or more"));
         }
--- a/crates/loader/src/version_selection.rs
+++ b/crates/loader/src/version_selection.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::future::join_all;
 use stairhinge::weights::{
     ChunkTransferTimes, VersionCandidate, choose_version,
 };
@@ -38,15 +39,19 @@
     newest: ModelVersion,
 ) -> ModelVersion {
     let versions = candidate_versions(agent, &newest);
-    let Some(cache) = caches(agent).first().copied() else { return newest };
-    if versions.len() < 2 {
+    let mut caches = caches(agent);
+    // A cache that has lost its memory does not show what its hall holds.
+    if agent.settings.versions.is_none() {
+        caches.truncate(1);
+    }
+    if caches.is_empty() || versions.len() < 2 {
         return newest;
     }
     let mut candidates = Vec::new();
     for version in versions {
         let wanted = ModelVersion { version, ..newest.clone() };
         let fetch = version == newest.version;
-        let found = candidate(agent, cache, &wanted, fetch).await;
+        let found = candidate(agent, &caches, &wanted, fetch).await;
         candidates.extend(found);
     }
     if candidates.first().is_none_or(|p| p.version != newest.version) {
@@ -102,7 +107,7 @@
 /// served any more. With `fetch` the hall's cache is also told to fetch it.
 async fn candidate(
     agent: &Agent,
-    cache: SocketAddr,
+    caches: &[SocketAddr],
     wanted: &ModelVersion,
     fetch: bool,
 ) -> Option<VersionCandidate> {
@@ -111,18 +116,24 @@
     if remaining.is_zero() {
         return None;
     }
-    let asked =
-        cache_status(&agent.client, cache, model, version, fetch).await;
-    let hall_cache = asked.unwrap_or_default();
+    let mut held_in_hall = 0;
+    let mut cache_stalled = true;
+    let asked = caches.iter().map(|cache| {
+        cache_status(&agent.client, *cache, model, version, fetch)
+    });
+    for status in join_all(asked).await {
+        let status = status.unwrap_or_default();
+        held_in_hall = held_in_hall.max(status.held);
+        cache_stalled &= is_stalled(&status);
+    }
     let chunks = agent.engine_kind().map_or(0, |kind| kind.chunks as usize);
     let manifest = agent.holdings.manifest(model, version);
     let here = manifest.map_or(0, |m| agent.holdings.count(&m));
     let now = agent.facts.now();
     let turn = Turn::new(agent, model, version, Duration::ZERO);
-    let cache_stalled = is_stalled(&hall_cache);
     let served = !cache_stalled
         && versions_served_in_hall(agent, wanted).contains(&version);
-    let held = if served { chunks } else { hall_cache.held.max(here) };
+    let held = if served { chunks } else { held_in_hall.max(here) };
     Some(VersionCandidate {
         version,
         missing: chunks.saturating_sub(here),
--- a/crates/shell/src/decisions.rs
+++ b/crates/shell/src/decisions.rs
@@ -14,7 +14,7 @@
 
 use serde::Serialize;
 
-pub use self::decision::Decision;
+pub use self::decision::{Decision, VersionInputs};
 use crate::node::wall;
 
 #[derive(Serialize)]
--- a/crates/shell/src/decisions/decision.rs
+++ b/crates/shell/src/decisions/decision.rs
@@ -5,6 +5,24 @@
 
 use serde::Serialize;
 
+/// What a choice between versions is based on, per version.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct VersionInputs {
+    /// The version.
+    pub version: u64,
+    /// The number of chunks of the version.
+    pub chunks: usize,
+    /// The number of chunks that this process holds.
+    pub held: usize,
+    /// The number of chunks that any known process of the hall holds.
+    pub in_hall: usize,
+    /// The number of chunks that any known process of the fleet holds.
+    pub in_fleet: usize,
+    /// The time since the version became the target, in milliseconds, if it is
+    /// known.
+    pub age_ms: Option<u64>,
+}
+
 /// A logged decision, with the values that it is based on.
 #[derive(Debug, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -372,6 +390,31 @@
         /// Why the source failed.
         reason: &'a str,
     },
+    /// Another version than before is fetched first, because of what is held
+    /// of each.
+    VersionChosen {
+        /// The model.
+        model: &'a str,
+        /// The version that is fetched first, if any.
+        version: Option<u64>,
+        /// The version that was fetched first before.
+        previous: Option<u64>,
+        /// Whether the origin answered the last request of this process.
+        origin: bool,
+        /// The versions to choose from, newest first.
+        candidates: Vec<VersionInputs>,
+    },
+    /// A version was evicted, with the chunks that no other version contains.
+    VersionEvicted {
+        /// The model.
+        model: &'a str,
+        /// The version.
+        version: u64,
+        /// The number of chunks that were held.
+        held: usize,
+        /// Whether requests could still begin on it or agents requested it.
+        needed: bool,
+    },
     /// A fetch of weights began.
     FetchBegun {
         /// The model.
--- a/crates/shell/src/http.rs
+++ b/crates/shell/src/http.rs
@@ -7,7 +7,8 @@
 mod server;
 
 pub use self::body::{
-    Body, BodyError, empty, full, full_in_turn, read, shaped, stream,
+    Body, BodyError, empty, full, full_ahead, full_in_turn, read, shaped,
+    stream,
 };
 pub use self::client::{CallError, Client};
 pub use self::fail::{Failed, answer};
--- a/crates/shell/src/http/body.rs
+++ b/crates/shell/src/http/body.rs
@@ -87,6 +87,16 @@
     StreamBody::new(futures::stream::once(piece).boxed()).boxed_unsync()
 }
 
+/// Like [`full_in_turn`], but ahead of the bodies that still wait for their
+/// turn.
+pub fn full_ahead(bytes: Bytes, link: Shaper) -> Body {
+    let piece = async move {
+        link.take(bytes.len() as u64).await;
+        Ok(Frame::data(bytes))
+    };
+    StreamBody::new(futures::stream::once(piece).boxed()).boxed_unsync()
+}
+
 /// Reads a complete body of at most `max_bytes` bytes within a time limit.
 ///
 /// # Errors
--- a/crates/shell/src/rate.rs
+++ b/crates/shell/src/rate.rs
@@ -46,7 +46,8 @@
         self.take(bytes).await;
     }
 
-    /// Waits until `bytes` may be sent.
+    /// Waits until `bytes` may be sent, ahead of calls of
+    /// [`Shaper::take_in_turn`] that still wait for their turn.
     pub async fn take(&self, bytes: u64) {
         let now = self.start.elapsed().as_millis() as u64;
         let wait = self.lock().take(bytes, Time::from_millis(now));
--- a/src/direct/tests.rs
+++ b/src/direct/tests.rs
@@ -347,3 +347,23 @@
     let full = Load { own_running: 18, ..Load::default() };
     assert_eq!(choose(&[slow, candidate(full)]), Some(0));
 }
+
+/// Guards against treating the rollout of a single version as one of two in
+/// quick succession.
+#[test]
+fn targets_within_the_bound_of_each_other_are_a_succession() {
+    let bound = Duration::from_millis(9_700);
+    let at = Time::from_millis;
+    let mut targets = VersionTargets::default();
+    targets.record(&target(1), at(1_000));
+    assert!(!targets.is_succession("matcher", bound));
+    targets.record(&target(2), at(18_000));
+    assert!(!targets.is_succession("matcher", bound));
+    targets.record(&target(3), at(20_000));
+    assert!(targets.is_succession("matcher", bound));
+    assert!(!targets.is_succession("other", bound));
+    let mut estimated = VersionTargets::default();
+    estimated.record_estimate(&target(1), at(17_000));
+    estimated.record(&target(2), at(18_000));
+    assert!(!estimated.is_succession("matcher", bound));
+}
--- a/src/direct/version_target.rs
+++ b/src/direct/version_target.rs
@@ -3,6 +3,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::Time;
 
@@ -123,6 +124,18 @@
         found.map(|v| v.since)
     }
 
+    /// Returns whether the newest target of a model was set less than `bound`
+    /// after the one before it, so that both are being distributed. Targets
+    /// whose time is an estimate do not count.
+    pub fn is_succession(&self, model: &str, bound: Duration) -> bool {
+        let Some(versions) = self.versions.get(model) else { return false };
+        let [.., previous, newest] = versions.as_slice() else {
+            return false;
+        };
+        let estimated = previous.estimated || newest.estimated;
+        !estimated && newest.since.since(previous.since) < bound
+    }
+
     /// Returns when a version became outdated, which is when the first newer
     /// target was set. Later targets do not change that time.
     pub fn outdated_since(&self, model: &str, version: u64) -> Option<Time> {
--- a/src/weights.rs
+++ b/src/weights.rs
@@ -12,6 +12,7 @@
 mod chunk_request;
 mod chunk_store;
 mod distribution_bound;
+mod fetch_choice;
 mod fetch_pace;
 mod fetch_timeouts;
 mod link_share;
@@ -19,6 +20,7 @@
 mod manifest_source;
 mod puller;
 mod request_queue;
+mod retention;
 mod source_ranking;
 mod token_bucket;
 mod version_choice;
@@ -26,6 +28,7 @@
 pub use self::chunk_request::ChunkRequest;
 pub use self::chunk_store::ChunkStore;
 pub use self::distribution_bound::{DistributionBound, Duplex};
+pub use self::fetch_choice::{FetchCandidate, FetchLimits, choose_fetch};
 pub use self::fetch_pace::FetchPace;
 pub use self::fetch_timeouts::{FetchTimeouts, Takeover};
 pub use self::link_share::LinkShare;
@@ -33,6 +36,7 @@
 pub use self::manifest_source::ManifestSource;
 pub use self::puller::Puller;
 pub use self::request_queue::RequestQueue;
+pub use self::retention::{RetainedVersion, versions_to_evict};
 pub use self::source_ranking::{Source, SourceRanking};
 pub use self::token_bucket::TokenBucket;
 pub use self::version_choice::{
@@ -62,3 +66,12 @@
 
 #[cfg(test)]
 mod tree_tests;
+
+#[cfg(test)]
+mod exchange_tests;
+
+#[cfg(test)]
+mod fetch_choice_tests;
+
+#[cfg(test)]
+mod succession_tests;
--- a/src/weights/puller.rs
+++ b/src/weights/puller.rs
@@ -88,6 +88,12 @@
     /// agents all turned to the recovered origin, it sent 2.7 copies.
     const CACHE_STALL_LIMIT: Duration = Duration::from_millis(10_000);
 
+    /// How long an agent that takes chunks from the caches for others may
+    /// answer "not yet" before this agent asks the caches itself: it may be
+    /// fetching another version. A request is held for 0.8 s, so this is after
+    /// the second answer.
+    const EXCHANGE_LIMIT: Duration = Duration::from_millis(800);
+
     /// How long the final chunks usually take.
     const FINAL_CHUNKS_USUAL: Duration = Duration::from_millis(400);
 
@@ -236,9 +242,26 @@
                 want.push(i);
             }
         }
+        if self.ranking.is_rarest_first() {
+            self.sort_by_rarity(&mut plan);
+        }
         plan
     }
 
+    /// Sorts the chunks to request from each source by the number of sources
+    /// that are known to hold them.
+    fn sort_by_rarity(&self, plan: &mut BTreeMap<Source, Vec<usize>>) {
+        let mut holders = vec![0_usize; self.chunks.len()];
+        for state in self.source_states.values() {
+            for i in &state.holdings {
+                holders[*i] += 1;
+            }
+        }
+        for want in plan.values_mut() {
+            want.sort_by_key(|i| holders[*i]);
+        }
+    }
+
     /// Returns whether the origin's link is still needed for earlier chunks.
     fn is_too_early(&self, source: &Source, i: usize, now: Time) -> bool {
         let started = self.started.unwrap_or(now);
--- a/src/weights/puller/source_state.rs
+++ b/src/weights/puller/source_state.rs
@@ -53,7 +53,16 @@
         self.pending.remove(source);
         let state = self.source_states.entry(source.clone()).or_default();
         let since = *state.not_yet_since.get_or_insert(now);
-        if now.since(since) < self.timeouts.not_yet_limit {
+        // While no chunk arrives at all, no agent has anything new.
+        let is_arriving =
+            now.since(self.last_progress.1) < Puller::REQUEST_OVERDUE;
+        let exchanges = self.ranking.is_exchange_peer(source);
+        let limit = if exchanges && is_arriving {
+            Puller::EXCHANGE_LIMIT.min(self.timeouts.not_yet_limit)
+        } else {
+            self.timeouts.not_yet_limit
+        };
+        if now.since(since) < limit {
             return;
         }
         state.not_yet_since = None;
--- a/src/weights/source_ranking.rs
+++ b/src/weights/source_ranking.rs
@@ -43,6 +43,11 @@
     fanout: Option<usize>,
     /// Processes of the hall that cache chunks for its agents.
     caches: Vec<Arc<str>>,
+    /// Whether most agents take each chunk from another agent of the hall that
+    /// reads it from a cache.
+    exchanges: bool,
+    /// Whether the chunks with the fewest known holders are requested first.
+    rarest_first: bool,
     /// Processes of the hall that hold the whole version.
     holders: Vec<Arc<str>>,
     /// Processes of the hall that may hold part of the version.
@@ -50,6 +55,10 @@
 }
 
 impl SourceRanking {
+    /// One of so many agents reads a chunk from a cache and sends it to the
+    /// others: an agent then sends two thirds of what it receives.
+    const AGENTS_PER_READER: usize = 2;
+
     /// Agents tried in another hall before the next hall is tried.
     const MAX_FAR_ATTEMPTS: usize = 2;
 
@@ -98,6 +107,8 @@
             rotates: true,
             fanout: None,
             caches: Vec::new(),
+            exchanges: false,
+            rarest_first: false,
             holders: Vec::new(),
             partial_holders: Vec::new(),
         }
@@ -112,6 +123,32 @@
         self
     }
 
+    /// Lets a third of the hall's agents, a different one for each chunk, read
+    /// a chunk from the caches, and the others take it from those agents.
+    ///
+    /// The links of three caches carry less than the links of all agents of a
+    /// hall: 20 copies of 2.4 MB take 4.5 s over three links of 28 Mbit/s, and
+    /// chunks for other halls' caches wait behind them.
+    #[must_use]
+    pub fn with_exchange(mut self, exchanges: bool) -> SourceRanking {
+        self.exchanges = exchanges;
+        self
+    }
+
+    /// Requests the chunks with the fewest known holders first, so that a
+    /// chunk which only one process holds soon has several sources.
+    #[must_use]
+    pub fn with_rarest_first(mut self, rarest_first: bool) -> SourceRanking {
+        self.rarest_first = rarest_first;
+        self
+    }
+
+    /// Returns whether the chunks with the fewest known holders are requested
+    /// first.
+    pub const fn is_rarest_first(&self) -> bool {
+        self.rarest_first
+    }
+
     /// Tries processes that hold the whole version before any source outside
     /// the hall.
     #[must_use]
@@ -175,6 +212,13 @@
         suspect: impl Fn(&Source) -> bool,
         holds: impl Fn(&Source) -> bool,
     ) -> Source {
+        let has_cache = self.caches().any(|cache| !suspect(&cache));
+        if let Some(name) = self.exchange_parent(index).filter(|_| has_cache) {
+            let source = Source::Near(name);
+            if !suspect(&source) {
+                return source;
+            }
+        }
         for name in rotated_by_chunk(&self.caches, index) {
             let source = Source::Near(Arc::clone(name));
             if !suspect(&source) {
@@ -201,6 +245,29 @@
         Source::Origin
     }
 
+    /// Returns the agent from which this one takes a chunk that a third of the
+    /// agents read from the caches, or `None` if it is among those.
+    fn exchange_parent(&self, index: usize) -> Option<Arc<str>> {
+        if !self.exchanges {
+            return None;
+        }
+        let order: Vec<&Arc<str>> =
+            self.rotated_agents(self.own_hall, index).collect();
+        let readers = order.len().div_ceil(SourceRanking::AGENTS_PER_READER);
+        let position = order.iter().position(|n| **n == self.own_name)?;
+        let followers = SourceRanking::AGENTS_PER_READER - 1;
+        let parent = position.checked_sub(readers)? / followers;
+        order.get(parent).map(|name| Arc::clone(name))
+    }
+
+    /// Returns whether a source is an agent with which this one exchanges
+    /// chunks that its caches also have.
+    pub fn is_exchange_peer(&self, source: &Source) -> bool {
+        self.exchanges
+            && matches!(source, Source::Near(_))
+            && !self.caches().any(|cache| cache == *source)
+    }
+
     /// Returns the agents between this one and the chunk's seed in the hall's
     /// distribution tree, nearest first.
     fn ancestors(&self, index: usize) -> Vec<Arc<str>> {
