Choose versions by counts that all caches share

Cause: a cache kept to its own previous choice. In a test with two halls one hall's caches finished version 2 after an outage while the other hall's fetched version 3; each waited for chunks that only the other draws, for 4 s, and the origin sent 22 to 24 chunks of which 8 were needed.

Change: the choice follows from the counts of the whole fleet only. The state of the origin is that of a cache's last request for any version.

--- a/crates/chunks/src/cache.rs
+++ b/crates/chunks/src/cache.rs
@@ -119,6 +119,9 @@
     requested: Notify,
     /// The number of tasks started.
     tasks: AtomicU64,
+    /// When a request to the origin last failed, unless one has succeeded
+    /// since.
+    origin_failed: Mutex<Option<Instant>>,
     /// How often another version was chosen while one was being fetched.
     switches: AtomicU64,
 }
@@ -144,6 +147,7 @@
             choices: Mutex::default(),
             requested: Notify::new(),
             tasks: AtomicU64::new(0),
+            origin_failed: Mutex::default(),
             switches: AtomicU64::new(0),
         })
     }
@@ -193,6 +197,9 @@
             status.quiet_ms = entry.last_progress.elapsed().as_millis() as u64;
             status.origin_lost = entry.origin_lost;
         }
+        if self.retention.is_some() {
+            status.origin_lost = self.is_origin_lost();
+        }
         let json = serde_json::to_string(&status)
             .map_err(|e| Error::new(Code::Internal, e))?;
         Ok(answer(StatusCode::OK, json))
--- a/crates/chunks/src/cache/choice.rs
+++ b/crates/chunks/src/cache/choice.rs
@@ -27,6 +27,10 @@
 /// two missed answers.
 const MAX_STATUS_AGE: Duration = Duration::from_millis(1_000);
 
+/// How long after a failure the origin is taken to be unreachable. A cache that
+/// is responsible for a missing chunk repeats its request every 200 ms.
+const ORIGIN_FAILURE_RECENT: Duration = Duration::from_millis(3_000);
+
 type Choices = HashMap<Arc<str>, watch::Sender<Option<u64>>>;
 
 /// The last status of a version at another cache.
@@ -201,14 +205,11 @@
             });
         }
         let limits = self.limits(model, versions, retention);
-        let current = self.choices().get(model).and_then(|c| *c.borrow());
         let known = candidates.iter().any(|c| c.chunks > 0);
         let choice = known
-            .then(|| choose_fetch(&candidates, current, &limits))
-            .flatten();
-        // The newest version stays chosen once it is complete, so that it is
-        // fetched again if a chunk gets lost.
-        let choice = choice.or_else(|| versions.first().copied());
+            .then(|| choose_fetch(&candidates, &limits))
+            .flatten()
+            .or_else(|| versions.first().copied());
         self.set_choice(model, choice, inputs);
     }
 
@@ -234,12 +235,8 @@
         let due = targeted.map_or(Duration::MAX, |at| {
             at.after(retention.version_bound).since(facts.now())
         });
-        let versions = self.lock();
-        let lost = versions
-            .iter()
-            .any(|(key, entry)| key.0 == *model && entry.origin_lost);
         FetchLimits {
-            origin_reachable: !lost,
+            origin_reachable: !self.is_origin_lost(),
             times: ChunkTransferTimes { link, origin },
             newest_due_in: due,
         }
@@ -300,16 +297,32 @@
         sender.send_replace(choice);
         drop(choices);
         self.switches.fetch_add(1, Ordering::Relaxed);
-        let lost = self.lock().values().any(|entry| entry.origin_lost);
         self.context.facts.log().write(&Decision::VersionChosen {
             model,
             version: choice,
             previous,
-            origin: !lost,
+            origin: !self.is_origin_lost(),
             candidates,
         });
     }
 
+    /// Records whether a request to the origin failed.
+    pub(super) fn set_origin_failed(&self, failed: bool) {
+        *self.origin_failed() = failed.then(Instant::now);
+    }
+
+    /// Returns whether the origin is taken to be unreachable. A cache that has
+    /// nothing to request from it learns of its return by other caches'
+    /// chunks, or after [`ORIGIN_FAILURE_RECENT`].
+    pub(super) fn is_origin_lost(&self) -> bool {
+        let failed = *self.origin_failed();
+        failed.is_some_and(|at| at.elapsed() < ORIGIN_FAILURE_RECENT)
+    }
+
+    fn origin_failed(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.origin_failed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn choices(&self) -> MutexGuard<'_, Choices> {
         self.choices.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/chunks/src/cache/owner.rs
+++ b/crates/chunks/src/cache/owner.rs
@@ -60,10 +60,14 @@
             state.last_progress = Instant::now();
             state.origin_lost &= *source != Source::Origin;
         });
+        if *source == Source::Origin {
+            self.cache.set_origin_failed(false);
+        }
     }
 
     fn record_origin_failure(&self) {
         self.cache.update(self.key, |state| state.origin_lost = true);
+        self.cache.set_origin_failed(true);
     }
 
     fn idle(&self) -> Duration {
