Ask idle caches for their holdings while no chunk arrives

Cause: an agent that takes a chunk from another one waited for up to 10 s if that one fetched another version and no other chunk was missing.

Change: while no chunk arrives, agents that exchange chunks ask idle caches what they hold. Agents log `version_chosen` with the section `versions`.

--- a/crates/loader/src/agent.rs
+++ b/crates/loader/src/agent.rs
@@ -84,6 +84,9 @@
     pub report: watch::Sender<EngineReport>,
     /// Whether the replica must not receive new requests.
     paused: AtomicBool,
+    /// The version that was last chosen among several, if versions in quick
+    /// succession are kept.
+    pub chosen: Mutex<Option<u64>>,
 }
 
 impl Agent {
@@ -277,6 +280,7 @@
         state,
         report: watch::Sender::new(EngineReport::default()),
         paused: AtomicBool::new(false),
+        chosen: Mutex::default(),
     });
     tokio::spawn(watch_engine(Arc::clone(&agent)));
     tokio::spawn(read_routes(Arc::clone(&agent)));
--- a/crates/loader/src/version_selection.rs
+++ b/crates/loader/src/version_selection.rs
@@ -1,7 +1,7 @@
 //! Selects the version to load next if there are several candidates.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
 use futures::future::join_all;
@@ -9,6 +9,7 @@
     ChunkTransferTimes, VersionCandidate, choose_version,
 };
 use stairhinge_chunks::{CacheStatus, cache_status};
+use stairhinge_shell::decisions::{Decision, VersionInputs};
 use stairhinge_shell::directory;
 
 use crate::agent::Agent;
@@ -60,9 +61,54 @@
     let times = chunk_times(agent, &newest);
     let version = choose_version(&candidates, times);
     let version = version.unwrap_or(newest.version);
+    log_choice(agent, &newest.model, version, &candidates);
     ModelVersion { version, ..newest }
 }
 
+/// Logs a choice that differs from the last one, with its inputs.
+fn log_choice(
+    agent: &Agent,
+    model: &Arc<str>,
+    version: u64,
+    candidates: &[VersionCandidate],
+) {
+    if agent.settings.versions.is_none() {
+        return;
+    }
+    let mut chosen =
+        agent.chosen.lock().unwrap_or_else(PoisonError::into_inner);
+    let previous = chosen.replace(version);
+    drop(chosen);
+    if previous == Some(version) {
+        return;
+    }
+    let chunks = agent.engine_kind().map_or(0, |kind| kind.chunks as usize);
+    let facts = &agent.facts;
+    let view = facts.view();
+    let mut inputs = Vec::new();
+    for candidate in candidates {
+        let targeted = view.targets.targeted_at(model, candidate.version);
+        let age = targeted.map(|at| facts.now().since(at));
+        let in_hall = chunks.saturating_sub(candidate.missing_in_hall);
+        inputs.push(VersionInputs {
+            version: candidate.version,
+            chunks,
+            held: chunks.saturating_sub(candidate.missing),
+            in_hall,
+            // An agent knows of no other hall.
+            in_fleet: in_hall,
+            age_ms: age.map(|age| age.as_millis() as u64),
+        });
+    }
+    facts.log().write(&Decision::VersionChosen {
+        model,
+        version: Some(version),
+        previous,
+        origin: candidates.iter().all(|c| !c.stalled),
+        candidates: inputs,
+    });
+}
+
 /// Returns whether there is more than one version to choose from.
 pub(crate) fn has_choice(agent: &Agent, newest: &ModelVersion) -> bool {
     candidate_versions(agent, newest).len() > 1
--- a/src/weights/puller.rs
+++ b/src/weights/puller.rs
@@ -200,6 +200,10 @@
         for (source, want) in self.reassigned_requests(now) {
             requests.push(self.request(source, want, Duration::ZERO, now));
         }
+        for (source, want) in self.idle_cache_requests(now) {
+            let hold = self.timeouts.hold;
+            requests.push(self.request_holdings(source, want, hold, now));
+        }
         for overdue in self.stall_requests(now) {
             let hold = self.timeouts.hold;
             let request = if overdue.holdings_only {
--- a/src/weights/puller/holders.rs
+++ b/src/weights/puller/holders.rs
@@ -42,6 +42,30 @@
         requests
     }
 
+    /// Returns the requests for the holdings of idle caches while no chunk
+    /// arrives: an agent from which this one takes chunks may be fetching
+    /// another version, and the caches may hold them. A cache answers as soon
+    /// as it holds one.
+    pub(super) fn idle_cache_requests(
+        &self,
+        now: Time,
+    ) -> Vec<(Source, Vec<usize>)> {
+        let mut requests = Vec::new();
+        let waits = now.since(self.last_progress.1) >= Puller::REQUEST_OVERDUE;
+        if !waits || !self.ranking.is_exchanging() {
+            return requests;
+        }
+        for cache in self.ranking.caches() {
+            let is_pending = self.pending.contains_key(&cache);
+            let want = self.not_reported_by(&cache);
+            if is_pending || want.is_empty() || self.is_suspect(&cache, now) {
+                continue;
+            }
+            requests.push((cache, want));
+        }
+        requests
+    }
+
     /// Returns the chunks that outstanding requests may still deliver.
     ///
     /// While no chunk arrives at all (`is_arriving` is false), a request only
--- a/src/weights/puller/stall.rs
+++ b/src/weights/puller/stall.rs
@@ -92,7 +92,7 @@
     }
 
     /// Returns the missing chunks that a source has not reported to hold.
-    fn not_reported_by(&self, source: &Source) -> Vec<usize> {
+    pub(super) fn not_reported_by(&self, source: &Source) -> Vec<usize> {
         let holdings = self.source_states.get(source).map(|s| &s.holdings);
         let reported = |i: &usize| holdings.is_some_and(|h| h.contains(i));
         let unreported = self.missing().filter(|i| !reported(i));
--- a/src/weights/source_ranking.rs
+++ b/src/weights/source_ranking.rs
@@ -260,6 +260,12 @@
         order.get(parent).map(|name| Arc::clone(name))
     }
 
+    /// Returns whether agents of the hall take chunks from each other that
+    /// their caches also have.
+    pub const fn is_exchanging(&self) -> bool {
+        self.exchanges
+    }
+
     /// Returns whether a source is an agent with which this one exchanges
     /// chunks that its caches also have.
     pub fn is_exchange_peer(&self, source: &Source) -> bool {
