Check all aims for outages at other moments and a hall cut off

Measured: with the choice from shared counts, the first agent has the newest version 3.12 s after the origin's return with the origin away from 16 to 22 s, 3.14 s with it away from 19 to 25 s, and 2.96 s with a hall cut off from 19 to 24 s; before, 3.63, 3.56 and 4.18 s. With power lost at 22 s it is 3.77 s, later than the aim of 3.5 s.

--- a/src/weights/succession_tests.rs
+++ b/src/weights/succession_tests.rs
@@ -747,20 +747,18 @@
 }
 
 /// Guards against a choice that is right only for an outage after the second
-/// version: the origin is away before, between and after the two. Where no
-/// chunk of the newest version arrived before, the first replica has it 3.6 s
-/// after the origin is back.
+/// version: the origin is away before, between and after the two.
 #[test]
 fn outages_at_other_moments() {
     let load = |outage| Load { outage, seed: 7, ..Load::observed() };
-    check_all_but_first(load(19_000..25_000), 25_000);
+    check(load(19_000..25_000), 25_000);
     check(load(21_500..27_500), 27_500);
-    check_all_but_first(load(16_000..22_000), 22_000);
+    check(load(16_000..22_000), 22_000);
 }
 
 /// Guards against chunks that are lost with the memory of half of the entries,
 /// and that the origin then sends several times. With the loss at 22 s the
-/// first replica is complete at 30.15 s.
+/// first replica is complete at 30.27 s, later than the aim.
 #[test]
 fn half_of_the_entries_lose_power() {
     let load = |at| Load { power_lost: Some(at), ..Load::observed() };
@@ -770,12 +768,11 @@
 }
 
 /// Guards against a choice that counts on chunks out of reach, and against
-/// caches that wait for a hall that is cut off. The first replica is complete
-/// at 30.68 s.
+/// caches that wait for a hall that is cut off.
 #[test]
 fn a_hall_is_cut_off() {
     let load = Load { cut_off: 19_000..24_000, ..Load::observed() };
-    check_all_but_first(load, 26_500);
+    check(load, 26_500);
 }
 
 /// Guards against a changed rollout of a single version: each process has it
