--- a/crates/chunks/src/cache/owner.rs
+++ b/crates/chunks/src/cache/owner.rs
@@ -60,18 +60,25 @@
             state.last_progress = Instant::now();
             state.origin_lost &= *source != Source::Origin;
         });
+        if *source == Source::Origin {
+            self.cache.set_origin_failed(false);
+        }
     }
 
     fn record_origin_failure(&self) {
         self.cache.update(self.key, |state| state.origin_lost = true);
+        self.cache.set_origin_failed(true);
     }
 
     fn idle(&self) -> Duration {
-        let at =
-            self.cache.lock().get(self.key).map(|state| state.last_request);
+        let at = self.cache.last_request(self.key);
         at.map_or(RETENTION, |at| at.elapsed())
     }
 
+    fn goes_ahead(&self) -> bool {
+        self.cache.is_succession(&self.key.0)
+    }
+
     fn store_chunk<'a>(
         &'a self,
         _: &'a VersionManifest,
--- a/crates/loader/src/version_selection.rs
+++ b/crates/loader/src/version_selection.rs
@@ -1,13 +1,15 @@
 //! Selects the version to load next if there are several candidates.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
+use futures::future::join_all;
 use stairhinge::weights::{
     ChunkTransferTimes, VersionCandidate, choose_version,
 };
 use stairhinge_chunks::{CacheStatus, cache_status};
+use stairhinge_shell::decisions::{Decision, VersionInputs};
 use stairhinge_shell::directory;
 
 use crate::agent::Agent;
@@ -38,15 +40,19 @@
     newest: ModelVersion,
 ) -> ModelVersion {
     let versions = candidate_versions(agent, &newest);
-    let Some(cache) = caches(agent).first().copied() else { return newest };
-    if versions.len() < 2 {
+    let mut caches = caches(agent);
+    // A cache that has lost its memory does not show what its hall holds.
+    if agent.settings.versions.is_none() {
+        caches.truncate(1);
+    }
+    if caches.is_empty() || versions.len() < 2 {
         return newest;
     }
     let mut candidates = Vec::new();
     for version in versions {
         let wanted = ModelVersion { version, ..newest.clone() };
         let fetch = version == newest.version;
-        let found = candidate(agent, cache, &wanted, fetch).await;
+        let found = candidate(agent, &caches, &wanted, fetch).await;
         candidates.extend(found);
     }
     if candidates.first().is_none_or(|p| p.version != newest.version) {
@@ -55,9 +61,54 @@
     let times = chunk_times(agent, &newest);
     let version = choose_version(&candidates, times);
     let version = version.unwrap_or(newest.version);
+    log_choice(agent, &newest.model, version, &candidates);
     ModelVersion { version, ..newest }
 }
 
+/// Logs a choice that differs from the last one, with its inputs.
+fn log_choice(
+    agent: &Agent,
+    model: &Arc<str>,
+    version: u64,
+    candidates: &[VersionCandidate],
+) {
+    if agent.settings.versions.is_none() {
+        return;
+    }
+    let mut chosen =
+        agent.chosen.lock().unwrap_or_else(PoisonError::into_inner);
+    let previous = chosen.replace(version);
+    drop(chosen);
+    if previous == Some(version) {
+        return;
+    }
+    let chunks = agent.engine_kind().map_or(0, |kind| kind.chunks as usize);
+    let facts = &agent.facts;
+    let view = facts.view();
+    let mut inputs = Vec::new();
+    for candidate in candidates {
+        let targeted = view.targets.targeted_at(model, candidate.version);
+        let age = targeted.map(|at| facts.now().since(at));
+        let in_hall = chunks.saturating_sub(candidate.missing_in_hall);
+        inputs.push(VersionInputs {
+            version: candidate.version,
+            chunks,
+            held: chunks.saturating_sub(candidate.missing),
+            in_hall,
+            // An agent knows of no other hall.
+            in_fleet: in_hall,
+            age_ms: age.map(|age| age.as_millis() as u64),
+        });
+    }
+    facts.log().write(&Decision::VersionChosen {
+        model,
+        version: Some(version),
+        previous,
+        origin: candidates.iter().all(|c| !c.stalled),
+        candidates: inputs,
+    });
+}
+
 /// Returns whether there is more than one version to choose from.
 pub(crate) fn has_choice(agent: &Agent, newest: &ModelVersion) -> bool {
     candidate_versions(agent, newest).len() > 1
@@ -102,7 +153,7 @@
 /// served any more. With `fetch` the hall's cache is also told to fetch it.
 async fn candidate(
     agent: &Agent,
-    cache: SocketAddr,
+    caches: &[SocketAddr],
     wanted: &ModelVersion,
     fetch: bool,
 ) -> Option<VersionCandidate> {
@@ -111,18 +162,24 @@
     if remaining.is_zero() {
         return None;
     }
-    let asked =
-        cache_status(&agent.client, cache, model, version, fetch).await;
-    let hall_cache = asked.unwrap_or_default();
+    let mut held_in_hall = 0;
+    let mut cache_stalled = true;
+    let asked = caches.iter().map(|cache| {
+        cache_status(&agent.client, *cache, model, version, fetch)
+    });
+    for status in join_all(asked).await {
+        let status = status.unwrap_or_default();
+        held_in_hall = held_in_hall.max(status.held);
+        cache_stalled &= is_stalled(&status);
+    }
     let chunks = agent.engine_kind().map_or(0, |kind| kind.chunks as usize);
     let manifest = agent.holdings.manifest(model, version);
     let here = manifest.map_or(0, |m| agent.holdings.count(&m));
     let now = agent.facts.now();
     let turn = Turn::new(agent, model, version, Duration::ZERO);
-    let cache_stalled = is_stalled(&hall_cache);
     let served = !cache_stalled
         && versions_served_in_hall(agent, wanted).contains(&version);
-    let held = if served { chunks } else { hall_cache.held.max(here) };
+    let held = if served { chunks } else { held_in_hall.max(here) };
     Some(VersionCandidate {
         version,
         missing: chunks.saturating_sub(here),
