Reproduce the refusal after simultaneous replica exits without a network

Cause: PoisonTable counts an exit by the runs it interrupts and knows of no exit of a replica that did not run the request. Two rounds in which all replicas exit together leave a harmless request one exit short of quarantine, and the third round quarantines it.

Change: a pure test plays four such rounds at two entries.

--- a/src/poison/table_tests.rs
+++ b/src/poison/table_tests.rs
@@ -311,6 +311,45 @@
     }
 }
 
+/// Plays rounds of twelve callers at two entries, in each of which six replicas
+/// end 150 ms after the requests were sent, whether they run the request or
+/// not. Returns the number of callers that were refused in each round.
+fn refusals_while_all_replicas_end(rounds: u64, gap_ms: u64) -> Vec<usize> {
+    let hot = request("hot");
+    let mut entries = [PoisonTable::default(), PoisonTable::default()];
+    let mut refused = Vec::new();
+    for round in 0..rounds {
+        let (now, end) = (at(round * gap_ms), at(round * gap_ms + 150));
+        let mut runs = Vec::new();
+        for caller in 0..12 {
+            let entry = caller % 2;
+            if let Admission::Admitted(sent) = entries[entry].admit(hot, now) {
+                runs.push((entry, caller % 6, sent));
+            }
+        }
+        refused.push(12 - runs.len());
+        for (entry, index, sent) in runs {
+            entries[entry].finish_run(hot);
+            entries[entry].record_crash(hot, sent, &replica(index), end);
+        }
+        let records: Vec<Vec<PoisonRecord>> =
+            entries.iter().map(|e| e.records(&[hot], end)).collect();
+        for (entry, records) in entries.iter_mut().zip(records.iter().rev()) {
+            entry.merge(records.clone(), end);
+        }
+    }
+    refused
+}
+
+/// Guards against refusing the callers of a harmless request because all
+/// replicas of its service end by themselves, repeatedly and at the same time,
+/// so that replicas that do not run the request end with those that do.
+#[test]
+fn replicas_that_all_end_together_do_not_count_against_a_request() {
+    let refused = refusals_while_all_replicas_end(4, 1_000);
+    assert_eq!(refused, [0; 4]);
+}
+
 fn any_record() -> impl Strategy<Value = PoisonRecord> {
     let counts = (0..3_u32, 0..=3_u8, 0..=3_u8);
     (0..4_usize, counts, 0..50_000_u64).prop_map(|(name, counts, age_ms)| {
