Add an account of buffered bytes

Cause: nothing counts what an entry buffers between replicas and slow callers.

Change: src/buffers counts bytes by connection, workspace and process, and decides whether a further piece is read from its sender, whether the sender waits, and which callers have read nothing for too long. Codes 3022 to 3024.

--- a/src/code.rs
+++ b/src/code.rs
@@ -202,6 +202,16 @@
         "No backend server in an allowed region can accept the request now.",
         "Retry after the time given in `Retry-After`, \
          or allow the route more regions.";
+    CallerUnread = 3022, 504, RAN,
+        "The caller read nothing of its answer for too long.",
+        "Read the answer as it arrives, or raise `buffers.unread_ms`.";
+    LeftUnread = 3023, 502, RAN,
+        "A replica cut an answer that its caller was too slow to read.",
+        "Read faster, or raise `buffers.connection_kb`.";
+    BuffersFull = 3024, 503, DID_NOT_RUN,
+        "The entry has no room to buffer the request body.",
+        "Retry after the time given in `Retry-After`, \
+         or raise the bounds of `buffers`.";
     CorruptChunk = 4001, 502, None,
         "A chunk's bytes do not have the declared digest.",
         "None: it is fetched elsewhere; check the source that sent it.";
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -63,6 +63,7 @@
 the programs are in `crates/entry`, `crates/agent` and `crates/cli`.
 */
 
+pub mod buffers;
 pub mod declaration;
 pub mod direct;
 pub mod document;
