--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use socket2::SockRef;
 use stairhinge::{Code, Error};
 use stairhinge_chunks::{ChunkCache, FetchContext, WeightOrigin};
 use stairhinge_shell::decisions::{Decision, DecisionLog};
@@ -17,6 +18,7 @@
 };
 use tokio::net::TcpListener;
 
+use crate::buffers::Buffers;
 use crate::cache_site::FeedSite;
 use crate::dialect::Dialect;
 use crate::dispatch::{DispatchBounds, Dispatcher};
@@ -42,6 +44,10 @@
 /// entries of the fleet.
 const PEER_CONNECTIONS: usize = 640;
 
+/// The size of the kernel's send buffer for a caller, in bytes; the kernel
+/// doubles it. At a round trip of 10 ms it carries 50 Mbit/s.
+const SEND_BUFFER_BYTES: usize = 32 * 1024;
+
 /// The part of the grace period that is reserved for the exit of the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(400);
 
@@ -122,12 +128,21 @@
     let poison = Arc::new(PoisonWatch::new(Arc::clone(&facts)));
     let placing = start_placing(&settings, &dispatcher, &poison).await?;
     tokio::spawn(Arc::clone(&placing).run());
+    let body_time = settings.buffers.unwrap_or_default().body_time();
+    let buffers = settings.buffer_bounds()?.map(|bounds| {
+        let (facts, metrics) = (Arc::clone(&facts), Arc::clone(&metrics));
+        Buffers::new(bounds, body_time, facts, metrics)
+    });
+    if buffers.is_some() {
+        limit_send_buffer(&listener);
+    }
     let forwarder = Arc::new(Forwarder::new(
         live.clone(),
         Arc::clone(&dispatcher),
         placing,
         poison,
         dialect,
+        buffers,
         Arc::clone(&metrics),
         shutdown.clone(),
     ));
@@ -168,6 +183,15 @@
         .map_err(|e| Error::new(Code::CannotBind, format_args!("{addr}: {e}")))
 }
 
+/// Limits what the kernel buffers for each caller that reads slowly, which is
+/// the process's memory as well. Accepted connections inherit the limit.
+fn limit_send_buffer(listener: &TcpListener) {
+    let socket = SockRef::from(listener);
+    if let Err(err) = socket.set_send_buffer_size(SEND_BUFFER_BYTES) {
+        log::warn!("cannot limit the send buffers of callers: {err}");
+    }
+}
+
 /// Returns the placing of the entry's requests, and starts its communication
 /// with other entries.
 async fn start_placing(
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,7 +1,9 @@
 //! Forwarding of a request, up to the head of its answer.
 
 mod attempts;
+mod buffered;
 mod log;
+mod pass_on;
 mod refuse;
 mod send;
 
@@ -12,11 +14,11 @@
 use futures::future::BoxFuture;
 use hyper::body::Incoming;
 use hyper::header::{
-    CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HeaderValue,
+    CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, HeaderValue,
 };
 use hyper::http::request::Parts;
 use hyper::http::response;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use rand::RngExt as _;
 use stairhinge::direct::{AttemptResult, Repeat, RetryShare, Shortage};
 use stairhinge::placing::Outcome;
@@ -27,8 +29,10 @@
 use stairhinge_shell::{LiveSettings, Shutdown};
 
 pub(crate) use self::attempts::FailedAttempt;
+pub(crate) use self::buffered::left_unread_reason;
 use self::refuse::refused;
 use crate::admit::{find_route, find_workspace};
+use crate::buffers::Buffers;
 use crate::cancel_guard::CancelGuard;
 use crate::dialect::{CallerRequest, Dialect};
 use crate::dispatch::{Dispatcher, Place};
@@ -37,7 +41,7 @@
 use crate::placing::HallPlacing;
 use crate::poison::PoisonWatch;
 use crate::pool::Pool;
-use crate::relay::{Relay, Upstream, relay};
+use crate::relay::{Relay, Upstream, relay, relay_buffered};
 use crate::request_context::RequestContext;
 use crate::settings::EntrySettings;
 
@@ -54,6 +58,8 @@
     pub metrics: Arc<EntryMetrics>,
     pub pool: Pool,
     pub poison: Arc<PoisonWatch>,
+    /// The bounded buffers; `None` if they are disabled.
+    buffers: Option<Arc<Buffers>>,
     retry_shares: Mutex<HashMap<Arc<str>, RetryShare>>,
     shutdown: Shutdown,
 }
@@ -104,6 +110,7 @@
         placing: Arc<HallPlacing>,
         poison: Arc<PoisonWatch>,
         dialect: Arc<dyn Dialect>,
+        buffers: Option<Arc<Buffers>>,
         metrics: Arc<EntryMetrics>,
         shutdown: Shutdown,
     ) -> Forwarder {
@@ -114,6 +121,7 @@
             placing,
             poison,
             dialect,
+            buffers,
             metrics,
             pool: Pool::default(),
             retry_shares: Mutex::default(),
@@ -125,6 +133,9 @@
     pub(crate) fn sweep_and_update_gauges(&self) {
         self.pool.sweep();
         self.dispatcher.sweep();
+        if let Some(buffers) = &self.buffers {
+            buffers.cut_unread();
+        }
         let (running, waiting) = self.dispatcher.load();
         self.metrics.running.set(running as i64);
         self.metrics.waiting.set(waiting as i64);
@@ -201,7 +212,9 @@
         let deadline = started + patience.min(route.timeout());
         let max_bytes = self.settings.get().body_bytes;
         let timeout = deadline.saturating_duration_since(Instant::now());
-        let body = read(body, max_bytes, timeout).await?;
+        let name = workspace.as_ref().map(|w| Arc::clone(&w.name));
+        let (body, charges) =
+            self.read_request(body, max_bytes, timeout, name).await?;
         let priority = workspace
             .as_ref()
             .and_then(|w| w.priority)
@@ -221,6 +234,7 @@
             route,
             head,
             body,
+            _charges: charges,
             fingerprint: OnceLock::new(),
         });
         self.share(&context.service, |s| s.record_request(self.facts.now()));
@@ -260,7 +274,16 @@
                 kept,
                 suspicion,
             );
-            return Ok(Response::from_parts(head, relay(state)));
+            let body = match self.hold_answer(context) {
+                Some(held) => relay_buffered(state, held),
+                None => relay(state),
+            };
+            return Ok(Response::from_parts(head, body));
+        }
+        if let Some(held) = self.hold_answer(context) {
+            let answered = Answered { head, upstream };
+            let relayed = self.relay_held(context, answered, suspicion, held);
+            return relayed.await;
         }
         let Upstream { body, connection, mut place, .. } = upstream;
         let max_bytes = self.settings.get().body_bytes;
@@ -273,31 +296,47 @@
                 }
             })?;
         self.pool.put(connection, &head.headers);
-        if is_framed(&head.headers) {
+        let retry =
+            self.judge_whole(context, status, &head.headers, &mut place)?;
+        remove_hop_headers(&mut head.headers);
+        head.headers.remove(CONTENT_LENGTH);
+        let response = Response::from_parts(head, full(bytes));
+        if retry {
+            return Err(error_response(status, response));
+        }
+        self.log_ended(context, status.as_u16(), 0, "", None);
+        Ok(response)
+    }
+
+    /// Judges a complete answer that is not a stream, and returns whether the
+    /// request is to be retried.
+    ///
+    /// # Errors
+    ///
+    /// If the answer must not be passed on to the caller.
+    fn judge_whole(
+        &self,
+        context: &RequestContext,
+        status: StatusCode,
+        headers: &HeaderMap,
+        place: &mut Place,
+    ) -> Result<bool, AttemptError> {
+        if is_framed(headers) {
             self.poison.record_answer(context);
         }
         let mut retry = false;
-        let failed = status.is_server_error();
-        if failed && context.route.repeat != Repeat::Never {
-            retry = self.has_retry_left(context, &place);
+        if may_retry_after(context, status) {
+            retry = self.has_retry_left(context, place);
         } else {
             place.record_outcome(Outcome::Succeeded);
         }
-        let why = format!("the replica answered {status}");
-        let error = AttemptError::new(AttemptResult::NoResponse, why);
         if means_not_run(status.as_u16()) {
             // The request may have run, but this status would tell the caller
             // that it did not.
-            return Err(error);
-        }
-        remove_hop_headers(&mut head.headers);
-        head.headers.remove(CONTENT_LENGTH);
-        let response = Response::from_parts(head, full(bytes));
-        if retry {
-            return Err(AttemptError { failure: Some(response), ..error });
+            let why = format!("the replica answered {status}");
+            return Err(AttemptError::new(AttemptResult::NoResponse, why));
         }
-        self.log_ended(context, status.as_u16(), 0, "", None);
-        Ok(response)
+        Ok(retry)
     }
 
     /// Returns whether a request that got an error response can be retried at
@@ -333,3 +372,19 @@
         act(share)
     }
 }
+
+/// Returns whether a request that got this status may be retried.
+fn may_retry_after(context: &RequestContext, status: StatusCode) -> bool {
+    status.is_server_error() && context.route.repeat != Repeat::Never
+}
+
+/// Returns the failure of an attempt with an error response, which the caller
+/// gets if no other replica succeeds.
+fn error_response(
+    status: StatusCode,
+    response: Response<Body>,
+) -> AttemptError {
+    let why = format!("the replica answered {status}");
+    let error = AttemptError::new(AttemptResult::NoResponse, why);
+    AttemptError { failure: Some(response), ..error }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,13 +7,15 @@
 //! it for a replica, which one entry of the hall chooses for all of them
 //! ([`placing`]). [`poison`] quarantines requests that crash the replicas
 //! they run on. Requests are sent on pooled connections ([`pool`]), and
-//! [`relay`] streams their answers. The state of replicas comes from the
+//! [`relay`] streams their answers; [`buffers`] bounds what is held for slow
+//! callers. The state of replicas comes from the
 //! platform ([`stairhinge_shell::directory`]) and, more up to date, from the
 //! agents on their instances ([`feed`]). One entry reads the platform on
 //! behalf of the others ([`hall_reader`]). A [`Dialect`] encodes requests and
 //! decodes answers.
 
 mod admit;
+mod buffers;
 mod cache_site;
 mod cancel_guard;
 mod connect;
@@ -46,4 +48,4 @@
 pub use self::news::fetch_routes;
 pub use self::published::{FetchError, fetch_published};
 pub use self::report::EngineReport;
-pub use self::settings::{EntrySettings, RetryBound};
+pub use self::settings::{BufferSettings, EntrySettings, RetryBound};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -29,6 +29,12 @@
     by: &'static str,
 }
 
+/// The code of the cause for which an answer was cut.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct CutLabels {
+    code: u16,
+}
+
 /// The kind of a call to the platform.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct CallLabels {
@@ -43,6 +49,8 @@
     answers: Family<AnswerLabels, Counter>,
     choices: Family<ChoiceLabels, Counter>,
     calls: Family<CallLabels, Gauge>,
+    cuts: Family<CutLabels, Counter>,
+    pub buffered: Gauge,
     first_byte: Histogram,
     waited: Histogram,
     pub attempts: Counter,
@@ -77,6 +85,8 @@
             answers: Family::default(),
             choices: Family::default(),
             calls: Family::default(),
+            cuts: Family::default(),
+            buffered: Gauge::default(),
             first_byte: duration_histogram(),
             waited: duration_histogram(),
             attempts: Counter::default(),
@@ -143,6 +153,14 @@
             "Of these, the ones kept from replicas",
             quarantined,
         );
+        let cuts = self.cuts.clone();
+        r.register("cuts", "Answers cut by the entry, by cause", cuts);
+        r.register_with_unit(
+            "buffered",
+            "What is buffered for callers and replicas",
+            Unit::Bytes,
+            self.buffered.clone(),
+        );
         let cancelled = self.cancelled.clone();
         r.register("cancelled", "Requests whose caller went", cancelled);
         r.register("running", "Requests at replicas", self.running.clone());
@@ -212,6 +230,11 @@
         self.answers.get_or_create(&AnswerLabels { status, code }).inc();
     }
 
+    /// Counts an answer that was cut for the cause with this code.
+    pub(crate) fn count_cut(&self, code: u16) {
+        self.cuts.get_or_create(&CutLabels { code }).inc();
+    }
+
     /// Counts the choice of a replica by the placer, or by the entry itself
     /// for the reason in `by`.
     pub(crate) fn count_choice(&self, by: &'static str) {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -20,9 +20,12 @@
 use stairhinge_shell::decisions::Decision;
 use stairhinge_shell::http::{Body, BodyError};
 
+use crate::buffers::{Delivery, Held};
 use crate::dispatch::Place;
 use crate::event_timing::EventTiming;
-use crate::forward::{AttemptError, FailedAttempt, Forwarder};
+use crate::forward::{
+    AttemptError, FailedAttempt, Forwarder, left_unread_reason,
+};
 use crate::hop_headers::is_framed;
 use crate::pool::Connection;
 use crate::request_context::RequestContext;
@@ -37,6 +40,10 @@
 /// How long a failed stream waits for a replica with capacity.
 const MAX_RESUME_WAIT: Duration = Duration::from_millis(600);
 
+/// How long a replica must have been kept waiting for the caller in total for
+/// a cut of its answer to be ascribed to that. Replicas wait for some seconds.
+pub(crate) const MIN_LEFT_UNREAD: Duration = Duration::from_millis(500);
+
 /// An answer that is being read from a replica.
 pub(crate) struct Upstream {
     pub body: Incoming,
@@ -62,6 +69,10 @@
     suspicion: Suspicion,
     timing: EventTiming,
     ended: bool,
+    /// The buffers of the answer, if they are bounded.
+    held: Option<Arc<Held>>,
+    /// How long the replica was kept waiting for the caller.
+    waited: Duration,
 }
 
 /// The result of reading from the replica.
@@ -125,6 +136,8 @@
             suspicion,
             timing: EventTiming::default(),
             ended: false,
+            held: None,
+            waited: Duration::ZERO,
         }
     }
 
@@ -241,7 +254,12 @@
     /// If the stream cannot be resumed.
     async fn resume(&mut self, failure: ReadFailure) -> Result<(), BodyError> {
         let mut reason = failure.reason.clone();
-        let mut failed = self.release_upstream(failure).await;
+        let unread = failure.cut && self.waited >= MIN_LEFT_UNREAD;
+        let mut failed = self.release_upstream(failure, unread).await;
+        let ended = failed.as_ref().and_then(|f| f.replica_ended);
+        if unread && ended != Some(true) {
+            return Err(self.abort_unread(&reason));
+        }
         loop {
             self.splitter = EventSplitter::new();
             let can_retry = self.context.route.repeat == Repeat::Resume
@@ -272,13 +290,16 @@
     }
 
     /// Releases the replica whose answer failed, and describes the failed
-    /// attempt.
+    /// attempt. An answer that was left `unread` is no failure of the replica.
     async fn release_upstream(
         &mut self,
         failure: ReadFailure,
+        unread: bool,
     ) -> Option<FailedAttempt> {
         let mut upstream = self.upstream.take()?;
-        upstream.place.record_outcome(Outcome::Failed);
+        if !unread {
+            upstream.place.record_outcome(Outcome::Failed);
+        }
         let replica = Arc::clone(&upstream.place.replica);
         let sent = upstream.sent;
         drop(upstream);
@@ -358,6 +379,7 @@
         }
         self.headers = answered.head.headers;
         self.upstream = Some(answered.upstream);
+        self.waited = Duration::ZERO;
         self.forwarder.metrics.resumed.inc();
         self.forwarder.facts.log().write(&Decision::Resumed {
             request: &self.context.caller.id,
@@ -368,13 +390,25 @@
     }
 
     fn abort(&mut self, reason: &str) -> BodyError {
-        self.ended = true;
-        self.forwarder.poison.record_give_up(&self.context);
         let code = if self.context.remaining().is_zero() {
             Code::TimedOut
         } else {
             Code::AnswerBroke
         };
+        self.abort_with(code, reason)
+    }
+
+    /// Aborts an answer that its replica has cut because it was left unread.
+    /// The request is not run again, since its caller would be as slow.
+    fn abort_unread(&mut self, reason: &str) -> BodyError {
+        let code = Code::LeftUnread;
+        self.forwarder.metrics.count_cut(code.number());
+        self.abort_with(code, &left_unread_reason(self.waited, reason))
+    }
+
+    fn abort_with(&mut self, code: Code, reason: &str) -> BodyError {
+        self.ended = true;
+        self.forwarder.poison.record_give_up(&self.context);
         let (code, timing) = (code.number(), Some(&self.timing));
         self.forwarder.log_ended(&self.context, 200, code, reason, timing);
         BodyError(reason.to_string())
@@ -387,14 +421,35 @@
             return;
         }
         self.forwarder.poison.record_give_up(&self.context);
-        self.forwarder.metrics.cancelled.inc();
-        self.forwarder.facts.log().write(&Decision::Cancelled {
-            request: &self.context.caller.id,
-            took_ms: self.context.elapsed_ms(),
-        });
+        let (timing, held) = (Some(&self.timing), self.held.as_deref());
+        self.forwarder.log_undelivered(&self.context, 200, held, timing);
     }
 }
 
+/// Returns a body that streams the events of a relay from bounded buffers. The
+/// replica is read as fast as it sends while there is room, so that a slow
+/// caller does not keep its place.
+pub(crate) fn relay_buffered(mut state: Relay, held: Arc<Held>) -> Body {
+    let report = state.forwarder.report_disconnect(&state.context);
+    state.held = Some(Arc::clone(&held));
+    let (mut deliverer, mut delivery) = Delivery::new(held, None, report);
+    let sender = tokio::spawn(async move {
+        while let Some(item) = state.next().await {
+            let bytes = match item {
+                Ok(bytes) => bytes,
+                Err(error) => return deliverer.abort(error),
+            };
+            let before = deliverer.waited();
+            if !deliverer.push(bytes).await {
+                return;
+            }
+            state.waited += deliverer.waited() - before;
+        }
+    });
+    delivery.set_sender(sender.abort_handle());
+    delivery.boxed_unsync()
+}
+
 /// Returns a body that streams the events of a relay.
 pub(crate) fn relay(state: Relay) -> Body {
     let items = futures::stream::unfold(Some(state), |state| async {
--- a/crates/gateway/src/request_context.rs
+++ b/crates/gateway/src/request_context.rs
@@ -9,6 +9,7 @@
 use stairhinge::direct::{AllowedRegions, Route};
 use stairhinge::poison::{Fingerprint, Identity};
 
+use crate::buffers::Charge;
 use crate::dialect::CallerRequest;
 
 /// The parts of a request that are the same for all its attempts.
@@ -26,6 +27,8 @@
     pub deadline: Instant,
     pub head: Parts,
     pub body: Bytes,
+    /// What the body is counted as while the request needs it.
+    pub _charges: Vec<Charge>,
     /// Computed on first use, because few requests need it.
     pub fingerprint: OnceLock<Fingerprint>,
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 use stairhinge::Error;
+use stairhinge::buffers::BufferBounds;
 use stairhinge::direct::{EvacuationBound, HallRegions};
 use stairhinge::number::{maybe_whole, whole};
 use stairhinge::placing::ColdBound;
@@ -42,6 +43,76 @@
     }
 }
 
+/// The bounds on what an entry buffers for slow callers and replicas.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+pub struct BufferSettings {
+    /// The maximum for one answer, in KB; 256 by default.
+    #[serde(default, deserialize_with = "maybe_whole")]
+    pub connection_kb: Option<u64>,
+    /// The maximum for one workspace, in KB; half of the process's by default.
+    #[serde(default, deserialize_with = "maybe_whole")]
+    pub workspace_kb: Option<u64>,
+    /// The maximum for the process, in KB; a quarter of the memory limit by
+    /// default.
+    #[serde(default, deserialize_with = "maybe_whole")]
+    pub process_kb: Option<u64>,
+    /// The time after which an answer that is not being read is cut, in
+    /// milliseconds; 10,000 by default.
+    #[serde(default, deserialize_with = "maybe_whole")]
+    pub unread_ms: Option<u64>,
+    /// The time within which a request body must arrive, in milliseconds;
+    /// 10,000 by default. The request's deadline applies as well.
+    #[serde(default, deserialize_with = "maybe_whole")]
+    pub body_ms: Option<u64>,
+}
+
+/// The memory limit that is assumed if none is set, in MB: that of the
+/// smallest instances in use.
+const DEFAULT_MEMORY_MB: u64 = 112;
+
+/// The divisor of the memory limit that gives the default bound of a process.
+/// The rest is for the kernel's socket buffers, chunks of weights, connections
+/// and the program itself.
+const MEMORY_DIVISOR: u64 = 4;
+
+/// The default of [`BufferSettings::connection_kb`]. The answers of models
+/// have some KB.
+const DEFAULT_CONNECTION_KB: u64 = 256;
+
+/// The default of [`BufferSettings::unread_ms`] and
+/// [`BufferSettings::body_ms`]: longer than a caller's connection stalls for
+/// lost packets, and than the time after which its request is late anyway.
+const DEFAULT_STALL_MS: u64 = 10_000;
+
+impl BufferSettings {
+    /// Returns the bounds of a process with this memory limit, in MB.
+    ///
+    /// # Errors
+    ///
+    /// [`stairhinge::Code::OutOfRange`] if they contradict each other.
+    fn bounds(&self, memory_mb: Option<u64>) -> Result<BufferBounds, Error> {
+        const KB: u64 = 1024;
+        let memory_kb =
+            memory_mb.unwrap_or(DEFAULT_MEMORY_MB).saturating_mul(KB);
+        let process = self.process_kb.unwrap_or(memory_kb / MEMORY_DIVISOR);
+        let workspace = self.workspace_kb.unwrap_or(process / 2);
+        let connection = self.connection_kb;
+        let connection = connection.unwrap_or(DEFAULT_CONNECTION_KB);
+        let unread_ms = self.unread_ms.unwrap_or(DEFAULT_STALL_MS);
+        BufferBounds::new(
+            connection.saturating_mul(KB),
+            workspace.saturating_mul(KB),
+            process.saturating_mul(KB),
+            Duration::from_millis(unread_ms),
+        )
+    }
+
+    /// Returns the time within which a request body must arrive.
+    pub(crate) fn body_time(&self) -> Duration {
+        Duration::from_millis(self.body_ms.unwrap_or(DEFAULT_STALL_MS))
+    }
+}
+
 /// The settings of an entry that sends requests directly to replicas.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct EntrySettings {
@@ -106,6 +177,13 @@
     /// process serves callers yet.
     #[serde(default)]
     pub first_start: bool,
+    /// The memory limit of the process, in MB, which the bounds of
+    /// [`EntrySettings::buffers`] follow; 112 by default.
+    #[serde(default, deserialize_with = "maybe_whole")]
+    pub memory_mb: Option<u64>,
+    /// The bounds on buffers; `None` disables them.
+    #[serde(default)]
+    pub buffers: Option<BufferSettings>,
     /// The bound on retries.
     pub retry: RetryBound,
     /// The maximum size of a request body, in bytes.
@@ -164,6 +242,10 @@
 impl Settings for EntrySettings {
     fn parse(text: &str) -> Result<EntrySettings, Error> {
         let settings: EntrySettings = read_settings(text)?;
+        settings.buffer_bounds()?;
+        if settings.buffers.is_some_and(|b| b.body_ms == Some(0)) {
+            return Err(Error::range("buffers.body_ms", 0, "1 or more"));
+        }
         if settings.grace_s == 0 {
             return Err(Error::range("grace_s", 0, "1 or more"));
         }
@@ -207,6 +289,16 @@
         self.link_mbps.bytes_per_s(LINK_SHARE)
     }
 
+    /// Returns the bounds on buffers, if there are any.
+    ///
+    /// # Errors
+    ///
+    /// [`stairhinge::Code::OutOfRange`] if they contradict each other.
+    pub fn buffer_bounds(&self) -> Result<Option<BufferBounds>, Error> {
+        let bounds = self.buffers.map(|b| b.bounds(self.memory_mb));
+        bounds.transpose()
+    }
+
     /// Returns the grace period of a graceful shutdown.
     pub const fn grace(&self) -> Duration {
         Duration::from_secs(self.grace_s)
--- a/crates/shell/src/decisions/decision.rs
+++ b/crates/shell/src/decisions/decision.rs
@@ -363,6 +363,19 @@
         /// The time since the request's head arrived, in milliseconds.
         took_ms: u64,
     },
+    /// A caller was cut because it read nothing of its answer for too long.
+    CallerCut {
+        /// The request's id.
+        request: &'a str,
+        /// The numbered code.
+        code: u16,
+        /// The bytes of the answer that were buffered for the caller.
+        unread_bytes: u64,
+        /// The bytes that the process buffered for all callers and replicas.
+        total_bytes: u64,
+        /// The time since the request's head arrived, in milliseconds.
+        took_ms: u64,
+    },
     /// A chunk was rejected, or a source of chunks is no longer used.
     SourceFailed {
         /// The source.
--- a/crates/shell/src/decisions_tests.rs
+++ b/crates/shell/src/decisions_tests.rs
@@ -126,6 +126,13 @@
         },
         ENDED,
         Decision::Cancelled { request: "r1", took_ms: 7 },
+        Decision::CallerCut {
+            request: "r1",
+            code: 3022,
+            unread_bytes: 65_536,
+            total_bytes: 131_072,
+            took_ms: 9_000,
+        },
     ];
     for decision in &written {
         log.write(decision);
--- a/crates/shell/src/http.rs
+++ b/crates/shell/src/http.rs
@@ -11,4 +11,4 @@
 };
 pub use self::client::{CallError, Client};
 pub use self::fail::{Failed, answer};
-pub use self::server::{Handler, Limits, serve};
+pub use self::server::{ConnectionHandle, Handler, Limits, serve};
--- a/crates/shell/src/http/server.rs
+++ b/crates/shell/src/http/server.rs
@@ -7,11 +7,12 @@
 use futures::future::BoxFuture;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use hyper::service::{HttpService, service_fn};
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use super::Body;
@@ -58,6 +59,18 @@
     }
 }
 
+/// Aborts the connection of a request, whose extensions hold it. Bytes that
+/// the peer has not read yet are discarded.
+#[derive(Clone, Debug, Default)]
+pub struct ConnectionHandle(CancellationToken);
+
+impl ConnectionHandle {
+    /// Aborts the connection.
+    pub fn abort(&self) {
+        self.0.cancel();
+    }
+}
+
 /// Serves until the shutdown begins and the linger time is over, waits for the
 /// requests in progress to finish, and returns.
 pub async fn serve(
@@ -119,21 +132,27 @@
     handler: Arc<dyn Handler>,
 ) {
     let _ = stream.set_nodelay(true);
-    let service = service_fn(move |request| {
+    let own = ConnectionHandle::default();
+    let aborted = own.0.clone();
+    let service = service_fn(move |mut request: Request<Incoming>| {
         let handler = Arc::clone(&handler);
+        request.extensions_mut().insert(own.clone());
         async move { Ok::<_, Infallible>(handler.handle(request).await) }
     });
-    let conn = http1::Builder::new()
+    let mut conn = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_time)
         .max_buf_size(limits.head)
         .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(conn);
     let ended = tokio::select! {
-        ended = &mut conn => ended,
-        () = drain.wait() => {
-            conn.as_mut().graceful_shutdown();
-            conn.await
+        ended = run(&mut conn, drain) => ended,
+        () = aborted.cancelled() => {
+            // Otherwise the kernel keeps the unread bytes until they are read.
+            let stream = conn.into_parts().io.into_inner();
+            if let Err(err) = stream.set_zero_linger() {
+                log::debug!("connection: {err}");
+            }
+            return;
         }
     };
     // hyper itself has sent 400 or 431 if the input was not valid HTTP.
@@ -141,3 +160,19 @@
         log::debug!("connection: {err}");
     }
 }
+
+/// Serves a connection until it ends. Once the shutdown begins, the request in
+/// progress is the last one.
+async fn run<S>(
+    conn: &mut http1::Connection<TokioIo<TcpStream>, S>,
+    drain: Shutdown,
+) -> hyper::Result<()>
+where
+    S: HttpService<Incoming, ResBody = Body, Error = Infallible>,
+{
+    tokio::select! {
+        ended = &mut *conn => return ended,
+        () = drain.wait() => Pin::new(&mut *conn).graceful_shutdown(),
+    }
+    conn.await
+}
--- a/src/buffers/bounds.rs
+++ b/src/buffers/bounds.rs
@@ -44,9 +44,9 @@
         unread: Duration,
     ) -> Result<BufferBounds, Error> {
         for (field, value, min) in [
-            ("connection", connection, BufferBounds::MIN_CONNECTION),
-            ("workspace", workspace, connection),
-            ("process", process, workspace),
+            ("buffers.connection", connection, BufferBounds::MIN_CONNECTION),
+            ("buffers.workspace", workspace, connection),
+            ("buffers.process", process, workspace),
         ] {
             if value < min {
                 let allowed = format_args!("{min} bytes or more");
@@ -56,7 +56,8 @@
         if unread < BufferBounds::MIN_UNREAD {
             let min = BufferBounds::MIN_UNREAD.as_millis();
             let allowed = format_args!("{min} ms or more");
-            return Err(Error::range("unread", unread.as_millis(), allowed));
+            let unread = unread.as_millis();
+            return Err(Error::range("buffers.unread", unread, allowed));
         }
         Ok(BufferBounds { connection, workspace, process, unread })
     }
--- a/src/explanation/cause.rs
+++ b/src/explanation/cause.rs
@@ -86,6 +86,13 @@
         /// The time since the request's head arrived, in milliseconds.
         took_ms: u64,
     },
+    /// Its caller was cut, because it read nothing of the answer for too long.
+    CallerUnread {
+        /// The bytes of the answer that were buffered for the caller.
+        unread_bytes: u64,
+        /// The time since the request's head arrived, in milliseconds.
+        took_ms: u64,
+    },
     /// The entry terminated before the request ended.
     EntryTerminated {
         /// Whether it had been sent to a replica.
@@ -132,6 +139,7 @@
             Cause::CallerDisconnected { sent: false, .. } => {
                 "disconnected while waiting"
             }
+            Cause::CallerUnread { .. } => "caller read nothing",
             Cause::EntryTerminated { .. } => "entry terminated",
             Cause::Unknown => "log ends",
         }
@@ -181,6 +189,16 @@
 }
 
 fn unanswered(history: &RequestHistory) -> Cause {
+    let cut = find_last(history, |d| match d {
+        LoggedDecision::CallerCut { unread_bytes, took_ms, .. } => {
+            let (unread_bytes, took_ms) = (*unread_bytes, *took_ms);
+            Some(Cause::CallerUnread { unread_bytes, took_ms })
+        }
+        _ => None,
+    });
+    if let Some(cut) = cut {
+        return cut;
+    }
     // The last of these decisions is the reason that the answer gives.
     let cause = find_last(history, |d| match d {
         LoggedDecision::NoReplica {
@@ -328,6 +346,13 @@
                     "the caller disconnected after {took_ms} ms, while {at}"
                 )
             }
+            Cause::CallerUnread { unread_bytes, took_ms } => {
+                write!(
+                    f,
+                    "the caller left {unread_bytes} bytes unread and was "
+                )?;
+                write!(f, "cut after {took_ms} ms")
+            }
             Cause::EntryTerminated { sent: true } => f.write_str(
                 "the entry terminated while a replica was running it",
             ),
--- a/src/explanation/history.rs
+++ b/src/explanation/history.rs
@@ -74,6 +74,7 @@
                 LoggedDecision::Cancelled { .. } => {
                     return Outcome::CallerDisconnected;
                 }
+                LoggedDecision::CallerCut { .. } => return Outcome::Truncated,
                 LoggedDecision::Ended { code: 0, .. } => {
                     return Outcome::Answered;
                 }
--- a/src/explanation/log_line.rs
+++ b/src/explanation/log_line.rs
@@ -198,6 +198,15 @@
         /// The time since the request's head arrived, in milliseconds.
         took_ms: u64,
     },
+    /// The caller was cut because it read nothing of its answer for too long.
+    CallerCut {
+        /// The request's id.
+        request: Arc<str>,
+        /// The bytes of the answer that were buffered for the caller.
+        unread_bytes: u64,
+        /// The time since the request's head arrived, in milliseconds.
+        took_ms: u64,
+    },
     /// The engine was ordered to load a version.
     LoadOrdered {
         /// The model.
@@ -237,6 +246,7 @@
             | LoggedDecision::PoisonCleared { request }
             | LoggedDecision::Resumed { request, .. }
             | LoggedDecision::Ended { request, .. }
+            | LoggedDecision::CallerCut { request, .. }
             | LoggedDecision::Cancelled { request, .. } => Some(request),
             _ => None,
         }
