--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -136,16 +136,16 @@
     if buffers.is_some() {
         limit_send_buffer(&listener);
     }
-    let forwarder = Arc::new(Forwarder::new(
+    let forwarder = Forwarder::new(
         live.clone(),
         Arc::clone(&dispatcher),
         placing,
         poison,
         dialect,
-        buffers,
         Arc::clone(&metrics),
         shutdown.clone(),
-    ));
+    );
+    let forwarder = Arc::new(forwarder.with_buffers(buffers));
     tokio::spawn(keep_house(Arc::clone(&forwarder), counted));
     let peer_handler = settings.peers.map(|addr| {
         (
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -110,7 +110,6 @@
         placing: Arc<HallPlacing>,
         poison: Arc<PoisonWatch>,
         dialect: Arc<dyn Dialect>,
-        buffers: Option<Arc<Buffers>>,
         metrics: Arc<EntryMetrics>,
         shutdown: Shutdown,
     ) -> Forwarder {
@@ -121,7 +120,7 @@
             placing,
             poison,
             dialect,
-            buffers,
+            buffers: None,
             metrics,
             pool: Pool::default(),
             retry_shares: Mutex::default(),
@@ -129,6 +128,14 @@
         }
     }
 
+    /// Sets the bounded buffers, if there are any.
+    pub(crate) fn with_buffers(
+        self,
+        buffers: Option<Arc<Buffers>>,
+    ) -> Forwarder {
+        Forwarder { buffers, ..self }
+    }
+
     /// Closes idle connections, drops expired state and updates gauges.
     pub(crate) fn sweep_and_update_gauges(&self) {
         self.pool.sweep();
@@ -296,31 +303,30 @@
                 }
             })?;
         self.pool.put(connection, &head.headers);
-        let retry =
-            self.judge_whole(context, status, &head.headers, &mut place)?;
+        let judged =
+            self.judge_whole(context, status, &head.headers, &mut place);
         remove_hop_headers(&mut head.headers);
         head.headers.remove(CONTENT_LENGTH);
         let response = Response::from_parts(head, full(bytes));
-        if retry {
-            return Err(error_response(status, response));
+        match judged {
+            WholeAnswer::Deliver => {}
+            WholeAnswer::Retry => {
+                return Err(error_response(status, Some(response)));
+            }
+            WholeAnswer::Withhold => return Err(error_response(status, None)),
         }
         self.log_ended(context, status.as_u16(), 0, "", None);
         Ok(response)
     }
 
-    /// Judges a complete answer that is not a stream, and returns whether the
-    /// request is to be retried.
-    ///
-    /// # Errors
-    ///
-    /// If the answer must not be passed on to the caller.
+    /// Judges a complete answer that is not a stream.
     fn judge_whole(
         &self,
         context: &RequestContext,
         status: StatusCode,
         headers: &HeaderMap,
         place: &mut Place,
-    ) -> Result<bool, AttemptError> {
+    ) -> WholeAnswer {
         if is_framed(headers) {
             self.poison.record_answer(context);
         }
@@ -333,10 +339,9 @@
         if means_not_run(status.as_u16()) {
             // The request may have run, but this status would tell the caller
             // that it did not.
-            let why = format!("the replica answered {status}");
-            return Err(AttemptError::new(AttemptResult::NoResponse, why));
+            return WholeAnswer::Withhold;
         }
-        Ok(retry)
+        if retry { WholeAnswer::Retry } else { WholeAnswer::Deliver }
     }
 
     /// Returns whether a request that got an error response can be retried at
@@ -378,13 +383,23 @@
     status.is_server_error() && context.route.repeat != Repeat::Never
 }
 
-/// Returns the failure of an attempt with an error response, which the caller
-/// gets if no other replica succeeds.
+/// What to do with a complete answer.
+enum WholeAnswer {
+    /// The caller gets it.
+    Deliver,
+    /// The caller gets it if no other replica succeeds.
+    Retry,
+    /// The caller must not get it.
+    Withhold,
+}
+
+/// Returns the failure of an attempt that got an error status, with the
+/// response that the caller gets if no other replica succeeds.
 fn error_response(
     status: StatusCode,
-    response: Response<Body>,
+    response: Option<Response<Body>>,
 ) -> AttemptError {
     let why = format!("the replica answered {status}");
     let error = AttemptError::new(AttemptResult::NoResponse, why);
-    AttemptError { failure: Some(response), ..error }
+    AttemptError { failure: response, ..error }
 }
--- a/crates/gateway/src/forward/buffered.rs
+++ b/crates/gateway/src/forward/buffered.rs
@@ -19,7 +19,8 @@
 use super::pass_on::PassOn;
 use super::refuse::refused;
 use super::{
-    Answered, AttemptError, Forwarder, error_response, may_retry_after,
+    Answered, AttemptError, Forwarder, WholeAnswer, error_response,
+    may_retry_after,
 };
 use crate::buffers::{
     Charge, CollectError, Collected, Delivery, EndOfDelivery, Held,
@@ -139,13 +140,18 @@
             return Ok(Response::from_parts(head, delivery.boxed_unsync()));
         }
         self.pool.put(connection, &head.headers);
-        let retry =
-            self.judge_whole(context, status, &head.headers, &mut place)?;
+        let judged =
+            self.judge_whole(context, status, &head.headers, &mut place);
         remove_hop_headers(&mut head.headers);
         head.headers.remove(CONTENT_LENGTH);
-        if retry {
-            let response = Response::from_parts(head, full(collected.bytes));
-            return Err(error_response(status, response));
+        match judged {
+            WholeAnswer::Deliver => {}
+            WholeAnswer::Retry => {
+                let body = full(collected.bytes);
+                let response = Response::from_parts(head, body);
+                return Err(error_response(status, Some(response)));
+            }
+            WholeAnswer::Withhold => return Err(error_response(status, None)),
         }
         let body = self.deliver_whole(context, collected, held);
         self.log_ended(context, status.as_u16(), 0, "", None);
--- a/src/explanation/tests.rs
+++ b/src/explanation/tests.rs
@@ -140,6 +140,22 @@
     assert_eq!(found, Cause::AttemptFailed { replica, reason });
 }
 
+/// Guards against ascribing an answer to its replica that was cut because its
+/// caller read nothing, whether the replica had finished or not.
+#[test]
+fn a_caller_that_read_nothing_is_named_as_the_cause() {
+    let cut = r#"{"wall":1900,"ms":900,"event":"caller_cut","request":"r1",
+        "code":3022,"unread_bytes":65536,"total_bytes":70000,"took_ms":860}"#;
+    let (whole, part) = (ended(200, 0, ""), ended(200, 3022, "in part"));
+    for lines in [[START, SENT, &whole, cut], [START, SENT, cut, &part]] {
+        let (outcome, found) = cause(&lines);
+        assert_eq!(outcome, Outcome::Truncated);
+        let expected =
+            Cause::CallerUnread { unread_bytes: 65_536, took_ms: 860 };
+        assert_eq!(found, expected);
+    }
+}
+
 #[test]
 fn a_restart_ends_the_unfinished_requests_of_the_process() {
     let (outcome, found) = cause(&[START, SENT, START]);
