Deliver what is buffered before an answer is aborted

Cause: the HTTP library closes a connection at an error of the body, whatever is still to be written, so a slow caller lost events that had arrived. A process that was stopped for longer than unread_ms cut all its callers.

Change: an answer is aborted once the caller has read what is buffered. After an interval of over 2 s between two checks the unread times count anew.

--- a/crates/gateway/src/buffers.rs
+++ b/crates/gateway/src/buffers.rs
@@ -120,7 +120,7 @@
     pub(crate) fn cut_unread(&self) {
         let now = self.facts.now();
         let (ids, total) = {
-            let account = self.account();
+            let mut account = self.account();
             (account.unread(now), account.total())
         };
         self.metrics.buffered.set(total as i64);
@@ -188,6 +188,13 @@
         })
     }
 
+    /// Waits until the reader has taken all that is counted.
+    async fn drained(&self) {
+        while self.buffers.account().held(self.id) > 0 {
+            self.moved.notified().await;
+        }
+    }
+
     /// Returns whether the caller was cut because it read nothing.
     pub(crate) fn is_cut(&self) -> bool {
         self.cut.load(Ordering::Acquire)
--- a/crates/gateway/src/buffers/delivery.rs
+++ b/crates/gateway/src/buffers/delivery.rs
@@ -45,10 +45,20 @@
         true
     }
 
-    /// Ends the answer so that the caller sees that it is incomplete.
-    pub(crate) fn abort(&self, error: BodyError) {
-        // The receiver is gone if the caller has disconnected.
-        let _ = self.tx.send(Err(error));
+    /// Ends the answer, once the caller has read what is buffered of it, so
+    /// that the caller sees that it is incomplete.
+    pub(crate) fn abort(
+        &self,
+        error: BodyError,
+    ) -> impl Future<Output = ()> + use<> {
+        let (held, tx) = (Arc::clone(&self.held), self.tx.clone());
+        async move {
+            // The connection is closed at an error, whatever is still to be
+            // written to it.
+            held.drained().await;
+            // The receiver is gone if the caller has disconnected.
+            let _ = tx.send(Err(error));
+        }
     }
 
     /// Returns how long the sender was kept waiting for the caller in total.
--- a/crates/gateway/src/forward/pass_on.rs
+++ b/crates/gateway/src/forward/pass_on.rs
@@ -133,7 +133,10 @@
         }
         let (status, number) = (self.status, code.number());
         self.forwarder.log_ended(&self.context, status, number, &reason, None);
-        self.deliverer.abort(BodyError(reason));
+        let end = self.deliverer.abort(BodyError(reason));
+        // The place is released before the caller has read the rest.
+        drop(self);
+        end.await;
     }
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -437,7 +437,10 @@
         while let Some(item) = state.next().await {
             let bytes = match item {
                 Ok(bytes) => bytes,
-                Err(error) => return deliverer.abort(error),
+                Err(error) => {
+                    drop(state);
+                    return deliverer.abort(error).await;
+                }
             };
             let before = deliverer.waited();
             if !deliverer.push(bytes).await {
--- a/src/buffers/account.rs
+++ b/src/buffers/account.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::BufferBounds;
 use crate::Time;
@@ -57,9 +58,16 @@
     workspaces: HashMap<Arc<str>, u64>,
     holders: BTreeMap<HolderId, Holder>,
     next_id: u64,
+    /// When unread answers were last looked for.
+    checked_at: Option<Time>,
 }
 
 impl BufferAccount {
+    /// The longest interval between two calls of [`BufferAccount::unread`] in
+    /// a process that checks twice a second. After a longer one the process
+    /// was stopped for a while, and its callers could read nothing.
+    pub const MAX_CHECK_INTERVAL: Duration = Duration::from_secs(2);
+
     /// Returns an account without holders.
     pub fn new(bounds: BufferBounds) -> BufferAccount {
         BufferAccount {
@@ -68,6 +76,7 @@
             workspaces: HashMap::new(),
             holders: BTreeMap::new(),
             next_id: 0,
+            checked_at: None,
         }
     }
 
@@ -157,7 +166,13 @@
     /// Returns the holders of answers to cut, since their readers have taken
     /// nothing for too long. While the process is short of buffers these are
     /// at first those that have taken nothing for a part of that time.
-    pub fn unread(&self, now: Time) -> Vec<HolderId> {
+    pub fn unread(&mut self, now: Time) -> Vec<HolderId> {
+        let last = self.checked_at.replace(now).unwrap_or(now);
+        if now.since(last) > BufferAccount::MAX_CHECK_INTERVAL {
+            for holder in self.holders.values_mut() {
+                holder.moved_at = now;
+            }
+        }
         let limit = self.bounds.unread(self.total);
         let mut ids = Vec::new();
         for (id, holder) in &self.holders {
--- a/src/buffers/account_tests.rs
+++ b/src/buffers/account_tests.rs
@@ -141,9 +141,32 @@
     // The time counts from when there is something to read.
     account.take(id, KB, at(1_000_000));
     assert!(account.unread(at(1_000_001)).is_empty());
-    let body = account.open(BufferUse::Request, None, at(0));
-    account.take(body, KB, at(0));
-    assert!(!account.unread(at(2_000_000)).contains(&body));
+    let body = account.open(BufferUse::Request, None, at(1_000_001));
+    account.take(body, KB, at(1_000_001));
+    let mut cut = Vec::new();
+    for ms in (1_000_001..1_060_000).step_by(500) {
+        cut.extend(account.unread(at(ms)));
+    }
+    assert!(cut.contains(&id) && !cut.contains(&body));
+}
+
+/// Guards against cutting all callers of a process that was stopped for longer
+/// than callers may read nothing.
+#[test]
+fn a_process_that_was_stopped_cuts_nobody_for_that() {
+    let mut account = BufferAccount::new(bounds());
+    let id = answer(&mut account, "a");
+    fill(&mut account, id, at(0));
+    assert!(account.unread(at(500)).is_empty());
+    let awake = at(500).after(UNREAD * 2);
+    assert!(account.unread(awake).is_empty());
+    assert!(account.unread(awake.after(UNREAD / 5)).is_empty());
+    let mut cut = Vec::new();
+    for ms in (0..=8_000).step_by(500) {
+        let now = awake.after(UNREAD / 5 + Duration::from_millis(ms));
+        cut.extend(account.unread(now));
+    }
+    assert!(cut.contains(&id));
 }
 
 /// Guards against large request bodies that take the room of answers.
