Break an answer off whose event does not fit the buffers

Cause: an event without an end was collected until the deadline at the rate of the link, whatever the bounds.

Change: with bounded buffers an answer with an event above connection_kb is broken off with 3011 and not resumed, since another replica would send it as well.

--- a/crates/gateway/src/buffers.rs
+++ b/crates/gateway/src/buffers.rs
@@ -36,6 +36,8 @@
 pub(crate) struct Buffers {
     /// The time within which a request body must arrive.
     body_time: Duration,
+    /// The maximum bytes of an answer that are held at a time.
+    max_answer: u64,
     account: Mutex<BufferAccount>,
     /// The answers that can be cut.
     answers: Mutex<HashMap<HolderId, AnswerState>>,
@@ -61,6 +63,7 @@
     ) -> Arc<Buffers> {
         Arc::new(Buffers {
             body_time,
+            max_answer: bounds.connection(),
             account: Mutex::new(BufferAccount::new(bounds)),
             answers: Mutex::default(),
             facts,
@@ -188,6 +191,11 @@
         })
     }
 
+    /// Returns the maximum bytes of an answer that are held at a time.
+    pub(crate) fn max_bytes(&self) -> u64 {
+        self.buffers.max_answer
+    }
+
     /// Waits until the reader has taken all that is counted.
     async fn drained(&self) {
         while self.buffers.account().held(self.id) > 0 {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -148,6 +148,9 @@
                 self.timing.record(Instant::now());
                 return Some(Ok(bytes));
             }
+            if let Some(error) = self.abort_long_event() {
+                return Some(Err(error));
+            }
             match self.read().await {
                 Read::Bytes(bytes) => self.splitter.push(&bytes),
                 Read::End if !self.splitter.is_partial() => {
@@ -171,6 +174,17 @@
         }
     }
 
+    /// Aborts the answer if it has an event that does not fit the buffers.
+    /// Another replica would send it as well, so the stream is not resumed.
+    fn abort_long_event(&mut self) -> Option<BodyError> {
+        let max = self.held.as_ref()?.max_bytes();
+        if self.splitter.buffered() as u64 <= max {
+            return None;
+        }
+        self.upstream = None;
+        Some(self.abort(&format!("an event has more than {max} bytes")))
+    }
+
     fn next_complete_events(&mut self) -> Option<Bytes> {
         let first = self.splitter.next_event()?;
         self.last_event = first.id.or(self.last_event);
--- a/src/direct/event_splitter.rs
+++ b/src/direct/event_splitter.rs
@@ -42,6 +42,11 @@
         Some(Event { bytes, id })
     }
 
+    /// Returns the number of buffered bytes.
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns whether bytes of an incomplete event are buffered.
     pub fn is_partial(&self) -> bool {
         !self.buffer.is_empty()
