Do not blame a replica for a deadline that passed while its caller was slow

Cause: a stream that waited for its slow caller beyond the deadline recorded a failure of its replica, which was excluded.

Change: no failure is recorded if the replica had been kept waiting.

--- a/crates/gateway/src/forward/pass_on.rs
+++ b/crates/gateway/src/forward/pass_on.rs
@@ -107,7 +107,7 @@
         let BrokenAnswer { mut code, mut reason } = broken;
         let lost = matches!(code, Code::AnswerBroke);
         let waited = self.deliverer.waited();
-        let unread = lost && waited >= MIN_LEFT_UNREAD;
+        let unread = waited >= MIN_LEFT_UNREAD;
         if !unread {
             self.place.record_outcome(Outcome::Failed);
         }
@@ -119,7 +119,7 @@
             .await;
         self.ended = true;
         self.forwarder.poison.record_give_up(&self.context);
-        if unread && replica_ended != Some(true) {
+        if lost && unread && replica_ended != Some(true) {
             code = Code::LeftUnread;
             reason = left_unread_reason(waited, &reason);
             self.forwarder.metrics.count_cut(code.number());
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -268,10 +268,12 @@
     /// If the stream cannot be resumed.
     async fn resume(&mut self, failure: ReadFailure) -> Result<(), BodyError> {
         let mut reason = failure.reason.clone();
-        let unread = failure.cut && self.waited >= MIN_LEFT_UNREAD;
+        let cut = failure.cut;
+        let late = self.context.remaining().is_zero();
+        let unread = (cut || late) && self.waited >= MIN_LEFT_UNREAD;
         let mut failed = self.release_upstream(failure, unread).await;
         let ended = failed.as_ref().and_then(|f| f.replica_ended);
-        if unread && ended != Some(true) {
+        if cut && unread && ended != Some(true) {
             return Err(self.abort_unread(&reason));
         }
         loop {
