--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,7 +1,9 @@
 //! Forwarding of a request, up to the head of its answer.
 
 mod attempts;
+mod buffered;
 mod log;
+mod pass_on;
 mod refuse;
 mod send;
 
@@ -12,11 +14,11 @@
 use futures::future::BoxFuture;
 use hyper::body::Incoming;
 use hyper::header::{
-    CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HeaderValue,
+    CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, HeaderValue,
 };
 use hyper::http::request::Parts;
 use hyper::http::response;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use rand::RngExt as _;
 use stairhinge::direct::{AttemptResult, Repeat, RetryShare, Shortage};
 use stairhinge::placing::Outcome;
@@ -27,8 +29,10 @@
 use stairhinge_shell::{LiveSettings, Shutdown};
 
 pub(crate) use self::attempts::FailedAttempt;
+pub(crate) use self::buffered::left_unread_reason;
 use self::refuse::refused;
 use crate::admit::{find_route, find_workspace};
+use crate::buffers::Buffers;
 use crate::cancel_guard::CancelGuard;
 use crate::dialect::{CallerRequest, Dialect};
 use crate::dispatch::{Dispatcher, Place};
@@ -37,7 +41,7 @@
 use crate::placing::HallPlacing;
 use crate::poison::PoisonWatch;
 use crate::pool::Pool;
-use crate::relay::{Relay, Upstream, relay};
+use crate::relay::{Relay, Upstream, relay, relay_buffered};
 use crate::request_context::RequestContext;
 use crate::settings::EntrySettings;
 
@@ -54,6 +58,8 @@
     pub metrics: Arc<EntryMetrics>,
     pub pool: Pool,
     pub poison: Arc<PoisonWatch>,
+    /// The bounded buffers; `None` if they are disabled.
+    buffers: Option<Arc<Buffers>>,
     retry_shares: Mutex<HashMap<Arc<str>, RetryShare>>,
     shutdown: Shutdown,
 }
@@ -114,6 +120,7 @@
             placing,
             poison,
             dialect,
+            buffers: None,
             metrics,
             pool: Pool::default(),
             retry_shares: Mutex::default(),
@@ -121,10 +128,21 @@
         }
     }
 
+    /// Sets the bounded buffers, if there are any.
+    pub(crate) fn with_buffers(
+        self,
+        buffers: Option<Arc<Buffers>>,
+    ) -> Forwarder {
+        Forwarder { buffers, ..self }
+    }
+
     /// Closes idle connections, drops expired state and updates gauges.
     pub(crate) fn sweep_and_update_gauges(&self) {
         self.pool.sweep();
         self.dispatcher.sweep();
+        if let Some(buffers) = &self.buffers {
+            buffers.cut_unread();
+        }
         let (running, waiting) = self.dispatcher.load();
         self.metrics.running.set(running as i64);
         self.metrics.waiting.set(waiting as i64);
@@ -208,7 +226,9 @@
         let deadline = started + patience.min(route.timeout());
         let max_bytes = self.settings.get().body_bytes;
         let timeout = deadline.saturating_duration_since(Instant::now());
-        let body = read(body, max_bytes, timeout).await?;
+        let name = workspace.as_ref().map(|w| Arc::clone(&w.name));
+        let (body, charges) =
+            self.read_request(body, max_bytes, timeout, name).await?;
         let priority = workspace
             .as_ref()
             .and_then(|w| w.priority)
@@ -228,6 +248,7 @@
             route,
             head,
             body,
+            _charges: charges,
             fingerprint: OnceLock::new(),
         });
         self.share(&context.service, |s| s.record_request(self.facts.now()));
@@ -267,7 +288,16 @@
                 kept,
                 suspicion,
             );
-            return Ok(Response::from_parts(head, relay(state)));
+            let body = match self.hold_answer(context) {
+                Some(held) => relay_buffered(state, held),
+                None => relay(state),
+            };
+            return Ok(Response::from_parts(head, body));
+        }
+        if let Some(held) = self.hold_answer(context) {
+            let answered = Answered { head, upstream };
+            let relayed = self.relay_held(context, answered, suspicion, held);
+            return relayed.await;
         }
         let Upstream { body, connection, mut place, .. } = upstream;
         let max_bytes = self.settings.get().body_bytes;
@@ -280,34 +310,47 @@
                 }
             })?;
         self.pool.put(connection, &head.headers);
-        if is_framed(&head.headers) {
+        let judged =
+            self.judge_whole(context, status, &head.headers, &mut place);
+        remove_hop_headers(&mut head.headers);
+        head.headers.remove(CONTENT_LENGTH);
+        let response = Response::from_parts(head, full(bytes));
+        match judged {
+            WholeAnswer::Deliver => {}
+            WholeAnswer::Retry => {
+                return Err(error_response(status, Some(response)));
+            }
+            WholeAnswer::Withhold => return Err(error_response(status, None)),
+        }
+        self.log_ended(context, status.as_u16(), 0, "", None);
+        Ok(response)
+    }
+
+    /// Judges a complete answer that is not a stream.
+    fn judge_whole(
+        &self,
+        context: &RequestContext,
+        status: StatusCode,
+        headers: &HeaderMap,
+        place: &mut Place,
+    ) -> WholeAnswer {
+        if is_framed(headers) {
             self.poison.record_answer(context);
         }
-        let failed = status.is_server_error();
-        let repeatable = context.route.repeat != Repeat::Never;
-        let retry =
-            failed && repeatable && self.has_retry_left(context, &place);
-        if failed && self.dispatcher.tracks_health() {
+        let repeatable = may_retry_after(context, status);
+        let retry = repeatable && self.has_retry_left(context, place);
+        if status.is_server_error() && self.dispatcher.tracks_health() {
             place.record_outcome(Outcome::Errored);
-        } else if !failed || !repeatable {
+        } else if !repeatable {
             place.record_outcome(Outcome::Succeeded);
             place.record_whole();
         }
-        let why = format!("the replica answered {status}");
-        let error = AttemptError::new(AttemptResult::NoResponse, why);
         if means_not_run(status.as_u16()) {
             // The request may have run, but this status would tell the caller
             // that it did not.
-            return Err(error);
+            return WholeAnswer::Withhold;
         }
-        remove_hop_headers(&mut head.headers);
-        head.headers.remove(CONTENT_LENGTH);
-        let response = Response::from_parts(head, full(bytes));
-        if retry {
-            return Err(AttemptError { failure: Some(response), ..error });
-        }
-        self.log_ended(context, status.as_u16(), 0, "", None);
-        Ok(response)
+        if retry { WholeAnswer::Retry } else { WholeAnswer::Deliver }
     }
 
     /// Returns whether a request that got an error response can be retried at
@@ -343,3 +386,29 @@
         act(share)
     }
 }
+
+/// Returns whether a request that got this status may be retried.
+fn may_retry_after(context: &RequestContext, status: StatusCode) -> bool {
+    status.is_server_error() && context.route.repeat != Repeat::Never
+}
+
+/// What to do with a complete answer.
+enum WholeAnswer {
+    /// The caller gets it.
+    Deliver,
+    /// The caller gets it if no other replica succeeds.
+    Retry,
+    /// The caller must not get it.
+    Withhold,
+}
+
+/// Returns the failure of an attempt that got an error status, with the
+/// response that the caller gets if no other replica succeeds.
+fn error_response(
+    status: StatusCode,
+    response: Option<Response<Body>>,
+) -> AttemptError {
+    let why = format!("the replica answered {status}");
+    let error = AttemptError::new(AttemptResult::NoResponse, why);
+    AttemptError { failure: response, ..error }
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -46,6 +46,12 @@
     version: u64,
 }
 
+/// The code of the cause for which an answer was cut.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct CutLabels {
+    code: u16,
+}
+
 /// The kind of a call to the platform.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct CallLabels {
@@ -67,6 +73,8 @@
     returned: Gauge,
     chunks_held: Family<VersionLabels, Gauge>,
     version_switches: Gauge,
+    cuts: Family<CutLabels, Counter>,
+    pub buffered: Gauge,
     first_byte: Histogram,
     waited: Histogram,
     pub attempts: Counter,
@@ -111,6 +119,8 @@
             returned: Gauge::default(),
             chunks_held: Family::default(),
             version_switches: Gauge::default(),
+            cuts: Family::default(),
+            buffered: Gauge::default(),
             first_byte: duration_histogram(),
             waited: duration_histogram(),
             attempts: Counter::default(),
@@ -188,6 +198,14 @@
             "Of these, the ones kept from replicas",
             quarantined,
         );
+        let cuts = self.cuts.clone();
+        r.register("cuts", "Answers cut by the entry, by cause", cuts);
+        r.register_with_unit(
+            "buffered",
+            "What is buffered for callers and replicas",
+            Unit::Bytes,
+            self.buffered.clone(),
+        );
         let cancelled = self.cancelled.clone();
         r.register("cancelled", "Requests whose caller went", cancelled);
         r.register("running", "Requests at replicas", self.running.clone());
@@ -332,6 +350,11 @@
         self.answers.get_or_create(&AnswerLabels { status, code }).inc();
     }
 
+    /// Counts an answer that was cut for the cause with this code.
+    pub(crate) fn count_cut(&self, code: u16) {
+        self.cuts.get_or_create(&CutLabels { code }).inc();
+    }
+
     /// Counts the choice of a replica by the placer, or by the entry itself
     /// for the reason in `by`.
     pub(crate) fn count_choice(&self, by: &'static str) {
--- a/crates/gateway/src/request_context.rs
+++ b/crates/gateway/src/request_context.rs
@@ -10,6 +10,7 @@
 use stairhinge::health::Source;
 use stairhinge::poison::{Fingerprint, Identity};
 
+use crate::buffers::Charge;
 use crate::dialect::CallerRequest;
 
 /// The parts of a request that are the same for all its attempts.
@@ -27,6 +28,8 @@
     pub deadline: Instant,
     pub head: Parts,
     pub body: Bytes,
+    /// What the body is counted as while the request needs it.
+    pub _charges: Vec<Charge>,
     /// Computed on first use, because few requests need it.
     pub fingerprint: OnceLock<Fingerprint>,
 }
