Keep a replica in service eligible while it is in doubt

Cause: a replica in service that was in doubt, and briefly unavailable after lost connections or at risk, was treated as ejected, so that requests were refused although the only replica was free.

Change: only an excluded replica is treated as ejected then; others are candidates as failing or at risk.

Measured: the new test failed before and passes now, with the other tests of the dispatcher.

--- a/crates/gateway/src/dispatch/find.rs
+++ b/crates/gateway/src/dispatch/find.rs
@@ -122,6 +122,30 @@
     Ejected,
 }
 
+impl Fitness {
+    /// Returns the fitness of a replica, or `None` if it has no capacity for
+    /// the request. `excluded` tells whether it is excluded for its outcomes,
+    /// `available` whether it has not failed in the last moments, and
+    /// `at_risk` whether it runs a request suspected of crashing replicas.
+    const fn of(
+        check: HealthCheck,
+        excluded: bool,
+        available: bool,
+        at_risk: bool,
+    ) -> Option<Fitness> {
+        Some(match check {
+            HealthCheck::Full => return None,
+            HealthCheck::Ejected => Fitness::Ejected,
+            HealthCheck::Trial if available && !at_risk => Fitness::Trial,
+            HealthCheck::Trial if excluded => Fitness::Ejected,
+            _ if !available => Fitness::Failing,
+            _ if at_risk => Fitness::AtRisk,
+            HealthCheck::Trial | HealthCheck::Passed => Fitness::Healthy,
+            HealthCheck::Suspect => Fitness::Suspect,
+        })
+    }
+}
+
 impl Dispatcher {
     /// Returns whether any replica can take the request once it has capacity.
     pub(super) fn has_suitable_replica(
@@ -301,16 +325,8 @@
         let at_risk = known.has_trial() || (suspected && known.has_suspect());
         let available = known.health.is_available(now);
         let check = self.check_health(known, replica, need, now);
-        let fitness = match check {
-            HealthCheck::Full => return None,
-            HealthCheck::Ejected => Fitness::Ejected,
-            HealthCheck::Trial if !available || at_risk => Fitness::Ejected,
-            HealthCheck::Trial => Fitness::Trial,
-            _ if !available => Fitness::Failing,
-            _ if at_risk => Fitness::AtRisk,
-            HealthCheck::Suspect => Fitness::Suspect,
-            HealthCheck::Passed => Fitness::Healthy,
-        };
+        let excluded = self.is_ejected(known, now);
+        let fitness = Fitness::of(check, excluded, available, at_risk)?;
         let (factor, failure_ms) = self.health_cost(known, usual, now);
         let capacity_fraction = self.evacuation_capacity(view, &replica.hall);
         let slots = (f64::from(replica.slots) * capacity_fraction) as u32;
@@ -391,3 +407,7 @@
 const fn queue_capacity(slots: u32, engine: bool) -> u32 {
     if engine { 0 } else { slots }
 }
+
+#[cfg(test)]
+#[path = "find_tests.rs"]
+mod tests;
