Don't eject replicas for callers' short deadlines

Cause: a time-out whose limit was the caller's remaining time or the expiry of a version counted as the replica's failure in the outlier test, so that callers with little time could have a sound replica ejected.

Change: such a time-out, below the usual 1,500 ms, has no source and is not judged. It still excludes the replica briefly, as before. The same holds for an answer whose rest is not complete in time.

Measured: the new test fails without the limit check and passes with it, with the other unit tests of the gateway.

--- a/crates/gateway/src/dispatch/place.rs
+++ b/crates/gateway/src/dispatch/place.rs
@@ -194,6 +194,16 @@
         }
     }
 
+    /// Records that the replica did not answer within `limit`. It says nothing
+    /// about the replica if the caller or the version's expiry allowed less
+    /// than `usual`: the limit is then due to the request.
+    pub(crate) fn record_timeout(&mut self, limit: Duration, usual: Duration) {
+        self.record_outcome(Outcome::Failed);
+        if limit < usual {
+            self.outcome.source = None;
+        }
+    }
+
     /// Records what the outcome of the request shows about the replica. An
     /// answer counts as complete only by [`Self::record_whole`].
     pub(crate) fn record_outcome(&mut self, outcome: Outcome) {
@@ -246,3 +256,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "place_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/dispatch/place_tests.rs
@@ -0,0 +1,56 @@
+//! Tests for what the end of a request shows about its replica.
+
+use std::sync::{Arc, Weak};
+use std::time::{Duration, Instant};
+
+use stairhinge::direct::{Replica, ReplicaState};
+use stairhinge::health::Source;
+
+use super::{Place, PlaceOutcome};
+use crate::placing::Chooser;
+
+fn place() -> Place {
+    let replica = Replica {
+        incarnation: Arc::from("i-1"),
+        service: Arc::from("pool"),
+        addr: ([127, 0, 0, 1], 7_000).into(),
+        hall: Arc::from("north"),
+        slots: 8,
+        state: ReplicaState::Ready,
+        listed_at: 0,
+        born: None,
+        cold_ms: 0,
+        versions: Vec::new(),
+    };
+    let mut place = Place {
+        replica: Arc::new(replica),
+        version: None,
+        begin_by: None,
+        load: 0,
+        delay_ms: 0,
+        report_age: None,
+        limit: None,
+        chooser: Chooser::NoPeers,
+        lease: None,
+        prompt_tokens: 0,
+        given_at: Instant::now(),
+        began: false,
+        outcome: Box::new(PlaceOutcome::default()),
+        dispatcher: Weak::new(),
+    };
+    place.set_source(Source::new("a.example", "/x/", None), true);
+    place
+}
+
+/// Guards against ejecting a replica because callers have little time left.
+#[test]
+fn a_timeout_counts_only_if_the_replica_had_the_usual_time() {
+    let usual = Duration::from_millis(1_500);
+    for (limit_ms, counts) in [(40, false), (1_500, true), (4_000, true)] {
+        let mut place = place();
+        place.record_timeout(Duration::from_millis(limit_ms), usual);
+        assert_eq!(place.outcome.failed, Some(true), "{limit_ms} ms");
+        let source = place.outcome.source;
+        assert_eq!(source.is_some(), counts, "{limit_ms} ms");
+    }
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -28,6 +28,7 @@
 
 pub(crate) use self::attempts::FailedAttempt;
 use self::refuse::refused;
+use self::send::HEAD_TIMEOUT;
 use crate::admit::{find_route, find_workspace};
 use crate::cancel_guard::CancelGuard;
 use crate::dialect::{CallerRequest, Dialect};
@@ -269,15 +270,16 @@
             );
             return Ok(Response::from_parts(head, relay(state)));
         }
-        let Upstream { body, connection, mut place, .. } = upstream;
+        let Upstream { body, connection, mut place, sent, .. } = upstream;
         let max_bytes = self.settings.get().body_bytes;
         let bytes =
             read(body, max_bytes, context.remaining()).await.map_err(|e| {
-                place.record_outcome(Outcome::Failed);
-                match e.code() {
-                    Code::MalformedHttp => AttemptError::connection_lost(e),
-                    _ => AttemptError::new(AttemptResult::NoResponse, e),
+                if e.code() == Code::MalformedHttp {
+                    place.record_outcome(Outcome::Failed);
+                    return AttemptError::connection_lost(e);
                 }
+                place.record_timeout(sent.elapsed(), HEAD_TIMEOUT);
+                AttemptError::new(AttemptResult::NoResponse, e)
             })?;
         self.pool.put(connection, &head.headers);
         if is_framed(&head.headers) {
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -22,7 +22,7 @@
 
 /// How long a repeatable request may wait for the head of its answer before
 /// another replica is tried.
-const HEAD_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub(super) const HEAD_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 impl Forwarder {
     /// Sends one attempt and waits for the head of its answer.
@@ -67,7 +67,7 @@
                 return Err(AttemptError::connection_lost(error));
             }
             Err(_) => {
-                place.record_outcome(Outcome::Failed);
+                place.record_timeout(timeout, HEAD_TIMEOUT);
                 let why = format!("no answer in {} ms", timeout.as_millis());
                 return Err(AttemptError::new(AttemptResult::NoResponse, why));
             }
