Judge an oversized answer as the replica's failure as before

Only an answer whose rest arrives too slowly is exempt when the time left is below the usual limit. The unit tests of the gateway pass; no test plays an oversized answer.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -274,12 +274,15 @@
         let max_bytes = self.settings.get().body_bytes;
         let bytes =
             read(body, max_bytes, context.remaining()).await.map_err(|e| {
-                if e.code() == Code::MalformedHttp {
+                if e.code() == Code::SlowSender {
+                    place.record_timeout(sent.elapsed(), HEAD_TIMEOUT);
+                } else {
                     place.record_outcome(Outcome::Failed);
-                    return AttemptError::connection_lost(e);
                 }
-                place.record_timeout(sent.elapsed(), HEAD_TIMEOUT);
-                AttemptError::new(AttemptResult::NoResponse, e)
+                match e.code() {
+                    Code::MalformedHttp => AttemptError::connection_lost(e),
+                    _ => AttemptError::new(AttemptResult::NoResponse, e),
+                }
             })?;
         self.pool.put(connection, &head.headers);
         if is_framed(&head.headers) {
