Log and count only requests to replicas on trial as trials

Cause: a request to a replica in service that was in doubt was logged and counted as a trial, and its place was marked as one.

Change: the request is a trial only if the replica is excluded.

--- a/crates/gateway/src/dispatch/find.rs
+++ b/crates/gateway/src/dispatch/find.rs
@@ -197,9 +197,8 @@
             }
         };
         let Choice { replica, terms, candidate, trial } = sets.best()?;
-        if trial {
-            self.record_trial_sent(state, &replica.incarnation);
-        }
+        let trial =
+            trial && self.record_trial_sent(state, &replica.incarnation);
         let known =
             state.known.entry(Arc::clone(&replica.incarnation)).or_default();
         known.record_assigned(need, self.facts.now());
--- a/crates/gateway/src/dispatch/health.rs
+++ b/crates/gateway/src/dispatch/health.rs
@@ -144,19 +144,24 @@
         (factor * known.first_byte.factor(usual, now), ms)
     }
 
-    /// Records that a request was assigned to a replica as a trial.
+    /// Records that a request was assigned to a replica as a trial. Returns
+    /// whether it is one: a replica in service that is in doubt is not on
+    /// trial.
     pub(super) fn record_trial_sent(
         &self,
         state: &mut State,
         incarnation: &str,
-    ) {
-        let Some(known) = state.known.get_mut(incarnation) else { return };
-        known.outcomes.record_trial_sent(self.facts.now());
-        let ejections = known.outcomes.ejections();
+    ) -> bool {
+        let Some(known) = state.known.get_mut(incarnation) else {
+            return false;
+        };
+        let ejections = known.record_trial_sent(self.facts.now());
+        let Some(ejections) = ejections else { return false };
         state.health.trials += 1;
         let replica = incarnation;
         let line = Decision::ReplicaTrial { replica, ejections };
         self.facts.log().write(&line);
+        true
     }
 
     /// Records that the first byte of a request is expected after
--- a/crates/gateway/src/dispatch/known.rs
+++ b/crates/gateway/src/dispatch/known.rs
@@ -114,6 +114,16 @@
 }
 
 impl KnownReplica {
+    /// Records that a request was assigned as a trial. Returns the number of
+    /// consecutive ejections, or `None` if the replica is not on trial.
+    pub(super) fn record_trial_sent(&mut self, now: Time) -> Option<u32> {
+        if !self.outcomes.standing(now).is_excluded() {
+            return None;
+        }
+        self.outcomes.record_trial_sent(now);
+        Some(self.outcomes.ejections())
+    }
+
     /// Resets the state if it belongs to an earlier process of the replica.
     /// Counts of requests in progress are kept, because each request ends by
     /// itself, and so is the report, because the agent keeps running.
