Bound the times reported by entries by the age of the place

Cause: the time to the first byte and the time to the end that an entry reports to its placer were used unbounded.

Change: both are at most the time since the place was given.

Measured: the new test, of the time to the end, failed before and passes now, with the other unit tests of the gateway. The time to the first byte has no test.

--- a/crates/gateway/src/dispatch/place.rs
+++ b/crates/gateway/src/dispatch/place.rs
@@ -80,6 +80,7 @@
         if std::mem::replace(&mut self.began, true) {
             return;
         }
+        let took = took.min(self.given_at.elapsed());
         if let Some(lease) = &self.lease {
             lease.report_began(took, errored);
         }
@@ -188,7 +189,9 @@
             self.record_outcome(outcome);
         }
         self.outcome.source = source;
-        self.outcome.took = took;
+        // The clock of the place bounds what another process reports.
+        let age = self.given_at.elapsed();
+        self.outcome.took = took.map(|took| took.min(age));
         if source.is_some() && outcome == Outcome::Succeeded {
             self.record_whole();
         }
--- a/crates/gateway/src/dispatch/place_tests.rs
+++ b/crates/gateway/src/dispatch/place_tests.rs
@@ -5,6 +5,7 @@
 
 use stairhinge::direct::{Replica, ReplicaState};
 use stairhinge::health::Source;
+use stairhinge::placing::Outcome;
 
 use super::{Place, PlaceOutcome};
 use crate::placing::Chooser;
@@ -54,3 +55,15 @@
         assert_eq!(source.is_some(), counts, "{limit_ms} ms");
     }
 }
+
+/// Guards against times reported by other processes that exceed the age of the
+/// place and would distort the cost of failures.
+#[test]
+fn a_reported_time_is_at_most_the_age_of_the_place() {
+    let mut place = place();
+    let source = Source::new("a.example", "/x/", None);
+    let reported = Some(Duration::from_millis(u64::from(u32::MAX)));
+    place.record_reported_end(Outcome::Failed, Some(source), reported);
+    let took = place.outcome.took.unwrap();
+    assert!(took <= place.given_at.elapsed(), "{took:?}");
+}
