--- a/crates/gateway/src/dispatch/place.rs
+++ b/crates/gateway/src/dispatch/place.rs
@@ -80,6 +80,7 @@
         if std::mem::replace(&mut self.began, true) {
             return;
         }
+        let took = took.min(self.given_at.elapsed());
         if let Some(lease) = &self.lease {
             lease.report_began(took, errored);
         }
@@ -188,12 +189,24 @@
             self.record_outcome(outcome);
         }
         self.outcome.source = source;
-        self.outcome.took = took;
+        // The clock of the place bounds what another process reports.
+        let age = self.given_at.elapsed();
+        self.outcome.took = took.map(|took| took.min(age));
         if source.is_some() && outcome == Outcome::Succeeded {
             self.record_whole();
         }
     }
 
+    /// Records that the replica did not answer within `limit`. It says nothing
+    /// about the replica if the caller or the version's expiry allowed less
+    /// than `usual`: the limit is then due to the request.
+    pub(crate) fn record_timeout(&mut self, limit: Duration, usual: Duration) {
+        self.record_outcome(Outcome::Failed);
+        if limit < usual {
+            self.outcome.source = None;
+        }
+    }
+
     /// Records what the outcome of the request shows about the replica. An
     /// answer counts as complete only by [`Self::record_whole`].
     pub(crate) fn record_outcome(&mut self, outcome: Outcome) {
@@ -246,3 +259,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "place_tests.rs"]
+mod tests;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -31,6 +31,7 @@
 pub(crate) use self::attempts::FailedAttempt;
 pub(crate) use self::buffered::left_unread_reason;
 use self::refuse::refused;
+use self::send::HEAD_TIMEOUT;
 use crate::admit::{find_route, find_workspace};
 use crate::buffers::Buffers;
 use crate::cancel_guard::CancelGuard;
@@ -299,11 +300,15 @@
             let relayed = self.relay_held(context, answered, suspicion, held);
             return relayed.await;
         }
-        let Upstream { body, connection, mut place, .. } = upstream;
+        let Upstream { body, connection, mut place, sent, .. } = upstream;
         let max_bytes = self.settings.get().body_bytes;
         let bytes =
             read(body, max_bytes, context.remaining()).await.map_err(|e| {
-                place.record_outcome(Outcome::Failed);
+                if e.code() == Code::SlowSender {
+                    place.record_timeout(sent.elapsed(), HEAD_TIMEOUT);
+                } else {
+                    place.record_outcome(Outcome::Failed);
+                }
                 match e.code() {
                     Code::MalformedHttp => AttemptError::connection_lost(e),
                     _ => AttemptError::new(AttemptResult::NoResponse, e),
