Bound the hint of the answer's length before the mean

A caller's hint entered the mean of its class unbounded, so that one hint of 4e9 tokens made the others of the class wait or be refused. Hints now count up to eight times the engine's usual answer, before the mean and the work. The new test fails without the change.

--- a/src/overload/admission.rs
+++ b/src/overload/admission.rs
@@ -55,6 +55,11 @@
 /// wrong hint does not outweigh all other requests of a second.
 const MAX_ANSWER_TOKENS: f64 = 100_000.0;
 
+/// The maximum length of an answer that is counted, as a multiple of the usual
+/// one of the engine. A caller's hint is not checked, and it enters the mean
+/// of its class.
+const MAX_ANSWER_FACTOR: f64 = 8.0;
+
 /// The shortage from which an entry without a placer assumes that requests
 /// wait at other entries. Less is within the noise of an estimate over a
 /// second.
@@ -376,15 +381,20 @@
             usual: UsualLeft::new(),
             answer: None,
         });
-        let hint = need.answer_tokens.map(f64::from);
+        let usual_answer =
+            engine.map(|e| e.usual_answer).filter(|usual| *usual > 0.0);
+        let max_answer = usual_answer.map_or(MAX_ANSWER_TOKENS, |usual| {
+            MAX_ANSWER_TOKENS.min(usual * MAX_ANSWER_FACTOR)
+        });
+        let hint =
+            need.answer_tokens.map(|hint| f64::from(hint).min(max_answer));
         if let Some(hint) = hint {
             let mean = class.answer.get_or_insert(hint);
             *mean += MEAN_WEIGHT * (hint - *mean);
         }
-        let usual_answer = engine.map(|engine| engine.usual_answer);
         let answer =
             hint.or(class.answer).or(usual_answer).unwrap_or_default();
-        let answer = answer.min(MAX_ANSWER_TOKENS);
+        let answer = answer.min(max_answer);
         let mut standing = Standing {
             arrived: now,
             begun: None,
--- a/src/overload/tests.rs
+++ b/src/overload/tests.rs
@@ -318,6 +318,29 @@
     assert!((work(None, 2_000, 20.0) - 1.0).abs() < 1e-9);
 }
 
+/// Guards against one caller's wrong hint of the length of its answer, by
+/// which the others of its class wait or are refused.
+#[test]
+fn hints_of_long_answers_are_bounded() {
+    let engine = Engine {
+        slots: 1,
+        step_ms: 1.0,
+        usual_answer: 100.0,
+        ..Engine::default()
+    };
+    let mut admission = admission();
+    let mut work = |answer_tokens| {
+        let need = Need { answer_tokens, ..need(0, "w", 6_000) };
+        admission.record_arrival(&need, Some(&engine), at(0)).work
+    };
+    let usual = work(Some(100));
+    let wrong = work(Some(4_000_000_000));
+    let other = work(None);
+    assert!(wrong <= 10.0 * usual, "{wrong} {usual}");
+    assert!(other <= 1.5 * usual, "{other} {usual}");
+    assert!(work(Some(300)) > 2.0 * usual, "moderate hints count");
+}
+
 fn caller(left_ms: u32) -> Returning {
     let workspace = Some(Arc::from("w"));
     Returning { urgency: (1, 0), workspace, left_ms, work: 1.0 }
