--- a/src/overload/tests.rs
+++ b/src/overload/tests.rs
@@ -429,10 +429,11 @@
 fn messages_of_the_previous_build_are_read() {
     let mut plain = need(0, "w", 0);
     plain.workspace = None;
+    plain.fingerprint = None;
     let question =
         Question { number: 1, need: plain, wait_ms: 50, left_ms: 6_000 };
     let text = serde_json::to_string(&Message::Ask(question)).unwrap();
-    for field in ["workspace", "answer_tokens", "continued"] {
+    for field in ["workspace", "answer_tokens", "fingerprint", "continued"] {
         assert!(!text.contains(field), "{text}");
     }
     let read: Message = serde_json::from_str(&text).unwrap();
