--- a/src/overload/settings.rs
+++ b/src/overload/settings.rs
@@ -25,8 +25,8 @@
     /// What capacity return times are promised from.
     #[serde(default)]
     pub policy: Policy,
-    /// The share of its demand up to which a class is served before more
-    /// urgent classes, from 0 to 1.
+    /// The fraction of the served share of all classes up to which a class is
+    /// served before more urgent classes, from 0 to 1.
     #[serde(default = "default_floor")]
     pub floor: f64,
 }
