Promise return times only from a settled capacity; skip error responses

Three intervals are needed now. Error responses, which are often faster than answers, no longer shorten the usual time to the first token.

--- a/crates/gateway/src/dispatch/outcome.rs
+++ b/crates/gateway/src/dispatch/outcome.rs
@@ -61,6 +61,14 @@
         }
     }
 
+    /// Records the time to the first token of an answer for admission control.
+    /// Error responses do not count, because they are often faster.
+    pub(super) fn record_first_token(&self, service: &str, took: Duration) {
+        if let Some(admission) = &mut self.lock().admission {
+            admission.record_begin(service, took);
+        }
+    }
+
     pub(super) fn record_begin(
         &self,
         incarnation: &str,
@@ -68,12 +76,6 @@
         took: Duration,
     ) {
         let mut state = self.lock();
-        if let Some(admission) = &mut state.admission
-            && let Some((replica, _)) =
-                self.facts.view().replicas.get(incarnation)
-        {
-            admission.record_begin(&replica.service, took);
-        }
         if let Some(known) = state.known.get_mut(incarnation) {
             if took > SLOW_START {
                 known.slow_at = Some(Instant::now());
--- a/crates/gateway/src/dispatch/place.rs
+++ b/crates/gateway/src/dispatch/place.rs
@@ -86,9 +86,11 @@
         }
         if let Some(dispatcher) = self.dispatcher.upgrade() {
             let tokens = self.prompt_tokens;
-            dispatcher.record_begin(&self.replica.incarnation, tokens, took);
+            let replica = &self.replica;
+            dispatcher.record_begin(&replica.incarnation, tokens, took);
             dispatcher.forget_awaited(self);
             if !errored {
+                dispatcher.record_first_token(&replica.service, took);
                 dispatcher.record_first_byte(self, took);
             }
         }
--- a/src/overload/admission.rs
+++ b/src/overload/admission.rs
@@ -292,7 +292,8 @@
         let waited = now.since(standing.arrived).as_millis() as u32;
         let left_ms = need.left_ms.saturating_sub(waited);
         let load = self.load(&need.service, now);
-        let spare = load.map_or(0.0, |load| self.spare_per_s(&load));
+        let settled = load.filter(ServiceLoad::is_settled);
+        let spare = settled.map_or(0.0, |load| self.spare_per_s(&load));
         let state = self.services.get_mut(&need.service);
         let delay = state.and_then(|state| {
             let began = standing.begun.unwrap_or(standing.arrived);
--- a/src/overload/estimate.rs
+++ b/src/overload/estimate.rs
@@ -39,9 +39,22 @@
     pub demand: f64,
     /// The age of the latest observation of the capacity.
     pub age: Duration,
+    /// The number of intervals of 100 ms in which the capacity was observed.
+    pub intervals: u32,
 }
 
 impl ServiceLoad {
+    /// The number of intervals from which the capacity is known well enough to
+    /// promise what is left of it. In a single one, the places of a whole
+    /// batch may become free.
+    const SETTLED_INTERVALS: u32 = 3;
+
+    /// Returns whether the capacity is known well enough to promise what is
+    /// left of it.
+    pub const fn is_settled(&self) -> bool {
+        self.intervals >= ServiceLoad::SETTLED_INTERVALS
+    }
+
     /// Returns the part of the demand that exceeds the capacity, from 0 to 1.
     pub fn shortage(&self) -> f64 {
         if self.demand <= 0.0 {
@@ -125,6 +138,7 @@
             capacity: granted * per_s / contended as f64,
             demand: asked * per_s / (number - first) as f64,
             age: now.since(end),
+            intervals: contended as u32,
         })
     }
 }
--- a/src/overload/tests.rs
+++ b/src/overload/tests.rs
@@ -300,9 +300,35 @@
     assert!((load.capacity - 50.0).abs() < 1.0, "{load:?}");
     assert!((load.demand - 100.0).abs() < 1.0, "{load:?}");
     assert!((load.shortage() - 0.5).abs() < 0.02, "{load:?}");
+    assert!(load.is_settled(), "{load:?}");
     assert_eq!(estimate.load(at(3_200)), None);
 }
 
+/// Guards against return times that are promised from the places of a single
+/// batch, which exceed the demand of the first moments.
+#[test]
+fn no_time_is_promised_before_the_capacity_is_settled() {
+    let refuse_after = |intervals: u64| {
+        let mut admission = admission();
+        for n in 0..intervals * 10 {
+            let now = at(n * 10);
+            let need = need(0, "w", 6_000);
+            let standing = admission.record_arrival(&need, None, now);
+            admission.record_contention("pool", now);
+            for _ in 0..2 {
+                admission.record_grant("pool", &standing, now);
+            }
+        }
+        let now = at(intervals * 100);
+        let need = need(0, "w", 6_000);
+        let standing = admission.record_arrival(&need, None, now);
+        let reason = FullReason::Waited;
+        admission.refuse(&need, &standing, reason, true, now, 0.5).promised
+    };
+    assert!(!refuse_after(2));
+    assert!(refuse_after(4));
+}
+
 /// Guards against long prompts or answers counting like short ones.
 #[test]
 fn work_follows_tokens() {
