--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,7 +23,9 @@
 * [`routing`] selects a backend server.
 * [`direct`] serves requests from entries directly to replicas: routes, keys,
   retries, resumption of streams at another replica, and rollout order.
-* [`overload`] measures how much of the demand is served under overload.
+* [`overload`] decides which requests are served first, which are refused at
+  once and when their callers may return while capacity is short.
+* [`buffers`] bounds what an entry holds for callers that read slowly.
 * [`poison`] detects requests that crash the replicas that run them.
 * [`placing`] lets one entry of a data hall select replicas for all entries of
   that hall.
