Withdraw crashes that coincide with exits of other replicas

What callers saw: many callers send the same request, and all replicas of its service exit together twice before one of them got a whole answer. Then all but one caller at each entry are refused (3020), and after a third time all are, for 10 minutes.

Cause: a table of poisoned requests learns only of exits under its own runs, so that it takes exits that have another cause for evidence against the request. More runs at a time are ruled out as a remedy: all of them break off, and the third exit in succession quarantines the request.

Change: tables remember recent exits with the requests that ran on the replica. A crash that coincides with the exit of an idle replica, or of several that did not run the request and share no other one, is withdrawn. Once replicas crash together under a request, its runs share one replica, so that the others show whether they exit without it. The pure test now plays that: its rounds, callers, exits and check are as before; its replicas that do not run the request report their exit, and runs go to the shared replica.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -16,6 +16,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::Settings;
+use crate::engine_exit::LastSeen;
 use crate::fetch::FetchStats;
 use crate::request_counter::RequestCounter;
 
@@ -54,6 +55,7 @@
     /// `Orders::inform`.
     pub(crate) engine_revision: AtomicU64,
     pub(crate) in_progress: RequestCounter,
+    pub(crate) seen: LastSeen,
     pub(crate) links: Links,
     pub(crate) progress: Mutex<Progress>,
     /// Wakes the main loop.
@@ -87,6 +89,7 @@
             loaded: ArcSwapOption::empty(),
             engine_revision: AtomicU64::new(0),
             in_progress: RequestCounter::default(),
+            seen: LastSeen::default(),
             links: Links { upload, download },
             progress: Mutex::default(),
             wake: Notify::new(),
--- a/crates/agent/src/drive.rs
+++ b/crates/agent/src/drive.rs
@@ -221,6 +221,7 @@
                 self.stuck = Some(err.code());
             }
             TaskResult::Loaded(target, Ok(bound)) => {
+                self.agent.seen.record_answer(self.agent.node.now());
                 self.stuck = None;
                 self.record_revision(bound.fence());
                 self.handle(&Event::Loaded(target.clone()));
@@ -254,11 +255,13 @@
         let state = engine::state(agent.node.client(), addr).await;
         let Ok(state) = state else {
             if self.lifecycle.phase() == Phase::Serving {
+                agent.check_exit().await;
                 self.stuck = Some(Code::EngineLost);
                 self.handle(&Event::EngineLost);
             }
             return;
         };
+        agent.seen.record_answer(agent.node.now());
         self.orders.check_superseded(&state);
         self.repeat_inform(&state);
         if self.lifecycle.phase() != Phase::Serving {
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -10,6 +10,7 @@
 mod control;
 mod drive;
 mod engine;
+mod engine_exit;
 mod fetch;
 mod gate;
 mod orders;
@@ -56,6 +57,14 @@
     node.run(&end);
     tokio::spawn(drive::run(Arc::clone(&agent), end.clone()));
     tokio::spawn(Arc::clone(&agent).run_pause_detector(end.clone()));
+    let watched = Arc::clone(&agent);
+    let stopped = end.clone();
+    tokio::spawn(async move {
+        tokio::select! {
+            () = watched.watch_exits() => {}
+            () = stopped.wait() => {}
+        }
+    });
     let leaving = Arc::clone(&agent);
     let requested = shutdown.clone();
     tokio::spawn(async move {
--- a/crates/agent/src/poison.rs
+++ b/crates/agent/src/poison.rs
@@ -18,7 +18,7 @@
 
 /// The timeout for a connection attempt that checks whether the backend server
 /// still listens. It runs on the agent's own instance.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+pub(crate) const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// A request sent to the backend server, and the suspicion against it when it
 /// was admitted.
--- a/crates/entry/src/choose.rs
+++ b/crates/entry/src/choose.rs
@@ -5,10 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use stairhinge::Time;
 use stairhinge::declaration::Fleet;
 use stairhinge::document::{Listing, Presence, Role, agents_by_hall};
 use stairhinge::routing::{Candidate, Health, pick};
+use stairhinge::{Time, rank};
 use stairhinge_shell::node::View;
 
 use crate::Entry;
@@ -53,11 +53,13 @@
 
 impl Entry {
     /// Chooses an agent for a request. Agents in `tried` are chosen only if
-    /// there are no others.
+    /// there are no others. If the request `shares_replica`, all entries
+    /// choose the same one.
     pub(crate) fn choose(
         &self,
         checked: &CheckedRequest,
         tried: &HashSet<Arc<str>>,
+        shares_replica: bool,
     ) -> Option<ChosenAgent> {
         let view = self.node.view();
         let fleet = view.fleet.as_ref()?;
@@ -67,7 +69,11 @@
         let untried: Vec<_> =
             usable.iter().filter(|n| !tried.contains(*n)).cloned().collect();
         let from = if untried.is_empty() { &usable } else { &untried };
-        let name = self.pick_agent(checked, from, &view.listing)?;
+        let name = if shares_replica {
+            rank::first(checked.fingerprint.to_string().as_bytes(), from)?
+        } else {
+            self.pick_agent(checked, from, &view.listing)?
+        };
         let instance = view.listing.get(&name)?;
         let incarnation = self.incarnation(&name);
         Some(ChosenAgent {
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -187,8 +187,12 @@
         &mut self,
         suspicion: Suspicion,
     ) -> Result<Answered, RetryDecision> {
-        let Some(chosen) = self.entry.choose(&self.checked, &self.tried)
-        else {
+        let fingerprint = self.checked.fingerprint;
+        let shares_replica =
+            self.entry.node.poison().shares_replica(fingerprint);
+        let chosen =
+            self.entry.choose(&self.checked, &self.tried, shares_replica);
+        let Some(chosen) = chosen else {
             return Err(self.wait_for_agent().await);
         };
         let Some(incarnation) = self.incarnation(&chosen).await else {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -19,6 +19,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::{Duration, Instant};
 
+use stairhinge::Time;
 use stairhinge::direct::{
     AllowedRegions, Contention, EvacuationBound, HallEntry, HallRegions,
     ReplicaState,
@@ -28,6 +29,7 @@
     ChooserKind, Need, NoPlaceReason, RecentObjectives,
 };
 use stairhinge_shell::directory::{Facts, FactsView};
+use tokio::sync::Notify;
 
 use self::admit::Arrived;
 use self::find::layer_count;
@@ -59,6 +61,8 @@
     /// The addresses of this hall's leading entries, in the order in which
     /// they are preferred as placer.
     leading: Arc<Vec<SocketAddr>>,
+    /// The engines that stopped answering since they were last taken.
+    down_engines: Vec<DownEngine>,
 }
 
 /// The time limits, rate bounds and regions that restrict dispatching.
@@ -119,6 +123,13 @@
 /// capacity.
 const FULL_BACKOFF: Duration = Duration::from_millis(60);
 
+/// The maximum time from an engine's exit to the report of its agent: an
+/// interval between the agent's queries, and the delay of the link.
+const MAX_DOWN_DELAY: Duration = Duration::from_millis(150);
+
+/// The maximum number of engines remembered as having stopped answering.
+const MAX_DOWN_ENGINES: usize = 128;
+
 /// Selects replicas for the requests of one entry.
 #[derive(Debug)]
 pub(crate) struct Dispatcher {
@@ -128,6 +139,16 @@
     bounds: DispatchBounds,
     state: Mutex<State>,
     this: Weak<Dispatcher>,
+    /// Notified when an agent reports that its engine stopped answering.
+    engine_down: Notify,
+}
+
+/// An engine that stopped answering its agent.
+#[derive(Clone, Debug)]
+pub(crate) struct DownEngine {
+    pub incarnation: Arc<str>,
+    /// When it was last reported as answering.
+    pub after: Time,
 }
 
 impl Dispatcher {
@@ -147,6 +168,7 @@
             bounds,
             state: Mutex::new(state),
             this: Weak::clone(this),
+            engine_down: Notify::new(),
         })
     }
 
@@ -315,14 +337,26 @@
         let known = state.known.entry(Arc::clone(incarnation)).or_default();
         let reports_entries =
             report.entries.is_some() || report.leading.is_some();
+        let mut down = None;
         if let Some(last) = &mut known.reported {
             report.fill_missing_from(&mut last.report);
+            if last.report.up && !report.up {
+                let age = last.at.elapsed().min(MAX_DOWN_DELAY);
+                down = Some(self.facts.now().before(age));
+            }
         }
         let all = report.queued + report.running;
         let own = known.load.own();
         known.load = known.load.with_report(report.queued, report.running);
         known.reported = Some(ReceivedReport { report, at: Instant::now() });
         state.contention.record_report(own, all);
+        if let Some(after) = down
+            && state.down_engines.len() < MAX_DOWN_ENGINES
+        {
+            let incarnation = Arc::clone(incarnation);
+            state.down_engines.push(DownEngine { incarnation, after });
+            self.engine_down.notify_one();
+        }
         if reports_entries {
             self.rank_entries(&mut state);
         }
@@ -330,6 +364,12 @@
         self.dispatch_waiting(Some(incarnation));
     }
 
+    /// Waits until engines stopped answering their agents, and returns them.
+    pub(crate) async fn down_engines(&self) -> Vec<DownEngine> {
+        self.engine_down.notified().await;
+        std::mem::take(&mut self.lock().down_engines)
+    }
+
     /// Renews the time of a replica's last report, which is unchanged.
     pub(crate) fn confirm_report(&self, incarnation: &Arc<str>) {
         let mut state = self.lock();
--- a/crates/gateway/src/dispatch/find.rs
+++ b/crates/gateway/src/dispatch/find.rs
@@ -7,6 +7,7 @@
 use stairhinge::direct::balance::{Candidate, LatencyModel, choose};
 use stairhinge::health::HealthCheck;
 use stairhinge::placing::{ChooserKind, Need, SendPace};
+use stairhinge::poison::Fingerprint;
 use stairhinge::rank;
 use stairhinge_shell::decisions::Decision;
 use stairhinge_shell::directory::{FactsView, Standing};
@@ -35,8 +36,13 @@
 }
 
 impl CandidateSet {
-    fn best(&self) -> Option<Choice> {
-        let chosen = choose(&self.candidates)?;
+    /// Returns the best replica, or for a request whose runs share a replica
+    /// the first one with capacity in its rank order.
+    fn best(&self, shared_run: Option<Fingerprint>) -> Option<Choice> {
+        let chosen = match shared_run {
+            Some(request) => self.first_ranked(request)?,
+            None => choose(&self.candidates)?,
+        };
         let (replica, terms) = self.replicas.get(chosen)?;
         let candidate = self.candidates.get(chosen)?;
         Some(Choice {
@@ -46,6 +52,21 @@
             trial: false,
         })
     }
+
+    fn first_ranked(&self, request: Fingerprint) -> Option<usize> {
+        let subject = request.to_string();
+        let mut first = None;
+        for (index, candidate) in self.candidates.iter().enumerate() {
+            if choose(std::slice::from_ref(candidate)).is_none() {
+                continue;
+            }
+            let (replica, _) = self.replicas.get(index)?;
+            let name = &replica.incarnation;
+            let score = rank::score(subject.as_bytes(), name);
+            first = first.max(Some((score, index)));
+        }
+        first.map(|(_, index)| index)
+    }
 }
 
 /// The chosen replica.
@@ -92,22 +113,22 @@
 
     /// Chooses the best replica. Failing replicas are considered only if there
     /// are no others.
-    fn best(&self) -> Option<Choice> {
-        if let Some(choice) = self.trial.best() {
+    fn best(&self, shared_run: Option<Fingerprint>) -> Option<Choice> {
+        if let Some(choice) = self.trial.best(shared_run) {
             return Some(Choice { trial: true, ..choice });
         }
         if !self.in_service {
-            return self.ejected.best();
+            return self.ejected.best(shared_run);
         }
         let available = self
             .healthy
-            .best()
-            .or_else(|| self.suspect.best())
-            .or_else(|| self.at_risk.best());
+            .best(shared_run)
+            .or_else(|| self.suspect.best(shared_run))
+            .or_else(|| self.at_risk.best(shared_run));
         let has_available = [&self.healthy, &self.suspect, &self.at_risk]
             .iter()
             .any(|set| !set.candidates.is_empty());
-        if has_available { available } else { self.failing.best() }
+        if has_available { available } else { self.failing.best(shared_run) }
     }
 }
 
@@ -196,7 +217,8 @@
                 self.candidate_sets(state, view, need, kind, all)
             }
         };
-        let Choice { replica, terms, candidate, trial } = sets.best()?;
+        let Choice { replica, terms, candidate, trial } =
+            sets.best(need.shared_run)?;
         let trial =
             trial && self.record_trial_sent(state, &replica.incarnation);
         let known =
@@ -317,11 +339,12 @@
         if known.full_until.is_some_and(|at| at > Instant::now()) {
             return None;
         }
-        if need.suspicion.requires_exclusive_run() && known.has_trial() {
+        let has_trial = known.has_trial(need);
+        if need.suspicion.requires_exclusive_run() && has_trial {
             return None;
         }
         let suspected = need.suspicion.ended > 0;
-        let at_risk = known.has_trial() || (suspected && known.has_suspect());
+        let at_risk = has_trial || (suspected && known.has_suspect(need));
         let available = known.health.is_available(now);
         let check = self.check_health(known, replica, need, now);
         let excluded = self.is_ejected(known, now);
--- a/crates/gateway/src/dispatch/known.rs
+++ b/crates/gateway/src/dispatch/known.rs
@@ -9,7 +9,7 @@
 use stairhinge::placing::{
     KnownLeaving, KnownLimit, KnownRetryAfter, Need, SentWindow,
 };
-use stairhinge::poison::PoisonTable;
+use stairhinge::poison::{Fingerprint, PoisonTable};
 use stairhinge::routing::Health;
 
 use crate::report::EngineReport;
@@ -108,6 +108,8 @@
     pub misdirected: Option<Misdirected>,
     /// Until when it may crash on a suspected request assigned to it.
     pub suspect_until: Option<Instant>,
+    /// That request, if all its runs share one replica.
+    pub shared_run: Option<Fingerprint>,
     /// Until when it may crash on a trial run assigned to it: a request that
     /// is quarantined if it crashes one more replica.
     pub trial_until: Option<Instant>,
@@ -198,6 +200,7 @@
         let until = Some(Instant::now() + PoisonTable::TRIAL_PERIOD);
         if need.suspicion.ended > 0 {
             self.suspect_until = until;
+            self.shared_run = need.shared_run;
         }
         if need.suspicion.requires_exclusive_run() {
             self.trial_until = until;
@@ -205,14 +208,23 @@
     }
 
     /// Returns whether a request suspected of crashing replicas was recently
-    /// assigned to it.
-    pub(super) fn has_suspect(&self) -> bool {
-        self.suspect_until.is_some_and(|until| Instant::now() < until)
+    /// assigned to it, other than a run with which this one shares it.
+    pub(super) fn has_suspect(&self, need: &Need) -> bool {
+        let until = self.suspect_until;
+        !self.shares_run(need)
+            && until.is_some_and(|until| Instant::now() < until)
     }
 
-    /// Returns whether a trial run was recently assigned to it.
-    pub(super) fn has_trial(&self) -> bool {
-        self.trial_until.is_some_and(|until| Instant::now() < until)
+    /// Returns whether a trial run was recently assigned to it, other than one
+    /// with which this request shares it.
+    pub(super) fn has_trial(&self, need: &Need) -> bool {
+        let until = self.trial_until;
+        !self.shares_run(need)
+            && until.is_some_and(|until| Instant::now() < until)
+    }
+
+    fn shares_run(&self, need: &Need) -> bool {
+        need.shared_run.is_some() && need.shared_run == self.shared_run
     }
 
     /// Returns the known delay of the link to it beyond the usual one, in
--- a/crates/gateway/src/dispatch/queue_tests.rs
+++ b/crates/gateway/src/dispatch/queue_tests.rs
@@ -24,6 +24,7 @@
         objective: Duration::from_millis(400),
         regions: AllowedRegions::default(),
         suspicion: Suspicion::default(),
+        shared_run: None,
         workspace: None,
         left_ms: 0,
         answer_tokens: None,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -147,9 +147,10 @@
         let (running, waiting) = self.dispatcher.load();
         self.metrics.running.set(running as i64);
         self.metrics.waiting.set(waiting as i64);
-        let (suspected, quarantined) = self.poison.sweep();
-        self.metrics.suspected.set(suspected as i64);
-        self.metrics.quarantined.set(quarantined as i64);
+        let poison = self.poison.sweep();
+        self.metrics.suspected.set(poison.suspected as i64);
+        self.metrics.quarantined.set(poison.quarantined as i64);
+        self.metrics.crashes_withdrawn.set(poison.withdrawn as i64);
         let (given, taken_back) = self.placing.given();
         self.metrics.places_given.set(given as i64);
         self.metrics.places_taken_back.set(taken_back as i64);
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -132,6 +132,7 @@
     ) -> Result<Place, Failed> {
         let admitted = self.poison.admit(context);
         need.suspicion = admitted.map_err(|r| quarantined(&r, ran))?;
+        need.shared_run = self.poison.shared_run(context);
         let place = self.place(context, need, ran).await;
         let place = place.inspect_err(|_| self.poison.finish_run(context))?;
         let admitted = self.poison.recheck(context, need.suspicion);
@@ -242,6 +243,7 @@
         objective: context.route.objective(),
         regions: context.regions.clone(),
         suspicion: Suspicion::default(),
+        shared_run: None,
         workspace: None,
         left_ms: 0,
         answer_tokens: None,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -84,6 +84,7 @@
     pub cancelled: Counter,
     pub suspected: Gauge,
     pub quarantined: Gauge,
+    pub crashes_withdrawn: Gauge,
     pub running: Gauge,
     pub waiting: Gauge,
     pub revision: Gauge,
@@ -130,6 +131,7 @@
             cancelled: Counter::default(),
             suspected: Gauge::default(),
             quarantined: Gauge::default(),
+            crashes_withdrawn: Gauge::default(),
             running: Gauge::default(),
             waiting: Gauge::default(),
             revision: Gauge::default(),
@@ -198,6 +200,12 @@
             "Of these, the ones kept from replicas",
             quarantined,
         );
+        let withdrawn = self.crashes_withdrawn.clone();
+        r.register(
+            "crashes_withdrawn",
+            "Ends of replicas found not to be due to a request, since the start",
+            withdrawn,
+        );
         let cuts = self.cuts.clone();
         r.register("cuts", "Answers cut by the entry, by cause", cuts);
         r.register_with_unit(
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -7,9 +7,10 @@
 mod gossip;
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use stairhinge::Time;
 use stairhinge::direct::{Replica, ReplicaState};
 use stairhinge::poison::{
     Admission, Fingerprint, PoisonRecord, PoisonTable, Refusal, Suspicion,
@@ -21,11 +22,24 @@
 pub(crate) use self::gossip::PoisonGossip;
 use crate::request_context::RequestContext;
 
+/// The numbers of requests that an entry suspects.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct PoisonCount {
+    /// Requests known to have crashed replicas.
+    pub suspected: usize,
+    /// Quarantined requests.
+    pub quarantined: usize,
+    /// Crashes withdrawn since the start.
+    pub withdrawn: u64,
+}
+
 /// The poisoned requests known to one entry.
 pub(crate) struct PoisonWatch {
     table: Mutex<PoisonTable>,
     /// The number of requests in the table, readable without the lock.
     request_count: AtomicUsize,
+    /// The number of crashes withdrawn since the start.
+    withdrawn: AtomicU64,
     facts: Arc<Facts>,
     changed: Notify,
 }
@@ -36,6 +50,7 @@
         PoisonWatch {
             table: Mutex::default(),
             request_count: AtomicUsize::new(0),
+            withdrawn: AtomicU64::new(0),
             facts,
             changed: Notify::new(),
         }
@@ -55,6 +70,10 @@
         }
         let request = context.fingerprint();
         let now = self.facts.now();
+        let withdrawn = self.lock().review_request(request, now);
+        if let Some(exits) = withdrawn {
+            self.log_withdrawn(request, &exits);
+        }
         let admission = self.lock().admit(request, now);
         if let Admission::Admitted(suspicion) = &admission
             && suspicion.trials > 0
@@ -88,6 +107,56 @@
         self.decide(context, admission).map(|_| ())
     }
 
+    /// Returns the request's fingerprint if all its runs should use the same
+    /// replica.
+    pub(crate) fn shared_run(
+        &self,
+        context: &RequestContext,
+    ) -> Option<Fingerprint> {
+        if self.is_empty() {
+            return None;
+        }
+        let request = context.fingerprint();
+        self.lock().shares_replica(request).then_some(request)
+    }
+
+    /// Records that a replica exited after the time `after`. What it ran is
+    /// known only as far as requests of this entry broke off.
+    fn record_exit(&self, replica: &Replica, after: Time) {
+        if self.is_empty() || !self.was_ready(replica) {
+            return;
+        }
+        let now = self.facts.now();
+        let incarnation = &replica.incarnation;
+        self.lock().record_exit(incarnation, after, now, false);
+        self.log(&Decision::ReplicaExited {
+            replica: incarnation,
+            within_ms: now.since(after).as_millis() as u64,
+        });
+    }
+
+    /// Withdraws crashes that coincide with exits that the request did not
+    /// cause.
+    fn review(&self) {
+        if self.is_empty() {
+            return;
+        }
+        let now = self.facts.now();
+        let withdrawn = self.lock().review(now);
+        for (request, exits) in withdrawn {
+            self.log_withdrawn(request, &exits);
+        }
+    }
+
+    fn log_withdrawn(&self, request: Fingerprint, exits: &[Arc<str>]) {
+        self.withdrawn.fetch_add(1, Ordering::Relaxed);
+        self.log(&Decision::PoisonWithdrawn {
+            fingerprint: &request.to_string(),
+            exits,
+        });
+        self.changed.notify_one();
+    }
+
     fn decide(
         &self,
         context: &RequestContext,
@@ -206,16 +275,20 @@
         news
     }
 
-    /// Drops expired records and returns the numbers of known and of
-    /// quarantined requests.
-    pub(crate) fn sweep(&self) -> (usize, usize) {
+    /// Drops expired records and returns counts.
+    pub(crate) fn sweep(&self) -> PoisonCount {
+        let withdrawn = self.withdrawn.load(Ordering::Relaxed);
         if self.is_empty() {
-            return (0, 0);
+            return PoisonCount { withdrawn, ..PoisonCount::default() };
         }
         let mut table = self.lock();
         table.sweep(self.facts.now());
         self.request_count.store(table.len(), Ordering::Relaxed);
-        (table.len(), table.quarantined())
+        PoisonCount {
+            suspected: table.len(),
+            quarantined: table.quarantined(),
+            withdrawn,
+        }
     }
 
     fn is_empty(&self) -> bool {
--- a/crates/gateway/src/poison/gossip.rs
+++ b/crates/gateway/src/poison/gossip.rs
@@ -14,10 +14,11 @@
 use std::time::{Duration, Instant};
 
 use stairhinge::placing::Message;
-use stairhinge::poison::{PoisonMessage, PoisonRecord};
+use stairhinge::poison::{PoisonMessage, PoisonRecord, PoisonTable};
 
 use super::PoisonWatch;
-use crate::dispatch::Dispatcher;
+use crate::connect::has_ended;
+use crate::dispatch::{Dispatcher, DownEngine};
 use crate::peer_socket::PeerSocket;
 
 /// The interval at which an entry compares its table with that of another one.
@@ -80,9 +81,17 @@
         loop {
             tokio::select! {
                 _ = timer.tick() => {
+                    self.watch.review();
                     self.send_digest(tick);
                     tick += 1;
                 }
+                engines = self.dispatcher.down_engines() => {
+                    let gossip = Arc::clone(&self);
+                    tokio::spawn(async move {
+                        gossip.check_exits(engines).await;
+                    });
+                    continue;
+                }
                 () = self.watch.changed.notified() => {
                     tokio::time::sleep(BATCH_DELAY).await;
                 }
@@ -91,6 +100,30 @@
         }
     }
 
+    /// Records which of the engines that stopped answering their agents have
+    /// ended, and compares crashes with their exits.
+    async fn check_exits(&self, engines: Vec<DownEngine>) {
+        if self.watch.is_empty() {
+            return;
+        }
+        let view = self.dispatcher.facts().view();
+        let mut checks = Vec::new();
+        for DownEngine { incarnation, after } in engines {
+            let Some((replica, _)) = view.replicas.get(&incarnation) else {
+                continue;
+            };
+            let replica = Arc::clone(replica);
+            checks.push(async move {
+                if has_ended(replica.addr).await {
+                    self.watch.record_exit(&replica, after);
+                }
+            });
+        }
+        futures::future::join_all(checks).await;
+        tokio::time::sleep(PoisonTable::SETTLE_PERIOD).await;
+        self.watch.review();
+    }
+
     /// Sends the table's digest to the next peer in turn.
     fn send_digest(&self, tick: u32) {
         let others = self.digest_peers();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -359,6 +359,7 @@
             objective: self.context.route.objective(),
             regions: self.context.regions.clone(),
             suspicion: self.suspicion,
+            shared_run: poison.shared_run(&self.context),
             workspace: None,
             left_ms: 0,
             answer_tokens: None,
--- a/crates/local/tests/poison.rs
+++ b/crates/local/tests/poison.rs
@@ -109,6 +109,34 @@
     assert!(last.await.good());
 }
 
+/// Guards against quarantine of a harmless request whose callers are all cut
+/// off in several rounds, because all engines end together each time.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_is_served_although_all_engines_end_together_repeatedly() {
+    let trial = Trial::start(plan()).await.unwrap();
+    let client = Client::new();
+    let caller = Caller::new("hot").with_tokens(40);
+    for round in 0..5 {
+        let entries = trial.local.entries();
+        let calls = (0..12).map(|i| {
+            caller.chat(&client, entries[i % entries.len()], "matcher")
+        });
+        let calls = futures::future::join_all(calls);
+        let end = async {
+            tokio::time::sleep(Duration::from_millis(150)).await;
+            for engine in trial.local.engines() {
+                engine.end();
+            }
+        };
+        let (answers, ()) = tokio::join!(calls, end);
+        let refused = answers.iter().filter(|a| a.code == 3020).count();
+        assert_eq!(refused, 0, "round {round}: {answers:?}");
+        assert!(trial.local.await_live("v1", 6, LONG).await);
+    }
+    let last = caller.chat(&client, trial.local.entries()[0], "matcher");
+    assert!(last.await.good());
+}
+
 /// Sends a request straight to an agent, as an entry does that knows so much
 /// of it, and returns the code of its answer; 0 is the engine's.
 async fn at_agent(trial: &mut Trial, attempt: &str, suspicion: &str) -> u64 {
--- a/crates/shell/src/decisions/decision.rs
+++ b/crates/shell/src/decisions/decision.rs
@@ -386,6 +386,21 @@
         /// The number of consecutive replicas that had ended while running it.
         ended: u8,
     },
+    /// The end of a replica no longer counts against the request that ran on
+    /// it, because others that did not run it ended at the same time.
+    PoisonWithdrawn {
+        /// The fingerprint of the request's content.
+        fingerprint: &'a str,
+        /// The replicas that ended.
+        exits: &'a [Arc<str>],
+    },
+    /// A replica's process ended, by the report of its agent.
+    ReplicaExited {
+        /// The replica's incarnation.
+        replica: &'a str,
+        /// The length of the time span in which it ended, in milliseconds.
+        within_ms: u64,
+    },
     /// Another entry reported a request during which replicas ended.
     PoisonLearned {
         /// The fingerprint of the request's content.
--- a/crates/shell/src/node/poison.rs
+++ b/crates/shell/src/node/poison.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, MutexGuard};
 use std::time::Duration;
 
+use stairhinge::Time;
 use stairhinge::poison::{
     Fingerprint, PoisonMessage, PoisonRecord, PoisonTable, Suspicion,
 };
@@ -53,6 +54,43 @@
         let fields = fields.each_ref().map(|(name, text)| (*name, &**text));
         self.event("poison.suspected", &fields);
         self.poison_changed();
+        self.poison_review.notify_one();
+    }
+
+    /// Records that the backend server of this process ended after the time
+    /// `after`; `idle` tells whether it ran no request.
+    pub fn record_exit(&self, after: Time, idle: bool) {
+        let now = self.now();
+        let name = Arc::clone(&self.identity().name);
+        self.poison().record_exit(&name, after, now, idle);
+        let within = now.since(after).as_millis().to_string();
+        let fields = [("idle", idle.to_string()), ("within_ms", within)];
+        let fields = fields.each_ref().map(|(name, text)| (*name, &**text));
+        self.event("poison.exit", &fields);
+        self.poison_review.notify_one();
+    }
+
+    /// Waits until a peer reports that backend servers ended in succession
+    /// under a request.
+    pub async fn repeated_crash(&self) {
+        self.repeated_crash.notified().await;
+    }
+
+    /// Withdraws crashes that coincide with exits that the request did not
+    /// cause.
+    fn review_poison(&self) {
+        let now = self.now();
+        let withdrawn = self.poison().review(now);
+        if withdrawn.is_empty() {
+            return;
+        }
+        for (request, exits) in withdrawn {
+            let name = request.to_string();
+            let exits = exits.join(" ");
+            let fields = [("fingerprint", &*name), ("exits", &*exits)];
+            self.event("poison.withdrawn", &fields);
+        }
+        self.poison_changed();
     }
 
     /// Records that a request was answered completely.
@@ -107,6 +145,10 @@
             let fields = fields.each_ref().map(|(n, text)| (*n, &**text));
             self.event("poison.learned", &fields);
         }
+        if news.iter().any(|record| record.suspicion.ended > 1) {
+            self.repeated_crash.notify_one();
+            self.poison_review.notify_one();
+        }
         news
     }
 
@@ -168,6 +210,16 @@
     }
 }
 
+/// Compares crashes with exits, each time once the exits had time to become
+/// known, until the process shuts down.
+pub(super) async fn run_reviews(node: Arc<Node>) {
+    loop {
+        node.poison_review.notified().await;
+        tokio::time::sleep(PoisonTable::SETTLE_PERIOD + BATCH_DELAY).await;
+        node.review_poison();
+    }
+}
+
 /// Exchanges records with a peer if its digest differs.
 pub(super) async fn compare(node: &Arc<Node>, addr: SocketAddr, theirs: u64) {
     if node.poison().digest() == theirs {
--- a/crates/shell/src/node/state.rs
+++ b/crates/shell/src/node/state.rs
@@ -48,6 +48,11 @@
     standing: Mutex<ServingStatus>,
     pub(super) poison: Mutex<PoisonTable>,
     pub(super) poison_change: Notify,
+    /// Notified when crashes or exits may have to be compared.
+    pub(super) poison_review: Notify,
+    /// Notified when a peer reports that backend servers ended in succession
+    /// under a request.
+    pub(super) repeated_crash: Notify,
     wire: Wire,
     client: Client,
     metrics: Metrics,
@@ -94,6 +99,8 @@
             standing: Mutex::new(standing),
             poison: Mutex::default(),
             poison_change: Notify::new(),
+            poison_review: Notify::new(),
+            repeated_crash: Notify::new(),
             wire,
             client: Client::new(),
             metrics: Metrics::new(),
@@ -109,6 +116,7 @@
         }
         self.spawn(super::gossip::run(Arc::clone(self)), shutdown);
         self.spawn(super::poison::run(Arc::clone(self)), shutdown);
+        self.spawn(super::poison::run_reviews(Arc::clone(self)), shutdown);
     }
 
     fn spawn(
--- a/src/explanation/log_line.rs
+++ b/src/explanation/log_line.rs
@@ -88,6 +88,11 @@
         /// How long it is excluded, in milliseconds.
         for_ms: u64,
     },
+    /// A replica's process ended, by the report of its agent.
+    ReplicaExited {
+        /// The replica's incarnation.
+        replica: Arc<str>,
+    },
     /// An ejected replica returns.
     ReplicaReadmitted {
         /// The replica's incarnation.
@@ -303,6 +308,7 @@
             | LoggedDecision::ReplicaUnlisted { replica, .. }
             | LoggedDecision::ReplicaEjected { replica, .. }
             | LoggedDecision::ReplicaReadmitted { replica }
+            | LoggedDecision::ReplicaExited { replica }
             | LoggedDecision::ReplicaSuspect { replica, .. } => Some(replica),
             _ => None,
         }
--- a/src/overload/simulation_tests.rs
+++ b/src/overload/simulation_tests.rs
@@ -374,6 +374,7 @@
             objective: Duration::from_millis(objective),
             regions: AllowedRegions::default(),
             suspicion: Suspicion::default(),
+            shared_run: None,
             workspace: Some(Arc::from(format!("w{}", caller.workspace))),
             left_ms: left as u32,
             answer_tokens: Some(answer),
--- a/src/overload/tests.rs
+++ b/src/overload/tests.rs
@@ -36,6 +36,7 @@
         objective: OBJECTIVE,
         regions: AllowedRegions::default(),
         suspicion: Suspicion::default(),
+        shared_run: None,
         workspace: Some(Arc::from(workspace)),
         left_ms,
         answer_tokens: None,
--- a/src/placing/message.rs
+++ b/src/placing/message.rs
@@ -71,6 +71,10 @@
     /// How strongly it is suspected of crashing the replicas on which it runs.
     #[serde(default)]
     pub suspicion: Suspicion,
+    /// The request's fingerprint, if all its runs should use the same replica
+    /// because several replicas crashed together under it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub shared_run: Option<Fingerprint>,
     /// The workspace, if the requester applies admission control.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub workspace: Option<Arc<str>>,
--- a/src/placing/recent_objectives_tests.rs
+++ b/src/placing/recent_objectives_tests.rs
@@ -45,6 +45,7 @@
         objective: Duration::from_millis(objective_ms),
         regions: AllowedRegions::default(),
         suspicion: Suspicion::default(),
+        shared_run: None,
         workspace: None,
         left_ms: 0,
         answer_tokens: None,
--- a/src/poison.rs
+++ b/src/poison.rs
@@ -15,12 +15,19 @@
 //! [`Suspicion::QUARANTINE_THRESHOLD`] crashes the request is quarantined: it
 //! is refused immediately and retried only after a delay, at most three times.
 //!
+//! A crash says nothing about the request if replicas that did not run it exit
+//! at the same time ([`PoisonTable::record_exit`]). If replicas crash together
+//! under a request, its next runs therefore share one replica
+//! ([`PoisonTable::shares_replica`]). A crash that coincides with other exits
+//! is withdrawn ([`PoisonTable::review`]).
+//!
 //! There is no consensus protocol. The [`PoisonRecord`]s of a request are
 //! totally ordered and the greatest one is kept, so records may arrive in any
 //! order and any number of times. An entry that has not received a record yet
 //! can only underestimate the count.
 
 mod admission;
+mod exits;
 mod fingerprint;
 mod message;
 mod record;
@@ -33,6 +40,8 @@
 pub use self::record::{PoisonRecord, Suspicion};
 pub use self::table::PoisonTable;
 
+#[cfg(test)]
+mod exits_tests;
 #[cfg(test)]
 mod fingerprint_tests;
 #[cfg(test)]
--- a/src/poison/record.rs
+++ b/src/poison/record.rs
@@ -105,6 +105,9 @@
 }
 
 impl PoisonRecord {
+    /// The maximum number of replicas in a record.
+    pub(super) const MAX_REPLICAS: usize = 3;
+
     /// The maximum length of a replica's name in a record, in bytes; longer
     /// names are truncated. It ensures that a message of
     /// [`MAX_RECORDS`](super::PoisonMessage::MAX_RECORDS) records with three
--- a/src/poison/request_state.rs
+++ b/src/poison/request_state.rs
@@ -3,15 +3,27 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{Admission, PoisonTable, Refusal, RefusalReason, Suspicion};
+use super::{
+    Admission, PoisonRecord, PoisonTable, Refusal, RefusalReason, Suspicion,
+};
 use crate::Time;
 
+/// The crash that last increased a suspicion.
+#[derive(Clone, Debug)]
+pub(super) struct LastCrash {
+    pub replica: Arc<str>,
+    pub at: Time,
+}
+
 /// The state of one request.
 #[derive(Clone, Debug)]
 pub(super) struct RequestState {
     pub suspicion: Suspicion,
-    /// The names of the replicas that crashed under the request.
+    /// The names of the replicas that crashed under the request, the one of
+    /// the crash that last increased the suspicion at the end.
     pub replicas: Vec<Arc<str>>,
+    /// That crash, until it is withdrawn.
+    pub last_crash: Option<LastCrash>,
     /// When the suspicion last changed in this table.
     pub changed_at: Time,
     /// The age of the suspicion at `changed_at`; not zero if it was reported
@@ -30,6 +42,7 @@
         RequestState {
             suspicion: Suspicion::default(),
             replicas: Vec::new(),
+            last_crash: None,
             changed_at: now,
             age_at_change: Duration::ZERO,
             last_seen: None,
@@ -49,6 +62,69 @@
         self.age_at_change = Duration::ZERO;
     }
 
+    /// Returns whether replicas crashed together under the request. They may
+    /// have a common cause other than the request.
+    pub fn crashed_together(&self) -> bool {
+        self.replicas.len() > usize::from(self.suspicion.ended)
+    }
+
+    /// Returns whether only one run of the request may be in progress. If
+    /// replicas crashed together, that is only clear once exits of others
+    /// had the time to become known.
+    pub fn requires_exclusive_run(&self, now: Time) -> bool {
+        let open = self.crashed_together()
+            && !self.suspicion.is_quarantined()
+            && self.age(now) < PoisonTable::REVIEW_PERIOD;
+        self.suspicion.requires_exclusive_run() && !open
+    }
+
+    /// Adds the replica whose crash increased the suspicion.
+    pub fn push_crash(&mut self, replica: &Arc<str>, at: Time) {
+        let name = PoisonRecord::truncated_name(replica);
+        if self.replicas.len() >= PoisonRecord::MAX_REPLICAS {
+            self.replicas.remove(0);
+        }
+        self.replicas.push(name);
+        self.last_crash = Some(LastCrash { replica: Arc::clone(replica), at });
+    }
+
+    /// Adds a replica that crashed together with the known ones. Returns
+    /// whether it was new.
+    pub fn add_together(&mut self, replica: &Arc<str>) -> bool {
+        let name = PoisonRecord::truncated_name(replica);
+        let full = self.replicas.len() >= PoisonRecord::MAX_REPLICAS;
+        if full || self.replicas.contains(&name) {
+            return false;
+        }
+        self.replicas.insert(0, name);
+        true
+    }
+
+    /// Adds the replicas that another entry reports for the same suspicion.
+    /// Returns whether any was new.
+    pub fn merge_replicas(&mut self, replicas: &[Arc<str>]) -> bool {
+        let mut changed = false;
+        for replica in replicas {
+            changed |= self.add_together(replica);
+        }
+        changed
+    }
+
+    /// Withdraws the crash that last increased the suspicion. Runs that were
+    /// sent before no longer count, as after a complete answer.
+    pub fn withdraw_crash(&mut self, now: Time) {
+        let Suspicion { cleared, ended, .. } = self.suspicion;
+        self.suspicion = Suspicion {
+            cleared: cleared.saturating_add(1),
+            ended: ended.saturating_sub(1),
+            trials: 0,
+        };
+        self.replicas.pop();
+        self.last_crash = None;
+        self.exclusive_until = None;
+        self.mark_changed(now);
+    }
+
     /// Returns how much longer the state is retained.
     pub fn retention_left(&self, now: Time) -> Duration {
         let (retention, age) = if self.suspicion.is_quarantined() {
--- a/src/poison/table.rs
+++ b/src/poison/table.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::request_state::RequestState;
+use super::exits::RecentExits;
+use super::request_state::{LastCrash, RequestState};
 use super::{Admission, Fingerprint, PoisonRecord, RefusalReason, Suspicion};
 use crate::{Digest, Time};
 
@@ -17,6 +18,7 @@
     unsent: BTreeSet<Fingerprint>,
     /// The start of the next batch that [`PoisonTable::next_batch`] returns.
     cursor: usize,
+    exits: RecentExits,
 }
 
 impl PoisonTable {
@@ -36,6 +38,15 @@
     /// at a loaded replica to the crash.
     pub const TRIAL_PERIOD: Duration = Duration::from_millis(1_500);
 
+    /// How long after a crash the exits of other replicas are awaited before
+    /// the crash is compared with them.
+    pub const SETTLE_PERIOD: Duration = Duration::from_millis(50);
+
+    /// How long after a crash further runs of the request need not be
+    /// exclusive if replicas crashed together, because exits that explain the
+    /// crash may still become known.
+    pub const REVIEW_PERIOD: Duration = Duration::from_secs(1);
+
     /// How long a request is remembered that has crashed replicas but is not
     /// quarantined. A request that recurs less often than that crashes at most
     /// one replica per day.
@@ -82,6 +93,7 @@
     /// Decides whether a request may be sent to a replica at `now`. If so, a
     /// run of it has begun.
     pub fn admit(&mut self, request: Fingerprint, now: Time) -> Admission {
+        self.review_request(request, now);
         let Some(state) = self.requests.get_mut(&request) else {
             return Admission::Admitted(Suspicion::default());
         };
@@ -102,12 +114,75 @@
             state.mark_changed(now);
             self.unsent.insert(request);
         }
-        if state.suspicion.requires_exclusive_run() {
+        if state.requires_exclusive_run(now) {
             state.exclusive_until = Some(now.after(PoisonTable::TRIAL_PERIOD));
         }
         Admission::Admitted(state.suspicion)
     }
 
+    /// Returns whether all runs of a request should use the same replica:
+    /// several replicas crashed under it together. If it is poisoned, its runs
+    /// then crash one replica instead of all; if not, the others show whether
+    /// they exit without it.
+    pub fn shares_replica(&self, request: Fingerprint) -> bool {
+        let state = self.requests.get(&request);
+        state.is_some_and(|s| s.suspicion.ended > 0 && s.crashed_together())
+    }
+
+    /// Records that a replica exited between `after` and `by`; `idle` tells
+    /// whether it is known to have run no request. A replica that ran requests
+    /// is recorded with [`PoisonTable::record_crash`] for each of them.
+    pub fn record_exit(
+        &mut self,
+        replica: &Arc<str>,
+        after: Time,
+        by: Time,
+        idle: bool,
+    ) {
+        self.exits.record(replica, after, by, idle);
+    }
+
+    /// Withdraws the last crash of each request if it coincided with exits
+    /// that the request cannot have caused. Returns these requests, each with
+    /// the replicas that exited at that time.
+    pub fn review(&mut self, now: Time) -> Vec<(Fingerprint, Vec<Arc<str>>)> {
+        let repeated = self.requests.iter().filter(|(_, state)| {
+            state.suspicion.ended > 1 && state.last_crash.is_some()
+        });
+        let requests: Vec<Fingerprint> = repeated.map(|(r, _)| *r).collect();
+        let mut withdrawn = Vec::new();
+        for request in requests {
+            if let Some(exits) = self.review_request(request, now) {
+                withdrawn.push((request, exits));
+            }
+        }
+        withdrawn
+    }
+
+    /// Withdraws the last crash of a request if it coincided with exits that
+    /// the request cannot have caused, and returns the replicas that exited.
+    /// The first crash is kept: it restricts nobody.
+    pub fn review_request(
+        &mut self,
+        request: Fingerprint,
+        now: Time,
+    ) -> Option<Vec<Arc<str>>> {
+        let state = self.requests.get_mut(&request)?;
+        let Suspicion { ended, trials, .. } = state.suspicion;
+        let LastCrash { replica, at } = state.last_crash.as_ref()?;
+        if ended < 2
+            || trials > 0
+            || now.since(*at) < PoisonTable::SETTLE_PERIOD
+            || !self.exits.coincided(request, replica, *at)
+        {
+            return None;
+        }
+        let exits = self.exits.names_near(*at);
+        state.withdraw_crash(now);
+        self.share(request);
+        Some(exits)
+    }
+
     /// Decides whether a request that was admitted with the suspicion
     /// `sent` may still be sent, given what has become known since.
     pub fn recheck(
@@ -138,6 +213,7 @@
         now: Time,
     ) -> Suspicion {
         self.make_room(now);
+        self.exits.record_run(replica, request, now);
         let entry = self.requests.entry(request);
         let state = entry.or_insert_with(|| RequestState::new(now));
         let current = state.suspicion;
@@ -149,13 +225,16 @@
         if next < current {
             return current;
         }
+        let mut together = false;
         if next > current {
-            state.replicas.push(PoisonRecord::truncated_name(replica));
+            state.push_crash(replica, now);
             state.exclusive_until = None;
+        } else {
+            together = state.add_together(replica);
         }
         state.suspicion = next;
         state.mark_changed(now);
-        if ended > 1 {
+        if ended > 1 || together {
             self.share(request);
         }
         next
@@ -176,6 +255,7 @@
         let cleared = previous.cleared.saturating_add(1);
         state.suspicion = Suspicion { cleared, ..Suspicion::default() };
         state.replicas.clear();
+        state.last_crash = None;
         state.exclusive_until = None;
         state.mark_changed(now);
         if state.shared {
@@ -222,8 +302,16 @@
         if !record.suspicion.is_valid() {
             return false;
         }
+        let last_crash = self.reported_crash(&record, now);
+        if let Some(LastCrash { replica, at }) = &last_crash {
+            self.exits.record_run(replica, record.request, *at);
+        }
         if let Some(state) = self.requests.get_mut(&record.request) {
-            state.shared |= state.suspicion == record.suspicion;
+            let same = state.suspicion == record.suspicion;
+            state.shared |= same;
+            if same && record.suspicion.ended > 0 {
+                return state.merge_replicas(&record.replicas);
+            }
             if state.suspicion >= record.suspicion {
                 return false;
             }
@@ -232,14 +320,12 @@
             return false;
         }
         let age_at_change = record.age();
-        let reported = record
-            .replicas
-            .iter()
-            .take(Suspicion::QUARANTINE_THRESHOLD.into());
+        let reported = record.replicas.iter().take(PoisonRecord::MAX_REPLICAS);
         let replicas = reported.map(PoisonRecord::truncated_name).collect();
         let state = RequestState {
             suspicion: record.suspicion,
             replicas,
+            last_crash,
             age_at_change,
             shared: true,
             ..RequestState::new(now)
@@ -252,9 +338,33 @@
         true
     }
 
+    /// Returns the crash that a record reports: that of its last replica, at
+    /// the time when the suspicion changed. A suspicion also changes when the
+    /// request is cleared, is tried again or a crash is withdrawn.
+    fn reported_crash(
+        &self,
+        record: &PoisonRecord,
+        now: Time,
+    ) -> Option<LastCrash> {
+        let Suspicion { cleared, ended, trials } = record.suspicion;
+        let replica = record.replicas.last()?;
+        if trials > 0 || record.age() >= RecentExits::RETENTION {
+            return None;
+        }
+        let state = self.requests.get(&record.request);
+        let known = state.map_or(Suspicion::default(), |s| s.suspicion);
+        let is_new = ended > known.ended
+            || (ended == known.ended
+                && state.is_some_and(|s| !s.replicas.contains(replica)));
+        let at = now.before(record.age());
+        (cleared == known.cleared && is_new)
+            .then(|| LastCrash { replica: Arc::clone(replica), at })
+    }
+
     /// Removes requests whose retention has expired, and shares suspicions
     /// that were withheld until now.
     pub fn sweep(&mut self, now: Time) {
+        self.exits.sweep(now);
         self.requests.retain(|_, state| !state.retention_left(now).is_zero());
         for (request, state) in &mut self.requests {
             let due = state.age(now) >= PoisonTable::SHARE_DELAY;
--- a/src/poison/table_tests.rs
+++ b/src/poison/table_tests.rs
@@ -313,7 +313,8 @@
 
 /// Plays rounds of twelve callers at two entries, in each of which six replicas
 /// end 150 ms after the requests were sent, whether they run the request or
-/// not. Returns the number of callers that were refused in each round.
+/// not. The agents of those that do not report that. Returns the number of
+/// callers that were refused in each round.
 fn refusals_while_all_replicas_end(rounds: u64, gap_ms: u64) -> Vec<usize> {
     let hot = request("hot");
     let mut entries = [PoisonTable::default(), PoisonTable::default()];
@@ -324,10 +325,19 @@
         for caller in 0..12 {
             let entry = caller % 2;
             if let Admission::Admitted(sent) = entries[entry].admit(hot, now) {
-                runs.push((entry, caller % 6, sent));
+                let shared = entries[entry].shares_replica(hot);
+                let index = if shared { 0 } else { caller % 6 };
+                runs.push((entry, index, sent));
             }
         }
         refused.push(12 - runs.len());
+        for index in 0..6 {
+            if runs.iter().all(|run| run.1 != index) {
+                for entry in &mut entries {
+                    entry.record_exit(&replica(index), now, end, true);
+                }
+            }
+        }
         for (entry, index, sent) in runs {
             entries[entry].finish_run(hot);
             entries[entry].record_crash(hot, sent, &replica(index), end);
@@ -336,6 +346,7 @@
             entries.iter().map(|e| e.records(&[hot], end)).collect();
         for (entry, records) in entries.iter_mut().zip(records.iter().rev()) {
             entry.merge(records.clone(), end);
+            entry.review(end.after(PoisonTable::SETTLE_PERIOD));
         }
     }
     refused
