Report only recent exits of an agent's backend server

An agent reported the exit of a backend server that was down for long, or had never been up, as one at any time since it last answered. Such an exit counts as simultaneous with every crash elsewhere, and two of them would withdraw a crash of a poisoned request. Found by reading the code; the test fails without the bound. The fields about a backend server's activity get their names.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -16,7 +16,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::Settings;
-use crate::engine_exit::LastSeen;
+use crate::engine_exit::EngineActivity;
 use crate::fetch::FetchStats;
 use crate::request_counter::RequestCounter;
 
@@ -55,7 +55,7 @@
     /// `Orders::inform`.
     pub(crate) engine_revision: AtomicU64,
     pub(crate) in_progress: RequestCounter,
-    pub(crate) seen: LastSeen,
+    pub(crate) activity: EngineActivity,
     pub(crate) links: Links,
     pub(crate) progress: Mutex<Progress>,
     /// Wakes the main loop.
@@ -89,7 +89,7 @@
             loaded: ArcSwapOption::empty(),
             engine_revision: AtomicU64::new(0),
             in_progress: RequestCounter::default(),
-            seen: LastSeen::default(),
+            activity: EngineActivity::default(),
             links: Links { upload, download },
             progress: Mutex::default(),
             wake: Notify::new(),
--- a/crates/agent/src/drive.rs
+++ b/crates/agent/src/drive.rs
@@ -221,7 +221,7 @@
                 self.stuck = Some(err.code());
             }
             TaskResult::Loaded(target, Ok(bound)) => {
-                self.agent.seen.record_answer(self.agent.node.now());
+                self.agent.activity.record_answer(self.agent.node.now());
                 self.stuck = None;
                 self.record_revision(bound.fence());
                 self.handle(&Event::Loaded(target.clone()));
@@ -261,7 +261,7 @@
             }
             return;
         };
-        agent.seen.record_answer(agent.node.now());
+        agent.activity.record_answer(agent.node.now());
         self.orders.check_superseded(&state);
         self.repeat_inform(&state);
         if self.lifecycle.phase() != Phase::Serving {
--- a/crates/agent/src/engine_exit.rs
+++ b/crates/agent/src/engine_exit.rs
@@ -22,9 +22,13 @@
     Duration::from_millis(120),
 ];
 
-/// What the agent knows of the backend server's running time.
+/// The longest span in which an exit is reported. If the backend server has
+/// not answered for longer, the exit may have been at any time.
+const MAX_EXIT_SPAN: Duration = Duration::from_secs(2);
+
+/// When the backend server last answered and ran requests.
 #[derive(Debug, Default)]
-pub(crate) struct LastSeen {
+pub(crate) struct EngineActivity {
     /// When the backend server last answered, in milliseconds of the node's
     /// clock.
     answered_ms: AtomicU64,
@@ -34,7 +38,16 @@
     exited: AtomicBool,
 }
 
-impl LastSeen {
+/// The exit of the backend server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct BackendExit {
+    /// When it was last known to be running.
+    after: Time,
+    /// Whether it has run no request since then.
+    idle: bool,
+}
+
+impl EngineActivity {
     /// Records that the backend server answers.
     pub(crate) fn record_answer(&self, now: Time) {
         self.answered_ms.fetch_max(now.as_millis(), Ordering::SeqCst);
@@ -46,12 +59,21 @@
         self.busy_ms.fetch_max(now.as_millis(), Ordering::SeqCst);
     }
 
-    fn answered(&self) -> Time {
-        Time::from_millis(self.answered_ms.load(Ordering::SeqCst))
-    }
-
-    fn busy(&self) -> Time {
-        Time::from_millis(self.busy_ms.load(Ordering::SeqCst))
+    /// Returns the exit of the backend server, which does not listen any more
+    /// at `now`, if it was not returned before and its time is known. `running`
+    /// is the number of requests in progress.
+    fn take_exit(&self, running: usize, now: Time) -> Option<BackendExit> {
+        if self.exited.swap(true, Ordering::SeqCst) {
+            return None;
+        }
+        let answered_ms = self.answered_ms.load(Ordering::SeqCst);
+        let after = Time::from_millis(answered_ms);
+        if answered_ms == 0 || now.since(after) > MAX_EXIT_SPAN {
+            return None;
+        }
+        let busy_ms = self.busy_ms.load(Ordering::SeqCst);
+        let idle = running == 0 && busy_ms < answered_ms;
+        Some(BackendExit { after, idle })
     }
 }
 
@@ -70,17 +92,21 @@
         }
     }
 
-    /// Checks whether the backend server has exited, and records that.
+    /// Returns whether the backend server does not listen any more, and records
+    /// its exit.
     pub(crate) async fn check_exit(&self) -> bool {
         if !is_connection_refused(self.settings.backend, PROBE_TIMEOUT).await {
             return false;
         }
-        if self.seen.exited.swap(true, Ordering::SeqCst) {
-            return true;
+        let running = self.in_progress.count();
+        let exit = self.activity.take_exit(running, self.node.now());
+        if let Some(BackendExit { after, idle }) = exit {
+            self.node.record_exit(after, idle);
         }
-        let after = self.seen.answered();
-        let idle = self.in_progress.count() == 0 && self.seen.busy() < after;
-        self.node.record_exit(after, idle);
         true
     }
 }
+
+#[cfg(test)]
+#[path = "engine_exit_tests.rs"]
+mod tests;
--- a/crates/agent/src/proxy.rs
+++ b/crates/agent/src/proxy.rs
@@ -103,7 +103,7 @@
 impl Drop for StartedAttempt {
     fn drop(&mut self) {
         let now = self.agent.node.now();
-        self.agent.seen.record_busy(now);
+        self.agent.activity.record_busy(now);
         self.agent.attempts().end(&self.attempt, self.ran, now);
         if let Some(held) = self.held.take() {
             self.agent.settle_key(held, self.ran);
