--- a/src/poison/exits.rs
+++ b/src/poison/exits.rs
@@ -8,12 +8,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::Fingerprint;
+use super::{Fingerprint, PoisonRecord};
 use crate::Time;
 
 /// The exit of a replica's process.
 #[derive(Clone, Debug)]
 struct Exit {
+    /// The replica's name as in records.
     replica: Arc<str>,
     /// The last time at which the process may have been running.
     after: Time,
@@ -88,10 +89,11 @@
         after: Time,
         by: Time,
     ) -> Option<&mut Exit> {
+        let replica = PoisonRecord::truncated_name(replica);
         let known = self
             .exits
             .iter()
-            .position(|e| e.replica == *replica && e.is_near(after, by));
+            .position(|e| e.replica == replica && e.is_near(after, by));
         if let Some(index) = known {
             return self.exits.get_mut(index);
         }
@@ -99,7 +101,7 @@
             return None;
         }
         self.exits.push(Exit {
-            replica: Arc::clone(replica),
+            replica,
             after,
             by,
             requests: BTreeSet::new(),
@@ -108,11 +110,13 @@
         self.exits.last_mut()
     }
 
-    /// Returns whether the exit of `replica` at `at` under a request coincided
+    /// Returns whether the exit of a replica at `at` under a request coincided
     /// with exits that the request cannot have caused: of a replica that ran
     /// nothing, or of several replicas that did not run it and have no other
-    /// request in common. A request that several of them ran may have crashed
-    /// them all, and says nothing about a common cause.
+    /// request in common. A request that all of them ran may have crashed them,
+    /// and then there is no common cause.
+    ///
+    /// `replica` is the name of the replica in records.
     pub fn coincided(
         &self,
         request: Fingerprint,
--- a/src/poison/exits_tests.rs
+++ b/src/poison/exits_tests.rs
@@ -146,6 +146,25 @@
     assert_eq!(table.suspicion(hot).ended, 1);
 }
 
+/// Guards against a replica with a long name whose own exit is taken for that
+/// of another one.
+#[test]
+fn a_replica_with_a_long_name_is_not_another_one() {
+    let bad = request("bad");
+    let long: Arc<str> = Arc::from("i-".repeat(100));
+    let mut table = PoisonTable::default();
+    table.record_crash(bad, suspicion(0), &replica(0), at(500));
+    table.record_crash(bad, suspicion(1), &long, at(1_000));
+    let records = table.records(&[bad], at(1_010));
+    let mut other = PoisonTable::default();
+    other.merge(records, at(1_010));
+    for table in [&mut table, &mut other] {
+        table.record_exit(&long, at(990), at(1_005), true);
+        assert!(table.review(settled(1_010)).is_empty());
+        assert_eq!(table.suspicion(bad).ended, 2);
+    }
+}
+
 /// Guards against a quarantine that outlasts the evidence against it.
 #[test]
 fn a_crash_that_led_to_quarantine_is_withdrawn() {
--- a/src/poison/request_state.rs
+++ b/src/poison/request_state.rs
@@ -11,6 +11,7 @@
 /// The crash that last increased a suspicion.
 #[derive(Clone, Debug)]
 pub(super) struct LastCrash {
+    /// The replica's name as in records.
     pub replica: Arc<str>,
     pub at: Time,
 }
@@ -84,8 +85,8 @@
         if self.replicas.len() >= PoisonRecord::MAX_REPLICAS {
             self.replicas.remove(0);
         }
-        self.replicas.push(name);
-        self.last_crash = Some(LastCrash { replica: Arc::clone(replica), at });
+        self.replicas.push(Arc::clone(&name));
+        self.last_crash = Some(LastCrash { replica: name, at });
     }
 
     /// Adds a replica that crashed together with the known ones. Returns
