Count requests that fail together as one failure

What callers saw: after a pause of all replicas they were refused for 18 s.

Cause: a replica that stands still fails all requests in flight there at once, and each doubled the exclusion of the replica: 500 ms to 16 s within a millisecond. With most replicas excluded the others were full, and admission control rightly measured a fraction of the capacity.

Requests that were sent before the last failure was seen now prolong the exclusion and do not double it. Requests that are sent later and fail do, so a replica that stays silent is excluded as long as before.

--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -195,11 +195,13 @@
         let Some(chosen) = chosen else {
             return Err(self.wait_for_agent().await);
         };
+        let asked_at = self.entry.node.now();
         let Some(incarnation) = self.incarnation(&chosen).await else {
             self.tried.insert(Arc::clone(&chosen.name));
             let now = self.entry.node.now();
-            self.entry
-                .update_agent(&chosen.name, |s| s.health.record_failure(now));
+            self.entry.update_agent(&chosen.name, |s| {
+                s.health.record_failure(asked_at, now)
+            });
             return Err(self.decide_next(Failure::Unsent).await);
         };
         let attempt = self.entry.new_attempt();
--- a/crates/entry/src/send.rs
+++ b/crates/entry/src/send.rs
@@ -7,7 +7,7 @@
 use hyper::{HeaderMap, Request, Response};
 use stairhinge::poison::Suspicion;
 use stairhinge::request::{Attempt, Failure};
-use stairhinge::{Code, Ran};
+use stairhinge::{Code, Ran, Time};
 use stairhinge_shell::http::{Body, CallError, full, headers};
 
 use crate::Entry;
@@ -66,6 +66,7 @@
             log::error!("cannot build the request for an agent: {err}");
             Failure::Unsent
         })?;
+        let sent_at = self.node.now();
         let sent = self.node.client().send(chosen.http, request, within).await;
         let response = match sent {
             Ok(response) => response,
@@ -73,7 +74,7 @@
                 log::debug!("attempt at agent {} failed: {err}", chosen.name);
                 let now = self.node.now();
                 self.update_agent(&chosen.name, |s| {
-                    s.health.record_failure(now)
+                    s.health.record_failure(sent_at, now)
                 });
                 return Err(FailedAttempt::from(match err {
                     CallError::Unsent(_) => Failure::Unsent,
@@ -89,7 +90,7 @@
             }
             Some(code) => {
                 let map = response.headers();
-                let failure = self.record_refusal(chosen, code, map);
+                let failure = self.record_refusal(chosen, code, map, sent_at);
                 let retry_after =
                     number(map, "retry-after").map(Duration::from_secs);
                 Err(FailedAttempt { failure, retry_after })
@@ -152,6 +153,7 @@
         chosen: &ChosenAgent,
         code: Code,
         map: &HeaderMap,
+        sent_at: Time,
     ) -> Failure {
         let name = &chosen.name;
         match code {
@@ -173,7 +175,9 @@
             | Code::DuplicateRan => {}
             _ => {
                 let now = self.node.now();
-                self.update_agent(name, |s| s.health.record_failure(now));
+                self.update_agent(name, |s| {
+                    s.health.record_failure(sent_at, now)
+                });
             }
         }
         let ran = map.get(headers::RAN).and_then(|v| v.to_str().ok());
--- a/crates/gateway/src/dispatch/find_tests.rs
+++ b/crates/gateway/src/dispatch/find_tests.rs
@@ -24,7 +24,7 @@
             trial: false,
             took: Duration::from_millis(2),
         };
-        known.health.record_failure(now);
+        known.health.record_failure(now, now);
         known.outcomes.record(&sample, Expectation::default(), limits, now);
     }
     assert!(!known.health.is_available(now));
--- a/crates/gateway/src/dispatch/outcome.rs
+++ b/crates/gateway/src/dispatch/outcome.rs
@@ -14,12 +14,17 @@
         }
     }
 
-    pub(super) fn record_failure(&self, incarnation: &str) {
+    /// Records that a request failed that was sent `sent_ago`.
+    pub(super) fn record_failure(
+        &self,
+        incarnation: &str,
+        sent_ago: Duration,
+    ) {
         let now = self.facts.now();
         let (failures, span) = {
             let mut state = self.lock();
             let Some(known) = state.known.get_mut(incarnation) else { return };
-            known.health.record_failure(now);
+            known.health.record_failure(now.before(sent_ago), now);
             known.slow_at = Some(Instant::now());
             (known.health.failures(), known.health.backoff())
         };
--- a/crates/gateway/src/dispatch/place.rs
+++ b/crates/gateway/src/dispatch/place.rs
@@ -229,7 +229,10 @@
         match outcome {
             Outcome::Unknown | Outcome::Errored => {}
             Outcome::Succeeded => dispatcher.record_success(incarnation),
-            Outcome::Failed => dispatcher.record_failure(incarnation),
+            Outcome::Failed => {
+                let sent_ago = self.given_at.elapsed();
+                dispatcher.record_failure(incarnation, sent_ago);
+            }
             Outcome::Full => dispatcher.record_full(incarnation),
             Outcome::Misdirected => {
                 dispatcher.record_misdirected(incarnation, self.version);
--- a/src/routing/health.rs
+++ b/src/routing/health.rs
@@ -8,6 +8,8 @@
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Health {
     failures: u32,
+    /// When the last of `failures` was recorded.
+    failed_at: Time,
     excluded_until: Time,
 }
 
@@ -20,13 +22,23 @@
 
     /// Returns the health of a server without recorded failures.
     pub const fn new() -> Health {
-        Health { failures: 0, excluded_until: Time::ZERO }
+        Health {
+            failures: 0,
+            failed_at: Time::ZERO,
+            excluded_until: Time::ZERO,
+        }
     }
 
-    /// Records a failure. The server is excluded for a time that doubles with
-    /// each consecutive failure.
-    pub fn record_failure(&mut self, now: Time) {
-        self.failures = self.failures.saturating_add(1);
+    /// Records the failure of a request that was sent at `sent`. The server is
+    /// excluded for a time that doubles with each consecutive failure.
+    ///
+    /// Requests that were sent before the last failure are no further ones:
+    /// all requests in flight fail together when a server stands still.
+    pub fn record_failure(&mut self, sent: Time, now: Time) {
+        if self.failures == 0 || sent >= self.failed_at {
+            self.failures = self.failures.saturating_add(1);
+            self.failed_at = now;
+        }
         self.excluded_until = now.after(self.backoff());
     }
 
@@ -37,7 +49,7 @@
         if !self.is_available(now) || max_backoff.is_zero() {
             return;
         }
-        self.record_failure(now);
+        self.record_failure(now, now);
         self.excluded_until = self.excluded_until.min(now.after(max_backoff));
     }
 
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -48,7 +48,7 @@
     let mut now = Time::ZERO;
     let mut spans = Vec::new();
     for _ in 0..8 {
-        health.record_failure(now);
+        health.record_failure(now, now);
         assert!(!health.is_available(now));
         let mut span = Duration::ZERO;
         while !health.is_available(now) {
@@ -60,7 +60,7 @@
     assert_eq!(spans[..3], [500, 1_000, 2_000]);
     assert_eq!(spans[7], 16_000, "the backoff is limited");
     health.record_success();
-    health.record_failure(now);
+    health.record_failure(now, now);
     assert!(health.is_available(now.after(Health::INITIAL_BACKOFF)));
 }
 
@@ -86,3 +86,21 @@
         assert!(health.is_available(at(from + 3_000)));
     }
 }
+
+/// Guards against an exclusion of many seconds after one silence, in which all
+/// requests in flight at a server fail together.
+#[test]
+fn failures_of_requests_in_flight_together_count_once() {
+    let at = Time::from_millis;
+    let mut health = Health::new();
+    for sent in 0..16 {
+        health.record_failure(at(sent), at(1_500 + sent));
+    }
+    assert_eq!(health.failures(), 1);
+    assert!(health.is_available(at(2_100)));
+    // A request that was sent after that shows that it still fails.
+    health.record_failure(at(2_100), at(3_600));
+    assert_eq!(health.failures(), 2);
+    assert!(!health.is_available(at(4_500)));
+    assert!(health.is_available(at(4_600)));
+}
