Presume the age of a version found after a loss of contact

Cause: `Facts::apply` dated every change of a watch at its answer, whether the watch had been waiting or not. Lists dated versions at the last sync, and told others that date as if it were known.

Change: a follower keeps the time up to which it knows all changes and the delay of the platform. A watch that does not continue the last one does not wait. What it returns, what a list returns, and what comes with a configuration is presumed to be as old as the last sync. Others are told no age for it, and take their own last sync. An age from a process that was waiting replaces it, also at an agent whose turn is already set; agents ask their peers for it whenever a version is presumed, not only after a start.

Why it works: the last sync is always before the version was set, so the bound runs too early rather than too late, for however long contact is lost. It is only as early as contact was lost, and only until one process that was waiting is heard. `target_taken` tells `age_ms` and `presumed`, `target_dated` the correction.

--- a/crates/chunks/src/cache/retention_tests.rs
+++ b/crates/chunks/src/cache/retention_tests.rs
@@ -15,7 +15,7 @@
 use stairhinge::{Code, Digest, Error};
 use stairhinge_shell::Shaper;
 use stairhinge_shell::decisions::DecisionLog;
-use stairhinge_shell::directory::{Facts, Record, Source};
+use stairhinge_shell::directory::{Facts, Published, Record, Source};
 use stairhinge_shell::http::Client;
 
 use super::super::{CachePeers, ChunkCache, Retention};
@@ -135,7 +135,7 @@
         };
         let table = Arc::new(RouteTable::new(parts).unwrap());
         let routes = Record::Routes(table, Bytes::new());
-        facts.learn(routes, Source::new("test"), None);
+        facts.learn(routes, Source::new("test"), Published::default());
         let origin = Arc::new(CountingOrigin::default());
         let context = FetchContext {
             facts: Arc::clone(&facts),
@@ -157,7 +157,7 @@
 
     fn target(&self, version: u64) {
         let target = VersionTarget { model: Arc::from(MODEL), version };
-        let now = Some(self.facts.now());
+        let now = Published::at(self.facts.now());
         self.facts.learn(Record::Target(target), Source::new("test"), now);
     }
 
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -18,7 +18,7 @@
 use stairhinge_chunks::ChunkCache;
 use stairhinge_shell::decisions::Decision;
 use stairhinge_shell::directory::{
-    Directory, Facts, News, Share, SharedQuestion, Source,
+    Directory, Facts, News, Published, Share, SharedQuestion, Source,
 };
 use stairhinge_shell::http::{
     Body, Client, Failed, Handler, empty, full, read,
@@ -128,7 +128,7 @@
             fetch_routes(&self.client, holder, CALL_TIMEOUT).await?;
         let record = self.directory.parse_routes(document)?;
         let source = Source::entry("peer", holder, called.elapsed());
-        self.facts.learn(record, source, None);
+        self.facts.learn(record, source, Published::default());
         Ok(())
     }
 }
--- a/crates/loader/src/hall_entries.rs
+++ b/crates/loader/src/hall_entries.rs
@@ -16,8 +16,8 @@
 use stairhinge_chunks::log_failure;
 use stairhinge_gateway::{FetchError, fetch_published, fetch_routes};
 use stairhinge_shell::directory::{
-    Change, Collection, Facts, HallAnswer, HallReader, ReaderAnswer, Record,
-    SharedQuestion, Source,
+    Change, Collection, Facts, HallAnswer, HallReader, Published,
+    ReaderAnswer, Record, SharedQuestion, Source,
 };
 use stairhinge_shell::http::Client;
 use tokio::sync::watch;
@@ -170,7 +170,8 @@
             let gone = replicas.gone.into_iter().map(Change::Gone);
             for change in listed.chain(gone) {
                 let source = Source::new("hall");
-                self.facts.apply(change, source, true, None);
+                let published = Published::default();
+                self.facts.apply(change, source, true, published);
             }
         }
         self.list_revision.store(shared.at, Ordering::Relaxed);
--- a/crates/loader/src/read_routes.rs
+++ b/crates/loader/src/read_routes.rs
@@ -16,7 +16,7 @@
 use stairhinge::{Code, Error};
 use stairhinge_chunks::log_failure;
 use stairhinge_gateway::fetch_routes;
-use stairhinge_shell::directory::{Collection, Freshness, Source};
+use stairhinge_shell::directory::{Collection, Freshness, Published, Source};
 
 use crate::agent::Agent;
 use crate::entry_rotation::EntryRotation;
@@ -148,7 +148,7 @@
     let records = read.await?.records;
     let source = Source::platform("list", started.elapsed(), records.len());
     for record in records {
-        agent.facts.learn(record?, source, None);
+        agent.facts.learn(record?, source, Published::default());
     }
     Ok(())
 }
@@ -178,6 +178,6 @@
     let document = fetch_routes(&agent.client, entry, ENTRY_TIMEOUT).await?;
     let record = agent.directory.parse_routes(document)?;
     let source = Source::entry("entry", entry, started.elapsed());
-    agent.facts.learn(record, source, None);
+    agent.facts.learn(record, source, Published::default());
     Ok(())
 }
--- a/crates/loader/src/reconcile.rs
+++ b/crates/loader/src/reconcile.rs
@@ -28,8 +28,8 @@
 const TARGETS_TIMEOUT: Duration = Duration::from_millis(1_000);
 const TARGETS_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// The maximum number of times that peers are asked for the ages of target
-/// versions after a start.
+/// The maximum number of times that peers are asked for the ages of the same
+/// target versions.
 const MAX_AGE_QUERIES: u32 = 30;
 
 /// The interval at which the choice of a version is reconsidered while there
@@ -110,15 +110,36 @@
     }
 }
 
-/// Asks peers for the ages of versions that were targeted before this process
-/// started. Until a peer answers, such versions are presumed to be old.
+/// Asks peers for the ages of versions that were targeted while this process
+/// was out of touch or not running. Until a peer answers, such versions are
+/// presumed to be as old as they can be.
 async fn learn_ages(agent: Arc<Agent>) {
-    for _ in 0..MAX_AGE_QUERIES {
-        if !agent.facts.view().targets.has_estimates() {
-            tokio::time::sleep(RETRY_DELAY).await;
-            continue;
+    let mut changes = agent.facts.changes();
+    let mut asked = Vec::new();
+    loop {
+        let known = targets(&agent);
+        if known != asked && agent.facts.view().targets.has_estimates() {
+            ask_ages(&agent).await;
+            asked = known;
+        }
+        if changes.changed().await.is_err() {
+            return;
         }
-        for (_, addr) in peers(&agent) {
+    }
+}
+
+/// Returns the known target versions.
+fn targets(agent: &Agent) -> Vec<(Arc<str>, u64)> {
+    let ages = agent.facts.target_ages().into_iter();
+    let mut known: Vec<_> = ages.map(|t| (t.model, t.version)).collect();
+    known.sort_unstable();
+    known
+}
+
+/// Asks peers until the ages of all target versions are known.
+async fn ask_ages(agent: &Agent) {
+    for _ in 0..MAX_AGE_QUERIES {
+        for (_, addr) in peers(agent) {
             let Ok(report) = first_report(&agent.client, addr).await else {
                 continue;
             };
@@ -261,7 +282,7 @@
     manifest: &VersionManifest,
     turn: &Turn,
 ) -> Infallible {
-    turn.wait_for_expiry(agent).await;
+    turn.wait_for_expiry(agent, &manifest.model).await;
     loop {
         if let Err(error) = unload_outdated(agent, manifest).await {
             log_failure(&agent.facts, "unload", &error);
--- a/crates/loader/src/turn.rs
+++ b/crates/loader/src/turn.rs
@@ -25,8 +25,8 @@
     /// When the replica stops receiving requests, or `None` if it serves no
     /// model, so that it can switch at any time.
     pauses_at: Option<Time>,
-    /// When the loaded version must not start any more requests.
-    expires_at: Option<Time>,
+    /// The loaded version, if it is outdated.
+    outdated: Option<u64>,
 }
 
 impl Turn {
@@ -49,7 +49,7 @@
         let (true, Some(targeted), Some(outdated)) =
             (serves, targeted, outdated)
         else {
-            return Turn { number: 0, pauses_at: None, expires_at: None };
+            return Turn { number: 0, pauses_at: None, outdated: None };
         };
         let service = &agent.settings.service;
         let mut members = Vec::new();
@@ -69,12 +69,10 @@
         let bound =
             agent.live.get().version_bound().saturating_sub(LAST_PAUSE_MARGIN);
         let pauses_at = rollout.pauses_at(first, outdated.after(bound));
-        let end =
-            agent.live.get().version_bound().saturating_sub(UNLOAD_MARGIN);
         Turn {
             number: rollout.turn(),
             pauses_at: Some(pauses_at),
-            expires_at: Some(outdated.after(end)),
+            outdated: held,
         }
     }
 
@@ -127,12 +125,25 @@
 
     /// Waits until the loaded version must not start any more requests, and
     /// pauses the replica.
-    pub(crate) async fn wait_for_expiry(&self, agent: &Agent) {
-        let Some(expires_at) = self.expires_at else {
-            return std::future::pending().await;
-        };
-        tokio::time::sleep(expires_at.since(agent.facts.now())).await;
-        agent.set_paused(true);
+    pub(crate) async fn wait_for_expiry(&self, agent: &Agent, model: &str) {
+        let mut changes = agent.facts.changes();
+        // The age of a target may be corrected meanwhile.
+        while let Some(expires_at) = self.expires_at(agent, model) {
+            let left = expires_at.since(agent.facts.now());
+            if left.is_zero() {
+                return agent.set_paused(true);
+            }
+            let _ = tokio::time::timeout(left, changes.changed()).await;
+        }
+        std::future::pending().await
+    }
+
+    /// Returns when the loaded version must not start any more requests.
+    fn expires_at(&self, agent: &Agent, model: &str) -> Option<Time> {
+        let view = agent.facts.view();
+        let since = view.targets.outdated_since(model, self.outdated?)?;
+        let bound = agent.live.get().version_bound();
+        Some(since.after(bound.saturating_sub(UNLOAD_MARGIN)))
     }
 
     /// Waits until the turn comes, and pauses the replica.
--- a/crates/shell/src/decisions/decision.rs
+++ b/crates/shell/src/decisions/decision.rs
@@ -111,6 +111,21 @@
         version: u64,
         /// The source of the target.
         source: &'static str,
+        /// The time since it was set, in milliseconds.
+        age_ms: u64,
+        /// Whether `age_ms` is an upper bound, because the process was not
+        /// waiting for the target when it was set.
+        presumed: bool,
+    },
+    /// A process that was waiting when a target version was set told its age,
+    /// which had been presumed.
+    TargetDated {
+        /// The model.
+        model: &'a str,
+        /// The version.
+        version: u64,
+        /// The time since it was set, in milliseconds.
+        age_ms: u64,
     },
     /// An operator evacuated a data hall, so its replicas get no requests.
     HallEvacuated {
--- a/crates/shell/src/directory.rs
+++ b/crates/shell/src/directory.rs
@@ -12,6 +12,7 @@
 mod follow;
 mod held_documents;
 mod news;
+mod published;
 mod records;
 mod share;
 mod shared_messages;
@@ -22,6 +23,7 @@
 pub use self::facts::{EvacuationAge, Facts, FactsView, Standing, TargetAge};
 pub use self::follow::{Follow, follow};
 pub use self::news::News;
+pub use self::published::Published;
 pub use self::records::{
     Change, Collection, Directory, Freshness, Listing, Record, Watched,
 };
--- a/crates/shell/src/directory/facts.rs
+++ b/crates/shell/src/directory/facts.rs
@@ -18,7 +18,7 @@
 
 pub use self::evacuations::EvacuationAge;
 pub use self::targets::TargetAge;
-use super::{Change, Record, Source};
+use super::{Change, Published, Record, Source};
 use crate::decisions::{Decision, DecisionLog};
 
 /// Whether the list of replicas still confirms a replica.
@@ -92,7 +92,7 @@
     /// Creates an empty view.
     ///
     /// A target version that was set before the process started is presumed
-    /// to be `presumed_age` old.
+    /// to be `presumed_age` old, unless the process has been in sync since.
     pub fn new(log: DecisionLog, presumed_age: Duration) -> Facts {
         Facts {
             presumed_age,
@@ -126,19 +126,18 @@
         self.changed.subscribe()
     }
 
-    /// Applies a record if it is newer than the known one. The record was
-    /// written after `synced`, the time at which the process was last fully in
-    /// sync.
-    pub fn learn(&self, record: Record, source: Source, synced: Option<Time>) {
+    /// Applies a record if it is newer than the known one.
+    pub fn learn(&self, record: Record, source: Source, published: Published) {
         match record {
             Record::Routes(table, document) => {
                 self.learn_routes(table, document, source);
             }
             Record::Target(target) => {
-                self.learn_target(&target, source.way(), synced);
+                self.learn_target(&target, source.way(), published);
             }
             Record::Evacuation(hall) => {
-                self.learn_evacuation(hall, source.way(), synced);
+                let earliest = published.earliest;
+                self.learn_evacuation(hall, source.way(), earliest);
             }
             Record::Replica(replica) => self.learn_replica(replica),
         }
@@ -146,22 +145,16 @@
 
     /// Applies a change. Without `reliable`, which says that the platform
     /// hasn't failed recently, a replica that is gone is only marked as
-    /// doubtful. The change was made after `synced`, the time at which the
-    /// process was last fully in sync.
+    /// doubtful.
     pub fn apply(
         &self,
         change: Change,
         source: Source,
         reliable: bool,
-        synced: Option<Time>,
+        published: Published,
     ) {
         match change {
-            Change::Set(Record::Evacuation(hall)) => {
-                self.learn_evacuation(hall, source.way(), synced);
-            }
-            Change::Set(record) => {
-                self.learn(record, source, Some(self.now()));
-            }
+            Change::Set(record) => self.learn(record, source, published),
             Change::EvacuationEnded(hall) => {
                 self.end_evacuation(&hall, source.way());
             }
@@ -208,8 +201,14 @@
 
     /// Returns how long ago all published routes were last known, if ever.
     pub fn routes_age(&self) -> Option<Duration> {
+        self.last_synced().map(|at| self.now().since(at))
+    }
+
+    /// Returns the latest time up to which all published routes and target
+    /// versions are known, if there is one.
+    fn last_synced(&self) -> Option<Time> {
         let at = self.routes_known.load(Ordering::Relaxed);
-        (at > 0).then(|| self.now().since(Time::from_millis(at)))
+        (at > 0).then_some(Time::from_millis(at))
     }
 
     /// Returns whether the process has ever been fully in sync with the
--- a/crates/shell/src/directory/facts/targets.rs
+++ b/crates/shell/src/directory/facts/targets.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use stairhinge::Time;
 use stairhinge::direct::VersionTarget;
 
 use super::Facts;
 use crate::decisions::Decision;
+use crate::directory::Published;
 
 /// The target version of a model, as sent between processes.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -17,8 +17,8 @@
     pub model: Arc<str>,
     /// The version of its weights.
     pub version: u64,
-    /// The time since it was set, in milliseconds, if the sender was running
-    /// then.
+    /// The time since it was set, in milliseconds, if the sender was waiting
+    /// for it then, or was told by a process that was.
     pub age_ms: Option<u64>,
 }
 
@@ -47,8 +47,11 @@
                 model: Arc::clone(&told.model),
                 version: told.version,
             };
-            let since = age.map(|age| self.ago(age));
-            self.learn_target(&target, "peer", since);
+            let published = match age {
+                Some(age) => Published::at(self.ago(age)),
+                None => Published::after(self.last_synced()),
+            };
+            self.learn_target(&target, "peer", published);
         }
         if self.view().targets.has_estimates() {
             self.refine_ages(told);
@@ -56,7 +59,7 @@
     }
 
     /// Replaces estimated ages of target versions by those of a process that
-    /// was running when they were set.
+    /// was waiting for them when they were set.
     fn refine_ages(&self, ages: &[TargetAge]) {
         for told in ages {
             let Some(ms) = told.age_ms else { continue };
@@ -65,7 +68,18 @@
                 model: Arc::clone(&told.model),
                 version: told.version,
             };
-            self.change(|view| view.targets.replace_estimate(&target, since));
+            let mut dated = false;
+            self.change(|view| {
+                dated = view.targets.replace_estimate(&target, since);
+                dated
+            });
+            if dated {
+                self.log.write(&Decision::TargetDated {
+                    model: &target.model,
+                    version: target.version,
+                    age_ms: ms,
+                });
+            }
         }
     }
 
@@ -73,16 +87,18 @@
         &self,
         target: &VersionTarget,
         source: &'static str,
-        synced: Option<Time>,
+        published: Published,
     ) {
+        let earliest = published.earliest;
+        let since = published.observed.or(earliest);
+        let since = since.unwrap_or_else(|| self.ago(self.presumed_age));
+        let presumed = published.observed.is_none();
         let mut taken = false;
         self.change(|view| {
-            taken = match synced {
-                Some(since) => view.targets.record(target, since),
-                None => {
-                    let since = self.ago(self.presumed_age);
-                    view.targets.record_estimate(target, since)
-                }
+            taken = if presumed {
+                view.targets.record_estimate(target, since)
+            } else {
+                view.targets.record(target, since)
             };
             taken
         });
@@ -91,6 +107,8 @@
                 model: &target.model,
                 version: target.version,
                 source,
+                age_ms: self.now().since(since).as_millis() as u64,
+                presumed,
             });
         }
     }
--- a/crates/shell/src/directory/follow.rs
+++ b/crates/shell/src/directory/follow.rs
@@ -1,5 +1,6 @@
 //! Keeps a process up to date with the platform.
 
+mod contact;
 mod read;
 mod start;
 
@@ -9,9 +10,11 @@
 use bytes::Bytes;
 use stairhinge::{Code, Error, Time};
 
+use self::contact::Contact;
 use super::{
-    Change, Collection, Directory, Facts, HallAnswer, ReaderAnswer, Record,
-    Share, SharedAnswer, SharedQuestion, SharedRoutes, Sharing, Source,
+    Change, Collection, Directory, Facts, HallAnswer, Published, ReaderAnswer,
+    Record, Share, SharedAnswer, SharedQuestion, SharedRoutes, Sharing,
+    Source,
 };
 use crate::Shutdown;
 use crate::decisions::Decision;
@@ -69,7 +72,7 @@
         follow,
         at: None,
         synced: None,
-        answered: None,
+        contact: Contact::default(),
         failed: None,
         lost_since: None,
         retry_delay: FIRST_RETRY_DELAY,
@@ -101,9 +104,7 @@
     at: Option<u64>,
     /// The time at which all changes up to `at` were known.
     synced: Option<Time>,
-    /// When the platform last answered a watch. The answer contains all
-    /// changes up to then, however long the watch was held.
-    answered: Option<Time>,
+    contact: Contact,
     failed: Option<Instant>,
     lost_since: Option<Instant>,
     retry_delay: Duration,
@@ -249,7 +250,8 @@
                 share.note(&changes, answer.at);
                 let source = Source::new("hall");
                 for change in changes {
-                    self.facts.apply(change, source, reliable, self.synced);
+                    let published = Published::after(self.synced);
+                    self.facts.apply(change, source, reliable, published);
                 }
             }
         }
@@ -291,7 +293,7 @@
         let record = self.directory.parse_routes(document)?;
         let took = self.facts.now().since(called);
         let source = Source::entry("hall", answer.entry, took);
-        self.facts.learn(record, source, None);
+        self.facts.learn(record, source, Published::default());
         let (known, told) = (self.facts.revision(), answer.shared.revision);
         if known < told {
             // Continuing from the reader's position would skip that revision.
@@ -307,6 +309,7 @@
         self.at = Some(at);
         self.synced = Some(synced);
         self.rejoined = false;
+        self.contact.record_sync(synced);
         if self.follow.collection != Collection::Replicas {
             self.facts.note_routes_known(synced);
         }
--- a/crates/shell/src/directory/follow/read.rs
+++ b/crates/shell/src/directory/follow/read.rs
@@ -10,9 +10,10 @@
 use stairhinge::{Error, Time};
 
 use super::Follower;
+use super::contact::{WatchContent, WatchTimes};
 use crate::directory::{
-    Change, Collection, EvacuationAge, Freshness, Listing, Record, Source,
-    Watched,
+    Change, Collection, EvacuationAge, Freshness, Listing, Published, Record,
+    Source, Watched,
 };
 
 /// The number of routes revisions in one answer from which on they count as
@@ -39,8 +40,8 @@
             return self.rejoin(after).await;
         }
         let collection = self.follow.collection;
-        let wait = self.wait();
         let called = self.facts.now();
+        let wait = self.watch_wait(called);
         match self.directory.watch(collection, after, wait).await? {
             Watched::Forgotten => self.forget(),
             Watched::Changes(changes, at) => {
@@ -51,14 +52,22 @@
                 if let Some(sharing) = &self.follow.sharing {
                     sharing.share.note(&changes, at);
                 }
-                let took = self.facts.now().since(called);
+                let answered = self.facts.now();
+                let took = answered.since(called);
                 let source = Source::platform("watch", took, routes);
                 self.facts.note_documents(routes);
+                let times = WatchTimes { called, wait, answered };
+                let content = match (changes.is_empty(), routes) {
+                    (true, _) => WatchContent::Nothing,
+                    (false, 0) => WatchContent::Small,
+                    (false, _) => WatchContent::Large,
+                };
+                let published = self.contact.published(times, content);
                 for change in changes {
-                    self.facts.apply(change, source, reliable, self.synced);
+                    self.facts.apply(change, source, reliable, published);
                 }
                 self.record_sync(at, called);
-                self.answered = Some(self.facts.now());
+                self.contact.record_watch(times, content);
             }
         }
         Ok(())
@@ -101,7 +110,7 @@
             return false;
         }
         let Some(sharing) = &self.follow.sharing else { return false };
-        let heard = self.synced.max(self.answered);
+        let heard = self.synced.max(self.contact.answered());
         let age = heard.map(|at| self.facts.now().since(at));
         age.is_some_and(|age| age > sharing.most_age())
     }
@@ -127,7 +136,8 @@
         let took = self.facts.now().since(called);
         let source = Source::platform("watch", took, 0);
         for change in changes {
-            self.facts.apply(change, source, true, self.synced);
+            let published = Published::after(self.synced);
+            self.facts.apply(change, source, true, published);
         }
         let routes = Collection::Routes;
         let listing = self.directory.list(routes, Freshness::Current).await?;
@@ -137,6 +147,7 @@
         self.take_list(listing, called);
         self.take_evacuations(&evacuated);
         self.record_sync(at, called);
+        self.contact.record_answer(self.facts.now());
         self.rejoined = true;
         Ok(())
     }
@@ -182,6 +193,7 @@
             self.facts.replace_replicas(replicas, reliable);
         }
         self.record_sync(at, called);
+        self.contact.record_answer(self.facts.now());
         Ok(())
     }
 
@@ -194,11 +206,12 @@
         let source = Source::platform("list", took, routes);
         self.facts.note_documents(routes);
         let mut replicas = Vec::new();
+        let published = Published::after(self.synced);
         for record in listing.records {
             match record {
                 Ok(Record::Replica(replica)) => replicas.push(replica),
                 Ok(Record::Evacuation(_)) => {}
-                Ok(record) => self.facts.learn(record, source, self.synced),
+                Ok(record) => self.facts.learn(record, source, published),
                 Err(error) => self.facts.refuse(&error),
             }
         }
@@ -226,7 +239,18 @@
         self.follow.settling.saturating_sub(self.began.elapsed())
     }
 
-    /// Returns how long a watch waits. The wait is short after a failure, so
+    /// Returns how long a watch called at `called` waits. A watch that does
+    /// not continue the last answer may return target versions set any time
+    /// since, and does not wait, so that they aren't taken for new.
+    fn watch_wait(&self, called: Time) -> Duration {
+        let dated = self.follow.collection != Collection::Replicas;
+        if dated && !self.contact.continues(called, self.pace()) {
+            return Duration::ZERO;
+        }
+        self.wait()
+    }
+
+    /// Returns how long a watch may wait. The wait is short after a failure, so
     /// that replicas kept because of it are dropped in time.
     fn wait(&self) -> Duration {
         let wait = match &self.follow.sharing {
--- a/crates/shell/tests/share.rs
+++ b/crates/shell/tests/share.rs
@@ -8,7 +8,8 @@
 use stairhinge::direct::{RouteTable, RouteTableParts};
 use stairhinge_shell::decisions::DecisionLog;
 use stairhinge_shell::directory::{
-    Collection, Facts, Record, Share, SharedQuestion, SharedRoutes, Source,
+    Collection, Facts, Published, Record, Share, SharedQuestion, SharedRoutes,
+    Source,
 };
 use stairhinge_shell::packed::{pack, unpack};
 
@@ -28,7 +29,7 @@
     let parts = RouteTableParts { revision, ..RouteTableParts::default() };
     let table = Arc::new(RouteTable::new(parts).unwrap());
     let record = Record::Routes(table, Bytes::from(document(revision)));
-    facts.learn(record, Source::new("test"), None);
+    facts.learn(record, Source::new("test"), Published::default());
 }
 
 fn question(revision: u64) -> SharedQuestion {
--- a/src/explanation/log_line.rs
+++ b/src/explanation/log_line.rs
@@ -51,6 +51,21 @@
         model: Arc<str>,
         /// The version.
         version: u64,
+        /// The time since it was set, in milliseconds.
+        #[serde(default)]
+        age_ms: Option<u64>,
+        /// Whether `age_ms` is an upper bound.
+        #[serde(default)]
+        presumed: bool,
+    },
+    /// The presumed age of a target version was corrected.
+    TargetDated {
+        /// The model.
+        model: Arc<str>,
+        /// The version.
+        version: u64,
+        /// The time since it was set, in milliseconds.
+        age_ms: u64,
     },
     /// A replica was added to the list of replicas, or its record changed.
     ReplicaListed {
