Let the product's stand-ins stand still and silence connections

A sound server may fall silent for a second and go on, and single open connections may fall silent for good. Engine and Service can be told to do both while they run.

--- a/crates/standins/src/batch.rs
+++ b/crates/standins/src/batch.rs
@@ -7,6 +7,8 @@
 use tokio::sync::{Notify, mpsc};
 use tokio::time::MissedTickBehavior;
 
+use crate::Gate;
+
 /// One request in or before the batch.
 struct Job {
     tokens: u32,
@@ -30,11 +32,16 @@
 }
 
 impl Batch {
-    /// Returns a batch of at most `most` requests, and starts its steps.
-    pub(crate) fn start(most: usize, step: Duration) -> Arc<Batch> {
+    /// Returns a batch of at most `most` requests, and starts its steps, which
+    /// wait at a gate.
+    pub(crate) fn start(
+        most: usize,
+        step: Duration,
+        gate: Arc<Gate>,
+    ) -> Arc<Batch> {
         let queue = Mutex::default();
         let batch = Arc::new(Batch { queue, most, wake: Notify::new() });
-        tokio::spawn(steps(Arc::downgrade(&batch), step));
+        tokio::spawn(steps(Arc::downgrade(&batch), step, gate));
         batch
     }
 
@@ -81,11 +88,16 @@
     }
 }
 
-async fn steps(batch: std::sync::Weak<Batch>, step: Duration) {
+async fn steps(
+    batch: std::sync::Weak<Batch>,
+    step: Duration,
+    gate: Arc<Gate>,
+) {
     let mut ticks = tokio::time::interval(step.max(Duration::from_millis(1)));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
+        gate.passed().await;
         let Some(batch) = batch.upgrade() else { return };
         if batch.step() {
             continue;
--- a/crates/standins/src/engine/state.rs
+++ b/crates/standins/src/engine/state.rs
@@ -23,7 +23,7 @@
 use super::Record;
 use super::life::Life;
 use crate::batch::Batch;
-use crate::limits;
+use crate::{Gate, StandIn, limits};
 
 /// How an engine behaves.
 #[derive(Clone, Copy, Debug)]
@@ -74,6 +74,7 @@
     /// Rises when the weights are replaced.
     pub(super) epoch: AtomicU64,
     pub(super) life: Life,
+    gate: Arc<Gate>,
 }
 
 #[derive(Deserialize)]
@@ -90,10 +91,12 @@
 impl Engine {
     /// Returns an engine that holds nothing.
     pub fn new(settings: EngineSettings) -> Arc<Engine> {
+        let gate = Gate::new();
+        let still = Arc::clone(&gate);
         Arc::new(Engine {
             settings,
             held: Mutex::default(),
-            batch: Batch::start(settings.batch, settings.step),
+            batch: Batch::start(settings.batch, settings.step, still),
             records: Mutex::default(),
             break_after: AtomicU32::new(0),
             frozen: AtomicBool::new(false),
@@ -102,6 +105,7 @@
             loads: AtomicU32::new(0),
             epoch: AtomicU64::new(0),
             life: Life::new(),
+            gate,
         })
     }
 
@@ -142,6 +146,18 @@
         self.frozen.store(frozen, Ordering::Relaxed);
     }
 
+    /// Makes its process stand still for a time: its steps, orders and
+    /// connections, which stay open.
+    pub fn stand_still(&self, span: Duration) {
+        self.gate.stand_still(span);
+    }
+
+    /// Makes a share of its open connections silent for good; returns how many
+    /// those are.
+    pub fn silence_open(&self, share: f64) -> usize {
+        self.gate.silence_open(share)
+    }
+
     /// Has orders to go on in a role arrive late, after others that were sent
     /// later.
     pub fn delay_roles(&self, span: Duration) {
@@ -256,6 +272,7 @@
         self.loads.fetch_add(1, Ordering::Relaxed);
         let mut all = Vec::new();
         for digest in &load.chunks {
+            self.gate.passed().await;
             let path = format!("/chunks/{digest}");
             let most = limits().body;
             let got = self.client.get(load.source, &path, most, CHUNK).await;
@@ -302,6 +319,7 @@
         while self.frozen.load(Ordering::Relaxed) {
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
+        self.gate.passed().await;
         let fence = parts.headers.get(headers::FENCE);
         let fence = fence.and_then(|v| v.to_str().ok());
         let fence: Option<Fence> = fence.and_then(|s| s.parse().ok());
@@ -336,6 +354,12 @@
     }
 }
 
+impl StandIn for Engine {
+    fn gate(&self) -> Option<Arc<Gate>> {
+        Some(Arc::clone(&self.gate))
+    }
+}
+
 /// Returns an answer that breaks its connection off.
 fn broken() -> Response<Body> {
     let (tx, rx) = mpsc::channel(1);
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,6 +7,7 @@
 mod batch;
 mod engine;
 mod faults;
+mod gate;
 mod origin;
 mod pack;
 mod platform;
@@ -15,8 +16,9 @@
 
 pub use self::engine::{Engine, EngineSettings, Record};
 pub use self::faults::Faults;
+pub use self::gate::Gate;
 pub use self::origin::Origin;
 pub use self::pack::{Pack, weights};
 pub use self::platform::{Mode, Platform};
-pub use self::run::{Running, limits, start};
+pub use self::run::{Running, StandIn, limits, start};
 pub use self::service::Service;
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -7,10 +7,10 @@
 
 use argh::FromArgs;
 use bytes::Bytes;
-use stairhinge_shell::http::Handler;
 use stairhinge_shell::on_signals;
 use stairhinge_standins::{
-    Engine, EngineSettings, Origin, Pack, Platform, Service, start, weights,
+    Engine, EngineSettings, Origin, Pack, Platform, Service, StandIn, start,
+    weights,
 };
 
 /// Stand-ins for what the platform brings; for trials and tests only.
@@ -107,7 +107,7 @@
         What::Engine(args) => engine(&args),
         What::Service(args) => {
             let delay = Duration::from_millis(args.delay_ms);
-            let service: Arc<dyn Handler> = Service::new(delay);
+            let service: Arc<dyn StandIn> = Service::new(delay);
             (args.listen, service)
         }
     };
@@ -118,7 +118,7 @@
     Ok(())
 }
 
-type Start = (SocketAddr, Arc<dyn Handler>);
+type Start = (SocketAddr, Arc<dyn StandIn>);
 
 fn platform(args: &PlatformArgs) -> eyre::Result<Start> {
     use stairhinge::declaration::Fleet;
@@ -137,7 +137,7 @@
     Ok((args.listen, platform))
 }
 
-fn origin(args: &OriginArgs) -> eyre::Result<Option<Arc<dyn Handler>>> {
+fn origin(args: &OriginArgs) -> eyre::Result<Option<Arc<dyn StandIn>>> {
     let origin = Origin::new(args.link_kb_s * 1_000);
     for seed in &args.seed {
         let bytes = weights(*seed, args.size_kb * 1024);
--- a/crates/standins/src/origin.rs
+++ b/crates/standins/src/origin.rs
@@ -13,7 +13,7 @@
 use stairhinge_shell::Shaper;
 use stairhinge_shell::http::{Body, Handler, answer, read, shaped};
 
-use crate::{Faults, Pack, limits};
+use crate::{Faults, Pack, StandIn, limits};
 
 /// The origin of weights: `GET /blobs/DIGEST`, `PUT /blobs`, `GET /sent`.
 #[derive(Debug)]
@@ -96,6 +96,8 @@
     }
 }
 
+impl StandIn for Origin {}
+
 impl Handler for Origin {
     fn handle(
         self: Arc<Origin>,
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -17,7 +17,7 @@
 use stairhinge_shell::http::{Body, Handler, answer, empty, full, read};
 use tokio::sync::watch;
 
-use crate::limits;
+use crate::{StandIn, limits};
 
 /// How the service behaves.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -228,6 +228,8 @@
     0
 }
 
+impl StandIn for Platform {}
+
 impl Handler for Platform {
     fn handle(
         self: Arc<Platform>,
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -10,19 +10,21 @@
 use serde_json::json;
 use stairhinge_shell::http::{Body, Handler, answer, headers, read};
 
-use crate::{Record, limits};
+use crate::{Gate, Record, StandIn, limits};
 
 /// A plain service; `GET /record` tells what ran.
 #[derive(Debug)]
 pub struct Service {
     delay: Duration,
+    gate: Arc<Gate>,
     records: Mutex<Vec<Record>>,
 }
 
 impl Service {
     /// Returns a service that takes `delay` for each call.
     pub fn new(delay: Duration) -> Arc<Service> {
-        Arc::new(Service { delay, records: Mutex::default() })
+        let (gate, records) = (Gate::new(), Mutex::default());
+        Arc::new(Service { delay, gate, records })
     }
 
     /// Returns what ran here.
@@ -30,6 +32,17 @@
         self.lock().clone()
     }
 
+    /// Makes its process stand still for a time: its connections stay open.
+    pub fn stand_still(&self, span: Duration) {
+        self.gate.stand_still(span);
+    }
+
+    /// Makes a share of its open connections silent for good; returns how many
+    /// those are.
+    pub fn silence_open(&self, share: f64) -> usize {
+        self.gate.silence_open(share)
+    }
+
     fn lock(&self) -> MutexGuard<'_, Vec<Record>> {
         self.records.lock().unwrap_or_else(|e| e.into_inner())
     }
@@ -80,3 +93,9 @@
         async move { self.call(request).await }.boxed()
     }
 }
+
+impl StandIn for Service {
+    fn gate(&self) -> Option<Arc<Gate>> {
+        Some(Arc::clone(&self.gate))
+    }
+}
