Send one request at a time to a replica that has failed

What callers saw: after a pause, requests waited 1.5 s in vain at replicas that still stood still when their exclusion ended.

Cause: a replica whose exclusion ends looks idle, so entries sent it a batch of requests before the first one's time-out showed that it was still silent.

The test of the state of a replica failed before: a second request was assigned.

Each request sent to a replica that has failed prolongs its exclusion by the current backoff, so that the next one goes there after that, or as soon as the replica begins to answer. A placer learns of the beginning from the entry rather than at the end of the answer, and waiting requests get its places at once.

--- a/crates/gateway/src/dispatch/known.rs
+++ b/crates/gateway/src/dispatch/known.rs
@@ -195,6 +195,7 @@
     /// Records that a request was assigned to the replica.
     pub(super) fn record_assigned(&mut self, need: &Need, now: Time) {
         self.sent.record(now);
+        self.health.record_sent(now);
         self.load.own_pending += 1;
         self.load.own_pending_tokens += need.prompt_tokens;
         let until = Some(Instant::now() + PoisonTable::TRIAL_PERIOD);
--- a/crates/gateway/src/dispatch/outcome.rs
+++ b/crates/gateway/src/dispatch/outcome.rs
@@ -1,5 +1,6 @@
 //! Updates of a replica's state as requests there start and end.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use stairhinge_shell::decisions::Decision;
@@ -8,10 +9,30 @@
 use super::{Dispatcher, FULL_BACKOFF, Place};
 
 impl Dispatcher {
-    pub(super) fn record_success(&self, incarnation: &str) {
-        if let Some(known) = self.lock().known.get_mut(incarnation) {
+    pub(super) fn record_success(&self, incarnation: &Arc<str>) {
+        {
+            let mut state = self.lock();
+            let Some(known) = state.known.get_mut(incarnation) else { return };
+            if known.health.failures() == 0 {
+                return;
+            }
             known.health.record_success();
         }
+        self.dispatch_waiting(Some(incarnation));
+    }
+
+    /// Records that a replica has begun to answer. One that asked for a pause
+    /// stays excluded.
+    pub(super) fn record_answer_begun(&self, incarnation: &Arc<str>) {
+        let now = self.facts.now();
+        let rests = self
+            .lock()
+            .known
+            .get(incarnation)
+            .is_some_and(|k| k.retry_after.remaining(now).is_some());
+        if !rests {
+            self.record_success(incarnation);
+        }
     }
 
     /// Records that a request failed that was sent `sent_ago`.
--- a/crates/gateway/src/dispatch/place.rs
+++ b/crates/gateway/src/dispatch/place.rs
@@ -92,6 +92,7 @@
             dispatcher.record_begin(&replica.incarnation, tokens, took);
             dispatcher.forget_awaited(self);
             if !errored {
+                dispatcher.record_answer_begun(&replica.incarnation);
                 dispatcher.record_first_token(&replica.service, took);
                 dispatcher.record_first_byte(self, took);
             }
--- a/src/routing/health.rs
+++ b/src/routing/health.rs
@@ -53,6 +53,16 @@
         self.excluded_until = self.excluded_until.min(now.after(max_backoff));
     }
 
+    /// Records that a request is sent to the server. If it has failed and not
+    /// succeeded since, it gets no other one for as long as its last failure
+    /// excluded it, so that few requests wait in vain at a server that still
+    /// fails.
+    pub fn record_sent(&mut self, now: Time) {
+        if self.failures > 0 {
+            self.excluded_until = now.after(self.backoff());
+        }
+    }
+
     /// Returns for how long the last failure excludes the server.
     pub fn backoff(&self) -> Duration {
         let doublings =
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -104,3 +104,23 @@
     assert!(!health.is_available(at(4_500)));
     assert!(health.is_available(at(4_600)));
 }
+
+/// Guards against a whole batch of requests that waits in vain at a server
+/// which still stands still when its exclusion ends.
+#[test]
+fn one_request_at_a_time_tries_a_server_after_its_exclusion() {
+    let at = Time::from_millis;
+    let mut health = Health::new();
+    health.record_sent(at(900));
+    assert!(health.is_available(at(900)), "it has not failed");
+    health.record_failure(at(0), at(1_000));
+    assert!(health.is_available(at(1_500)));
+    health.record_sent(at(1_500));
+    assert!(!health.is_available(at(1_999)));
+    assert!(health.is_available(at(2_000)), "its result may be lost");
+    health.record_sent(at(2_000));
+    health.record_success();
+    assert!(health.is_available(at(2_001)));
+    health.record_sent(at(2_001));
+    assert!(health.is_available(at(2_001)));
+}
