--- a/src/overload/simulation_tests.rs
+++ b/src/overload/simulation_tests.rs
@@ -80,6 +80,10 @@
     cut: Option<std::ops::Range<u64>>,
     /// A period with a factor on the arrivals.
     burst: Option<(std::ops::Range<u64>, f64)>,
+    /// A period in which all replicas stand still.
+    pause: Option<std::ops::Range<u64>>,
+    /// Callers that begin in this period count.
+    counted: std::ops::Range<u64>,
 }
 
 impl Load {
@@ -97,6 +101,8 @@
             restart: None,
             cut: None,
             burst: None,
+            pause: None,
+            counted: COUNTED,
         }
     }
 }
@@ -265,6 +271,9 @@
             if self.load.restart == Some(self.now) {
                 self.restart();
             }
+            if self.paused_at() == Some(0) {
+                self.stand_still();
+            }
             self.begin_callers();
             while let Some(entry) = self.events.first_entry() {
                 if entry.key().0 > self.now {
@@ -291,6 +300,32 @@
         self.outcome
     }
 
+    /// Returns for how long replicas have stood still, if they do.
+    fn paused_at(&self) -> Option<u64> {
+        let pause = self.load.pause.as_ref()?;
+        pause.contains(&self.now).then(|| self.now - pause.start)
+    }
+
+    /// Returns for how much longer replicas stand still.
+    fn pause_left(&self) -> u64 {
+        let Some(paused) = self.paused_at() else { return 0 };
+        let pause = self.load.pause.clone().unwrap_or_default();
+        pause.end - pause.start - paused
+    }
+
+    /// Delays the end of all running requests by the pause.
+    fn stand_still(&mut self) {
+        let left = self.pause_left();
+        let events = std::mem::take(&mut self.events);
+        for ((at, number), event) in events {
+            let delay = match event {
+                Event::Arrive(_) => 0,
+                Event::Release { .. } => left,
+            };
+            self.events.insert((at + delay, number), event);
+        }
+    }
+
     /// Drops the state of all choosers. Their waiting requests are chosen
     /// anew.
     fn restart(&mut self) {
@@ -353,7 +388,7 @@
     }
 
     fn count(&mut self, caller: &Caller, act: impl Fn(&mut Got)) {
-        if COUNTED.contains(&caller.began) {
+        if self.load.counted.contains(&caller.began) {
             act(&mut self.outcome.classes[caller.class]);
             act(&mut self.outcome.workspaces[caller.workspace]);
         }
@@ -454,7 +489,8 @@
         let now = Time::from_millis(self.now);
         let class = waiter.caller.class;
         let (_, _, objective, prompt, _) = CLASSES[class];
-        let first = FIRST_MS + f64::from(prompt) / TOKENS_PER_MS;
+        let left = self.pause_left();
+        let first = FIRST_MS + f64::from(prompt) / TOKENS_PER_MS + left as f64;
         let chooser = &mut self.choosers[hall][at];
         if let Some(admission) = &mut chooser.admission
             && let Some(standing) = &waiter.standing
@@ -465,7 +501,8 @@
         }
         let spread = 0.7 + 0.6 * self.rng.random::<f64>();
         let hold = hold_ms(class) * spread;
-        self.schedule(self.now + hold as u64, Event::Release { hall });
+        let end = self.now + left + hold as u64;
+        self.schedule(end, Event::Release { hall });
         let took = self.now + first as u64 - waiter.caller.began;
         self.count(&waiter.caller, |got| {
             if took <= objective {
@@ -839,3 +876,28 @@
     let [usual, short] = sets.map(|set| set.served());
     assert!((usual - short).abs() <= 0.10, "{usual} {short}");
 }
+
+/// Guards against a capacity that is learned from what was served while all
+/// replicas stood still, and refuses callers long after that.
+#[test]
+fn callers_are_served_as_before_soon_after_a_pause() {
+    let pause = 17_000..18_000;
+    let counted = pause.end + 1_000..pause.end + 3_000;
+    for capacity in [0.76, 1.1] {
+        let mut served = [Got::default(), Got::default()];
+        for seed in SEEDS {
+            let pauses = [None, Some(pause.clone())];
+            for (got, pause) in served.iter_mut().zip(pauses) {
+                let mut load = Load::new(seed, policy(NEW_FIRST));
+                load.capacity = capacity;
+                load.pause = pause;
+                load.counted = counted.clone();
+                got.add(&play(load).all());
+            }
+        }
+        let [before, after] = served.map(|got| (got.served(), got.in_time));
+        println!("capacity {capacity}: {before:?}, after a pause {after:?}");
+        assert!(after.0 >= before.0 - 0.05, "{capacity}: {after:?}");
+        assert!(after.1 >= before.1 * 0.95, "{capacity}: {after:?}");
+    }
+}
