Hold an attempt to its version's bound until the first event

Seen: in tests with an engine that sends the head of its answer before it has read the prompt, requests began on the outdated version 53 ms (the engine stood still from 0.5 s before the bound to 0.05 s after it) and 93 ms (it read for 1.19 s) past the bound.

Cause: the time by which a replica has to begin applied until the head of the answer. A request begins with its first token, so with the first event.

Change: an attempt that has to begin by a time also waits for the first data of its stream, and is cancelled at that time like one without a head. Its caller has received nothing, so it may be sent to another replica, also one with the newer version. Attempts without such a time are unchanged, as are the bytes that callers receive.

Whether the users' engines send heads before first events is not known: no log tells the two times apart.

--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -1,4 +1,5 @@
-//! One attempt, from sending the request to the head of its answer.
+//! One attempt, from sending the request to the head of its answer, or to the
+//! first event if the replica has to begin by a time.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -80,9 +81,19 @@
         }
         match judgement {
             ResponseKind::Answer { version } => {
-                place.record_begin(head.status.is_server_error());
-                let upstream =
-                    Upstream { body, connection, place, sent: at, version };
+                let mut upstream = Upstream {
+                    body,
+                    connection,
+                    place,
+                    sent: at,
+                    version,
+                    first: None,
+                };
+                if context.route.streaming && head.status.is_success() {
+                    self.await_begin(context, &mut upstream).await?;
+                }
+                let errored = head.status.is_server_error();
+                upstream.place.record_begin(errored);
                 Ok(Answered { head, upstream })
             }
             ResponseKind::Declined => {
@@ -104,6 +115,38 @@
         }
     }
 
+    /// Waits for the first data of a stream if its replica has to begin by a
+    /// time. The head of the answer does not show that it has: a request
+    /// begins with its first event.
+    async fn await_begin(
+        &self,
+        context: &RequestContext,
+        upstream: &mut Upstream,
+    ) -> Result<(), AttemptError> {
+        let Some(begin_by) = upstream.place.begin_by else { return Ok(()) };
+        let mut timeout = context.remaining();
+        if context.route.repeat != Repeat::Never {
+            timeout = timeout.min(HEAD_TIMEOUT);
+        }
+        timeout = timeout.min(begin_by.since(self.facts.now()));
+        let first = next_data(&mut upstream.body);
+        match tokio::time::timeout(timeout, first).await {
+            Ok(Ok(first)) => {
+                upstream.first = first;
+                Ok(())
+            }
+            Ok(Err(error)) => {
+                upstream.place.record_outcome(Outcome::Failed);
+                Err(AttemptError::connection_lost(error))
+            }
+            Err(_) => {
+                upstream.place.record_timeout(timeout, HEAD_TIMEOUT);
+                let why = format!("no event in {} ms", timeout.as_millis());
+                Err(AttemptError::new(AttemptResult::NoResponse, why))
+            }
+        }
+    }
+
     /// Reads the rest of a short answer so that its connection can be reused.
     async fn reuse(
         &self,
@@ -147,3 +190,15 @@
         request
     }
 }
+
+/// Returns the next data of a body, or `None` at its end.
+async fn next_data(body: &mut Incoming) -> hyper::Result<Option<Bytes>> {
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data()
+            && !data.is_empty()
+        {
+            return Ok(Some(data));
+        }
+    }
+    Ok(None)
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -52,6 +52,8 @@
     pub sent: Instant,
     /// The weight version that produces the answer.
     pub version: Option<u64>,
+    /// The first data of a stream, if it has been read already.
+    pub first: Option<Bytes>,
 }
 
 /// A stream of events that is relayed to the caller.
@@ -205,6 +207,9 @@
         let Some(upstream) = &mut self.upstream else {
             return Read::Failed(ReadFailure::silent("no replica"));
         };
+        if let Some(bytes) = upstream.first.take() {
+            return Read::Bytes(bytes);
+        }
         let resumable = self.context.route.repeat == Repeat::Resume;
         let since = Instant::now();
         loop {
