--- a/crates/loader/src/turn.rs
+++ b/crates/loader/src/turn.rs
@@ -140,10 +140,7 @@
 
     /// Returns when the loaded version must not start any more requests.
     fn expires_at(&self, agent: &Agent, model: &str) -> Option<Time> {
-        let view = agent.facts.view();
-        let since = view.targets.outdated_since(model, self.outdated?)?;
-        let bound = agent.live.get().version_bound();
-        Some(since.after(bound.saturating_sub(UNLOAD_MARGIN)))
+        expires_at(agent, model, self.outdated?)
     }
 
     /// Waits until the turn comes, and pauses the replica.
@@ -155,6 +152,18 @@
     }
 }
 
+/// Returns when a version must not start any more requests, if it is outdated.
+pub(crate) fn expires_at(
+    agent: &Agent,
+    model: &str,
+    version: u64,
+) -> Option<Time> {
+    let view = agent.facts.view();
+    let since = view.targets.outdated_since(model, version)?;
+    let bound = agent.live.get().version_bound();
+    Some(since.after(bound.saturating_sub(UNLOAD_MARGIN)))
+}
+
 /// Returns how long the chunks of a version take to transfer over this
 /// instance's link.
 fn transfer(agent: &Agent, manifest: &VersionManifest) -> Duration {
--- a/crates/shell/src/decisions/decision.rs
+++ b/crates/shell/src/decisions/decision.rs
@@ -575,6 +575,14 @@
         /// The number of chunks from the origin.
         origin: u32,
     },
+    /// The engine did not answer shortly before its version expires, so that
+    /// it gets no requests until it does.
+    EngineHeldBack {
+        /// The version that it has loaded.
+        version: u64,
+        /// How long it had not answered, in milliseconds.
+        silent_ms: u64,
+    },
     /// The engine was ordered to load.
     LoadOrdered {
         /// The model.
--- a/src/explanation/log_line.rs
+++ b/src/explanation/log_line.rs
@@ -266,6 +266,13 @@
         /// The time since the request's head arrived, in milliseconds.
         took_ms: u64,
     },
+    /// The engine did not answer shortly before its version expires.
+    EngineHeldBack {
+        /// The version that it has loaded.
+        version: u64,
+        /// How long it had not answered, in milliseconds.
+        silent_ms: u64,
+    },
     /// The engine was ordered to load a version.
     LoadOrdered {
         /// The model.
