Stop using outdated replicas 1.5 s before their version expires

Seen: in a test an engine that does not notice closed connections stood still for 1.2 s from 1.0 s before the bound, and began a request 202 ms past the bound on the outdated version. It had been sent 1 s before the bound and lay unread, with the order to unload beside it.

Cause: last requests were sent 0.9 s before the bound, and the order to unload 0.7 s before. A cancellation that is not read cancels nothing, so a standstill that covers both needs only 0.9 s less the usual wait to reach past the bound. A sound server may stand still for about a second.

Change: last requests and the last turn 1.5 s before the bound, the order to unload 1.3 s before it.

--- a/crates/gateway/src/dispatch/terms.rs
+++ b/crates/gateway/src/dispatch/terms.rs
@@ -11,8 +11,9 @@
 use super::{Dispatcher, State};
 
 /// How long before the version bound replicas with an outdated version stop
-/// getting requests, which may still have to wait at the replica.
-const VERSION_MARGIN: Duration = Duration::from_millis(900);
+/// getting requests. A replica may stand still for about a second, and a
+/// request may have to wait there before and after that.
+const VERSION_MARGIN: Duration = Duration::from_millis(1_500);
 
 /// How long before the version bound an attempt that has not started is
 /// cancelled, which leaves time for the cancellation to reach the replica.
--- a/crates/loader/src/turn.rs
+++ b/crates/loader/src/turn.rs
@@ -12,11 +12,12 @@
 
 /// How long before the version bound the last replica stops receiving
 /// requests.
-const LAST_PAUSE_MARGIN: Duration = Duration::from_millis(900);
+const LAST_PAUSE_MARGIN: Duration = Duration::from_millis(1_500);
 
 /// How long before the version bound a replica that has not switched unloads
-/// its outdated version.
-const UNLOAD_MARGIN: Duration = Duration::from_millis(700);
+/// its outdated version. Once the engine has accepted the order, it begins
+/// nothing that lies unread, however long it stands still afterwards.
+const UNLOAD_MARGIN: Duration = Duration::from_millis(1_300);
 
 /// This replica's turn in the rollout of a version.
 #[derive(Clone, Copy, Debug)]
