Keep silent replicas while others are asked

What callers saw: streams were cut, and requests answered 502, while their replica stood still for 0.75 s and more and went on (LOST beside a change of the configuration).

Cause: the entry released a silent replica before another one had taken the request over: a resumable stream after 1.2 s without data, or 0.25 s after the agent reported its engine down, which one question unanswered for 600 ms leads to; a repeatable request after 1.5 s without a head. If no other replica had room, or attempts or the retry budget ran out, the answer was lost.

A silent replica now keeps its connection while another one is asked. The first to send a complete event goes on; before the first event, the first whose answer has begun, which for a stream is its first data and not its head. The bound on a replica with an outdated version applies until then, also for resumed streams. Attempts count if they may have run, so a replica that declines uses up none.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -2,6 +2,8 @@
 
 mod attempts;
 mod buffered;
+mod contest;
+mod further;
 mod log;
 mod pass_on;
 mod refuse;
@@ -28,10 +30,12 @@
 use stairhinge_shell::http::{Body, Failed, Handler, full, read};
 use stairhinge_shell::{LiveSettings, Shutdown};
 
-pub(crate) use self::attempts::FailedAttempt;
+pub(crate) use self::attempts::{FailedAttempt, FailedTry};
 pub(crate) use self::buffered::left_unread_reason;
+pub(crate) use self::contest::SEARCH_INTERVAL;
+pub(crate) use self::further::{Further, FurtherError};
 use self::refuse::refused;
-use self::send::HEAD_TIMEOUT;
+pub(crate) use self::send::{HEAD_TIMEOUT, Headed, OpenAttempt};
 use crate::admit::{find_route, find_workspace};
 use crate::buffers::Buffers;
 use crate::cancel_guard::CancelGuard;
@@ -45,6 +49,7 @@
 use crate::relay::{Relay, Upstream, relay, relay_buffered};
 use crate::request_context::RequestContext;
 use crate::settings::EntrySettings;
+use crate::silence::SilenceWatch;
 
 /// The time limit of a request whose caller sets none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
@@ -59,6 +64,7 @@
     pub metrics: Arc<EntryMetrics>,
     pub pool: Pool,
     pub poison: Arc<PoisonWatch>,
+    pub silence: Arc<SilenceWatch>,
     /// The bounded buffers; `None` if they are disabled.
     buffers: Option<Arc<Buffers>>,
     retry_shares: Mutex<HashMap<Arc<str>, RetryShare>>,
@@ -71,6 +77,14 @@
     pub upstream: Upstream,
 }
 
+/// The replicas that a request was sent to.
+#[derive(Clone, Copy)]
+pub(crate) struct Tried<'a> {
+    pub by: &'a [Arc<str>],
+    /// How many of them may have run it.
+    pub runs: u32,
+}
+
 /// The failure of an attempt that got no usable answer.
 pub(crate) struct AttemptError {
     pub result: AttemptResult,
@@ -120,6 +134,7 @@
             dispatcher,
             placing,
             poison,
+            silence: Arc::default(),
             dialect,
             buffers: None,
             metrics,
@@ -270,6 +285,7 @@
         context: &Arc<RequestContext>,
         answered: Answered,
         suspicion: Suspicion,
+        tried: Tried<'_>,
     ) -> Result<Response<Body>, AttemptError> {
         let Answered { mut head, mut upstream } = answered;
         let status = head.status;
@@ -290,6 +306,7 @@
                 upstream,
                 kept,
                 suspicion,
+                tried,
             );
             let body = match self.hold_answer(context) {
                 Some(held) => relay_buffered(state, held),
@@ -377,6 +394,13 @@
         self.share(service, |share| share.try_spend(now))
     }
 
+    /// Returns whether this entry's share of the service's retry budget allows
+    /// a retry.
+    pub(crate) fn has_retry(&self, service: &Arc<str>) -> bool {
+        let now = self.facts.now();
+        self.share(service, |share| share.allows(now))
+    }
+
     /// Calls `act` with this entry's share of a service's retry budget.
     fn share<T>(
         &self,
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -12,6 +12,7 @@
 use stairhinge::{Code, Error};
 use stairhinge_shell::http::{Body, Failed};
 
+use super::contest::Contest;
 use super::refuse::{lost, quarantined, refused, shed};
 use super::{AttemptError, Forwarder};
 use crate::connect::has_ended;
@@ -38,6 +39,40 @@
     pub replica_ended: Option<bool>,
 }
 
+/// The attempts of a request so far.
+pub(super) struct Tries {
+    pub need: Need,
+    /// Whether one of them may have run.
+    pub ran: bool,
+    /// The number of the latest one, from 1.
+    pub attempt: u32,
+    /// How many failed ones may have run.
+    pub runs: u32,
+    /// The last error response of a replica.
+    pub failure: Option<Response<Body>>,
+}
+
+impl Tries {
+    const fn new(need: Need) -> Tries {
+        Tries { need, ran: false, attempt: 0, runs: 0, failure: None }
+    }
+
+    /// Records that another attempt is made.
+    pub(super) fn begin(&mut self, replica: &Replica) {
+        self.attempt += 1;
+        self.need.tried.push(Arc::clone(&replica.incarnation));
+    }
+}
+
+/// An attempt that failed, and the error.
+pub(crate) struct FailedTry {
+    pub replica: Arc<Replica>,
+    pub sent: Instant,
+    /// The suspicion against the request when it was sent.
+    pub suspicion: Suspicion,
+    pub error: AttemptError,
+}
+
 impl Forwarder {
     /// Sends a request to one replica after the other. If none succeeds, the
     /// caller gets the last error response of a replica unchanged, because it
@@ -65,62 +100,78 @@
         context: &Arc<RequestContext>,
         failure: &mut Option<Response<Body>>,
     ) -> Result<Response<Body>, Failed> {
-        let mut need = need(context);
-        let mut ran = false;
-        let mut attempt = 1;
+        let mut tries = Tries::new(need(context));
+        let tried = self.try_in_turn(context, &mut tries).await;
+        *failure = tries.failure.take();
+        tried
+    }
+
+    async fn try_in_turn(
+        self: &Arc<Self>,
+        context: &Arc<RequestContext>,
+        tries: &mut Tries,
+    ) -> Result<Response<Body>, Failed> {
         loop {
-            let place = self.admitted_place(context, &mut need, ran).await?;
+            let ran = tries.ran;
+            let need = &mut tries.need;
+            let place = self.admitted_place(context, need, ran).await?;
             // The retry of a request that failed is no trial.
             need.repeatable = false;
             let suspicion = need.suspicion;
-            need.tried.push(Arc::clone(&place.replica.incarnation));
-            let sent = Instant::now();
             let replica = Arc::clone(&place.replica);
+            tries.begin(&replica);
+            let (attempt, sent) = (tries.attempt, Instant::now());
             let after = context.caller.after_event;
-            let mut error =
-                match self.send(context, place, attempt, after).await {
-                    Ok(answered) => {
-                        let passed =
-                            self.relay_answer(context, answered, suspicion);
-                        match passed.await {
-                            Ok(response) => return Ok(response),
-                            Err(error) => error,
-                        }
+            let open = self.send(context, place, attempt, after, suspicion);
+            let failed = match open.await {
+                Ok(open) => {
+                    let contest = Contest::new(self, context, tries, open);
+                    match contest.run().await {
+                        Ok(response) => return Ok(response),
+                        Err(failed) => failed,
                     }
-                    Err(error) => error,
-                };
-            *failure = error.failure.take().or(failure.take());
-            ran |= matches!(error.result, AttemptResult::NoResponse);
-            let (replica_ended, known) = self
-                .check_replica_ended(
-                    context,
-                    &replica,
-                    error.connection_lost,
-                    suspicion,
-                )
-                .await;
-            let may_retry = attempt < context.route.attempts
+                }
+                Err(error) => FailedTry { replica, sent, suspicion, error },
+            };
+            let (failed, error, known) =
+                self.examine_try(context, failed, tries).await;
+            let may_retry = tries.attempt < context.route.attempts
                 && !known.is_quarantined()
                 && !context.remaining().is_zero()
                 && self.spend_retry(&context.service);
             let repeat = context.route.repeat;
-            let next = next_step(error.result, repeat, ran, may_retry);
-            let failed = FailedAttempt {
-                replica,
-                sent,
-                reason: error.reason.clone(),
-                replica_ended,
-            };
+            let next = next_step(error.result, repeat, tries.ran, may_retry);
             self.log_failed(context, &failed, next);
             match next {
                 NextStep::Retry => self.metrics.retries.inc(),
                 NextStep::Refuse => return Err(declined(&error)),
                 NextStep::Fail => return Err(lost(context, &error)),
             };
-            attempt += 1;
         }
     }
 
+    /// Notes the effects of a failed attempt, and returns its description and
+    /// the suspicion against the request.
+    pub(super) async fn examine_try(
+        &self,
+        context: &RequestContext,
+        failed: FailedTry,
+        tries: &mut Tries,
+    ) -> (FailedAttempt, AttemptError, Suspicion) {
+        let FailedTry { replica, sent, suspicion, mut error } = failed;
+        tries.failure = error.failure.take().or(tries.failure.take());
+        if matches!(error.result, AttemptResult::NoResponse) {
+            tries.ran = true;
+            tries.runs += 1;
+        }
+        let lost = error.connection_lost;
+        let (replica_ended, known) =
+            self.check_replica_ended(context, &replica, lost, suspicion).await;
+        let reason = error.reason.clone();
+        let failed = FailedAttempt { replica, sent, reason, replica_ended };
+        (failed, error, known)
+    }
+
     /// Waits for a place at a replica, and checks both before and after that
     /// whether the request is quarantined. Stores the suspicion against it in
     /// `need`.
--- a/crates/gateway/src/forward/log.rs
+++ b/crates/gateway/src/forward/log.rs
@@ -117,12 +117,53 @@
         });
     }
 
+    /// Logs that a replica is silent while a request waits for it.
+    pub(crate) fn log_silent(
+        &self,
+        context: &RequestContext,
+        replica: &str,
+        silent: Duration,
+    ) {
+        self.metrics.silences.inc();
+        self.facts.log().write(&Decision::ReplicaSilent {
+            request: &context.caller.id,
+            replica,
+            silent_ms: silent.as_millis() as u64,
+        });
+    }
+
+    /// Logs why no further attempt was sent beside one in progress.
+    pub(crate) fn log_not_sent(&self, context: &RequestContext, reason: &str) {
+        self.facts.log().write(&Decision::NotSentFurther {
+            request: &context.caller.id,
+            reason,
+        });
+    }
+
     /// Logs a failed attempt, and counts it if the replica's process ended.
     pub(crate) fn log_failed(
         &self,
         context: &RequestContext,
         failed: &FailedAttempt,
         next: NextStep,
+    ) {
+        self.log_failed_with(context, failed, next.name());
+    }
+
+    /// Logs an attempt that failed while another one is in progress.
+    pub(crate) fn log_failed_beside(
+        &self,
+        context: &RequestContext,
+        failed: &FailedAttempt,
+    ) {
+        self.log_failed_with(context, failed, "wait");
+    }
+
+    fn log_failed_with(
+        &self,
+        context: &RequestContext,
+        failed: &FailedAttempt,
+        next: &'static str,
     ) {
         if failed.replica_ended == Some(true) {
             self.metrics.replica_ended_under.inc();
@@ -134,7 +175,7 @@
             reason: &failed.reason,
             after_ms: failed.sent.elapsed().as_millis() as u64,
             replica_ended: failed.replica_ended,
-            next: next.name(),
+            next,
         });
     }
 }
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -1,17 +1,25 @@
-//! One attempt, from sending the request to the head of its answer, or to the
-//! first event if the replica has to begin by a time.
+//! One attempt, from sending the request to the beginning of its answer.
+//!
+//! An answer begins with its head, and that of a stream with its first data: a
+//! replica may send the head before it begins to run the request.
 
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use futures::FutureExt as _;
+use futures::future::BoxFuture;
 use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::Request;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::http::response;
-use stairhinge::direct::{AttemptResult, Repeat};
+use hyper::{Request, Response};
+use stairhinge::Time;
+use stairhinge::direct::{AttemptResult, Repeat, Replica};
 use stairhinge::placing::Outcome;
+use stairhinge::poison::Suspicion;
+use tokio::time::error::Elapsed;
 
 use super::{Answered, AttemptError, Forwarder};
 use crate::dialect::{Attempt, ResponseKind};
@@ -21,19 +29,64 @@
 use crate::relay::Upstream;
 use crate::request_context::RequestContext;
 
-/// How long a repeatable request may wait for the head of its answer before
-/// another replica is tried.
-pub(super) const HEAD_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long an answer may take to begin before a repeatable request is sent to
+/// another replica as well.
+pub(crate) const HEAD_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// A response that has begun.
+pub(crate) struct Begun {
+    response: Response<Incoming>,
+    /// The first data, if the answer is a stream.
+    first: Option<Bytes>,
+}
+
+/// The response to an attempt, or the expiry of its time limit.
+pub(crate) type Headed = Result<hyper::Result<Begun>, Elapsed>;
+
+/// An attempt that was sent and has not been answered. Dropping it cancels it.
+pub(crate) struct OpenAttempt {
+    pub sent: Instant,
+    /// The suspicion against the request when it was sent.
+    pub suspicion: Suspicion,
+    sent_at: Time,
+    limit: Duration,
+    response: BoxFuture<'static, Headed>,
+    connection: Connection,
+    // Released only once the connection is closed.
+    place: Place,
+}
+
+impl OpenAttempt {
+    /// Returns the replica that the request was sent to.
+    pub(crate) const fn replica(&self) -> &Arc<Replica> {
+        &self.place.replica
+    }
+
+    /// Polls for the beginning of the answer.
+    pub(crate) fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Headed> {
+        self.response.poll_unpin(cx)
+    }
+
+    /// Cancels the attempt, since another replica has answered. A replica that
+    /// has not answered within the usual time counts as failed.
+    pub(crate) fn give_up(mut self) {
+        let elapsed = self.sent.elapsed();
+        if elapsed >= HEAD_TIMEOUT {
+            self.place.record_timeout(elapsed, HEAD_TIMEOUT);
+        }
+    }
+}
 
 impl Forwarder {
-    /// Sends one attempt and waits for the head of its answer.
+    /// Sends one attempt.
     pub(crate) async fn send(
         &self,
         context: &RequestContext,
         mut place: Place,
         attempt: u32,
         after_event: Option<u64>,
-    ) -> Result<Answered, AttemptError> {
+        suspicion: Suspicion,
+    ) -> Result<OpenAttempt, AttemptError> {
         let replica = Arc::clone(&place.replica);
         if self.dispatcher.tracks_health() {
             place.set_source(context.source(), attempt == 1);
@@ -53,23 +106,46 @@
             ));
         }
         self.log_sent(context, &place, attempt, left);
-        let at = Instant::now();
+        let sent = Instant::now();
         let sent_at = self.facts.now();
         let request = self.request(context, &place, left, after_event);
-        let mut timeout = if never { left } else { left.min(HEAD_TIMEOUT) };
-        if let Some(begin_by) = place.begin_by {
-            timeout = timeout.min(begin_by.since(self.facts.now()));
-        }
-        let sent = connection.send(request);
-        let response = match tokio::time::timeout(timeout, sent).await {
-            Ok(Ok(response)) => response,
+        let limit = match place.begin_by {
+            Some(begin_by) => left.min(begin_by.since(sent_at)),
+            None => left,
+        };
+        let sending = connection.send(request);
+        let begun = begin(sending, context.route.streaming);
+        let response = tokio::time::timeout(limit, begun).boxed();
+        Ok(OpenAttempt {
+            sent,
+            suspicion,
+            sent_at,
+            limit,
+            response,
+            connection,
+            place,
+        })
+    }
+
+    /// Judges the response to an attempt.
+    pub(crate) async fn accept(
+        &self,
+        context: &RequestContext,
+        open: OpenAttempt,
+        response: Headed,
+    ) -> Result<Answered, AttemptError> {
+        let OpenAttempt {
+            sent, mut place, connection, sent_at, limit, ..
+        } = open;
+        let Begun { response, first } = match response {
+            Ok(Ok(begun)) => begun,
             Ok(Err(error)) => {
                 place.record_outcome(Outcome::Failed);
                 return Err(AttemptError::connection_lost(error));
             }
             Err(_) => {
-                place.record_timeout(timeout, HEAD_TIMEOUT);
-                let why = format!("no answer in {} ms", timeout.as_millis());
+                place.record_timeout(limit, HEAD_TIMEOUT);
+                let why = format!("no answer in {} ms", limit.as_millis());
                 return Err(AttemptError::new(AttemptResult::NoResponse, why));
             }
         };
@@ -81,19 +157,9 @@
         }
         match judgement {
             ResponseKind::Answer { version } => {
-                let mut upstream = Upstream {
-                    body,
-                    connection,
-                    place,
-                    sent: at,
-                    version,
-                    first: None,
-                };
-                if context.route.streaming && head.status.is_success() {
-                    self.await_begin(context, &mut upstream).await?;
-                }
-                let errored = head.status.is_server_error();
-                upstream.place.record_begin(errored);
+                place.record_begin(head.status.is_server_error());
+                let upstream =
+                    Upstream { body, first, connection, place, sent, version };
                 Ok(Answered { head, upstream })
             }
             ResponseKind::Declined => {
@@ -115,38 +181,6 @@
         }
     }
 
-    /// Waits for the first data of a stream if its replica has to begin by a
-    /// time. The head of the answer does not show that it has: a request
-    /// begins with its first event.
-    async fn await_begin(
-        &self,
-        context: &RequestContext,
-        upstream: &mut Upstream,
-    ) -> Result<(), AttemptError> {
-        let Some(begin_by) = upstream.place.begin_by else { return Ok(()) };
-        let mut timeout = context.remaining();
-        if context.route.repeat != Repeat::Never {
-            timeout = timeout.min(HEAD_TIMEOUT);
-        }
-        timeout = timeout.min(begin_by.since(self.facts.now()));
-        let first = next_data(&mut upstream.body);
-        match tokio::time::timeout(timeout, first).await {
-            Ok(Ok(first)) => {
-                upstream.first = first;
-                Ok(())
-            }
-            Ok(Err(error)) => {
-                upstream.place.record_outcome(Outcome::Failed);
-                Err(AttemptError::connection_lost(error))
-            }
-            Err(_) => {
-                upstream.place.record_timeout(timeout, HEAD_TIMEOUT);
-                let why = format!("no event in {} ms", timeout.as_millis());
-                Err(AttemptError::new(AttemptResult::NoResponse, why))
-            }
-        }
-    }
-
     /// Reads the rest of a short answer so that its connection can be reused.
     async fn reuse(
         &self,
@@ -191,6 +225,19 @@
     }
 }
 
+/// Waits until a response has begun.
+async fn begin(
+    sending: impl Future<Output = hyper::Result<Response<Incoming>>>,
+    streaming: bool,
+) -> hyper::Result<Begun> {
+    let mut response = sending.await?;
+    let mut first = None;
+    if streaming && response.status().is_success() {
+        first = next_data(response.body_mut()).await?;
+    }
+    Ok(Begun { response, first })
+}
+
 /// Returns the next data of a body, or `None` at its end.
 async fn next_data(body: &mut Incoming) -> hyper::Result<Option<Bytes>> {
     while let Some(frame) = body.frame().await {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,6 +41,7 @@
 mod report;
 mod request_context;
 mod settings;
+mod silence;
 
 pub use self::dialect::{
     Attempt, CallerRequest, Dialect, PlainDialect, ReplicaNotice,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -80,6 +80,7 @@
     pub attempts: Counter,
     pub retries: Counter,
     pub resumed: Counter,
+    pub silences: Counter,
     pub replica_ended_under: Counter,
     pub cancelled: Counter,
     pub suspected: Gauge,
@@ -128,6 +129,7 @@
             attempts: Counter::default(),
             retries: Counter::default(),
             resumed: Counter::default(),
+            silences: Counter::default(),
             replica_ended_under: Counter::default(),
             cancelled: Counter::default(),
             suspected: Gauge::default(),
@@ -176,6 +178,8 @@
         r.register("retries", "Attempts after the first", retries);
         let resumed = self.resumed.clone();
         r.register("resumed", "Streams taken up elsewhere", resumed);
+        let silences = self.silences.clone();
+        r.register("silences", "Waits for silent replicas", silences);
         let replica_ended_under = self.replica_ended_under.clone();
         r.register(
             "replica_ended_under",
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -107,6 +107,14 @@
         self.decide(context, admission).map(|_| ())
     }
 
+    /// Returns the suspicion against a request without admitting it.
+    pub(crate) fn suspicion(&self, context: &RequestContext) -> Suspicion {
+        if self.is_empty() {
+            return Suspicion::default();
+        }
+        self.lock().suspicion(context.fingerprint())
+    }
+
     /// Returns the request's fingerprint if all its runs should use the same
     /// replica.
     pub(crate) fn shared_run(
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -49,11 +49,11 @@
 
 impl Connection {
     /// Sends a request and returns the answer once its head has arrived.
-    pub(crate) async fn send(
+    pub(crate) fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> hyper::Result<Response<Incoming>> {
-        self.sender.send_request(request).await
+    ) -> impl Future<Output = hyper::Result<Response<Incoming>>> + use<> {
+        self.sender.send_request(request)
     }
 }
 
--- a/crates/shell/src/decisions/decision.rs
+++ b/crates/shell/src/decisions/decision.rs
@@ -447,6 +447,34 @@
         /// The replicas that ended while they ran it.
         replicas: &'a [Arc<str>],
     },
+    /// A request has waited for a replica for longer than usual, and may be
+    /// sent to another one as well.
+    ReplicaSilent {
+        /// The request's id.
+        request: &'a str,
+        /// The replica's incarnation.
+        replica: &'a str,
+        /// How long the request has waited for it, in milliseconds.
+        silent_ms: u64,
+    },
+    /// A replica that was silent went on with a stream before another one did.
+    WentOn {
+        /// The request's id.
+        request: &'a str,
+        /// The replica's incarnation.
+        replica: &'a str,
+        /// How long it was silent, in milliseconds.
+        silent_ms: u64,
+        /// The last event that the caller had received.
+        after_event: Option<u64>,
+    },
+    /// No further attempt was sent while another one is in progress.
+    NotSentFurther {
+        /// The request's id.
+        request: &'a str,
+        /// Why not.
+        reason: &'a str,
+    },
     /// A stream was resumed at another replica.
     Resumed {
         /// The request's id.
--- a/src/direct/retry_share.rs
+++ b/src/direct/retry_share.rs
@@ -72,15 +72,20 @@
         self.requests.push_back(now);
     }
 
-    /// Records a retry if the limits allow one, and returns whether they do.
-    pub fn try_spend(&mut self, now: Time) -> bool {
+    /// Returns whether the limits allow a retry.
+    pub fn allows(&mut self, now: Time) -> bool {
         self.expire(now);
         let max = self.requests.len() as f64 * self.ratio + self.allowance;
-        if self.retries.len() as f64 + 1.0 > max {
-            return false;
+        self.retries.len() as f64 + 1.0 <= max
+    }
+
+    /// Records a retry if the limits allow one, and returns whether they do.
+    pub fn try_spend(&mut self, now: Time) -> bool {
+        let allowed = self.allows(now);
+        if allowed {
+            self.retries.push_back(now);
         }
-        self.retries.push_back(now);
-        true
+        allowed
     }
 
     fn expire(&mut self, now: Time) {
--- a/src/explanation/log_line.rs
+++ b/src/explanation/log_line.rs
@@ -224,6 +224,31 @@
         /// The request's id.
         request: Arc<str>,
     },
+    /// A request has waited for a replica for longer than usual.
+    ReplicaSilent {
+        /// The request's id.
+        request: Arc<str>,
+        /// The replica's incarnation.
+        replica: Arc<str>,
+        /// How long the request has waited for it, in milliseconds.
+        silent_ms: u64,
+    },
+    /// A replica that was silent went on with a stream before another one did.
+    WentOn {
+        /// The request's id.
+        request: Arc<str>,
+        /// The replica's incarnation.
+        replica: Arc<str>,
+        /// How long it was silent, in milliseconds.
+        silent_ms: u64,
+    },
+    /// No further attempt was sent while another one is in progress.
+    NotSentFurther {
+        /// The request's id.
+        request: Arc<str>,
+        /// Why not.
+        reason: Arc<str>,
+    },
     /// A stream was resumed at another replica.
     Resumed {
         /// The request's id.
@@ -311,6 +336,9 @@
             | LoggedDecision::PoisonRefused { request, .. }
             | LoggedDecision::PoisonTried { request }
             | LoggedDecision::PoisonCleared { request }
+            | LoggedDecision::ReplicaSilent { request, .. }
+            | LoggedDecision::WentOn { request, .. }
+            | LoggedDecision::NotSentFurther { request, .. }
             | LoggedDecision::Resumed { request, .. }
             | LoggedDecision::Ended { request, .. }
             | LoggedDecision::CallerCut { request, .. }
@@ -325,6 +353,8 @@
             LoggedDecision::Sent { replica, .. }
             | LoggedDecision::AttemptFailed { replica, .. }
             | LoggedDecision::PoisonSuspected { replica, .. }
+            | LoggedDecision::ReplicaSilent { replica, .. }
+            | LoggedDecision::WentOn { replica, .. }
             | LoggedDecision::Resumed { replica, .. }
             | LoggedDecision::ReplicaListed { replica, .. }
             | LoggedDecision::ReplicaUnlisted { replica, .. }
