Let requests avoid silent replicas

What callers saw: requests were sent to replicas that had been silent for half a second, and waited for them while others had room.

Cause: a silent replica counts as failed only once another one has gone on in its place, so nothing told the choice of a replica of its silence.

While all streams of a replica that have begun get no data for 0.5 s, the entry names it in its questions, and it is chosen only if there is no other one. It is named apart from the replicas that the request was sent to, since a retry that succeeds confirms failures of those.

--- a/crates/gateway/src/dispatch/find.rs
+++ b/crates/gateway/src/dispatch/find.rs
@@ -346,7 +346,8 @@
         }
         let suspected = need.suspicion.ended > 0;
         let at_risk = has_trial || (suspected && known.has_suspect(need));
-        let available = known.health.is_available(now);
+        let silent = need.silent.contains(&replica.incarnation);
+        let available = known.health.is_available(now) && !silent;
         let check = self.check_health(known, replica, need, now);
         let excluded = self.is_ejected(known, now);
         let fitness = Fitness::of(check, excluded, available, at_risk)?;
@@ -410,6 +411,7 @@
         let listed = view.replicas.get(only);
         let known = state.known.get(only);
         listed.is_some_and(|(r, _)| r.service == need.service)
+            && !need.silent.contains(only)
             && known.is_none_or(|k| {
                 let now = self.facts.now();
                 k.health.is_available(now) && !self.is_ejected(k, now)
--- a/crates/gateway/src/dispatch/known_tests.rs
+++ b/crates/gateway/src/dispatch/known_tests.rs
@@ -17,6 +17,7 @@
         model: None,
         version: None,
         tried: Vec::new(),
+        silent: Vec::new(),
         priority: 0,
         route_priority: 0,
         prompt_tokens: 0,
--- a/crates/gateway/src/dispatch/queue_tests.rs
+++ b/crates/gateway/src/dispatch/queue_tests.rs
@@ -18,6 +18,7 @@
         model: None,
         version: None,
         tried: Vec::new(),
+        silent: Vec::new(),
         priority,
         route_priority,
         prompt_tokens: 0,
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -13,6 +13,7 @@
 use stairhinge_shell::http::{Body, Failed};
 
 use super::contest::Contest;
+use super::further::MAX_SILENT_NAMED;
 use super::refuse::{lost, quarantined, refused, shed};
 use super::{AttemptError, Forwarder};
 use crate::connect::has_ended;
@@ -215,6 +216,7 @@
             need.answer_tokens = (hint > 0).then_some(hint);
             need.fingerprint = Some(context.fingerprint());
         }
+        need.silent = self.silence.silent(MAX_SILENT_NAMED);
         let found = self.placing.place(need.clone(), until, left).await;
         self.metrics.observe_wait(from.elapsed().as_secs_f64());
         let reason = match found {
@@ -288,6 +290,7 @@
         model: context.caller.model.clone(),
         version: None,
         tried: Vec::new(),
+        silent: Vec::new(),
         priority: context.priority,
         route_priority: context.route.priority,
         prompt_tokens: context.caller.prompt_tokens,
--- a/crates/gateway/src/forward/further.rs
+++ b/crates/gateway/src/forward/further.rs
@@ -15,7 +15,7 @@
 const MAX_PLACE_WAIT: Duration = Duration::from_millis(600);
 
 /// The maximum number of silent replicas that a placer is told to avoid.
-const MAX_SILENT_NAMED: usize = 16;
+pub(super) const MAX_SILENT_NAMED: usize = 16;
 
 /// A further attempt of a request.
 pub(crate) struct Further {
@@ -58,10 +58,7 @@
         need.suspicion = self.admit_further(&context, beside)?;
         need.shared_run = self.poison.shared_run(&context);
         need.repeatable = false;
-        if beside {
-            let silent = self.silence.silent(MAX_SILENT_NAMED);
-            need.tried.extend(silent);
-        }
+        need.silent = self.silence.silent(MAX_SILENT_NAMED);
         let suspicion = need.suspicion;
         let left = context.remaining();
         let until = Instant::now() + MAX_PLACE_WAIT.min(left);
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -35,8 +35,8 @@
 /// whether it knows enough to place requests for others.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(100);
 
-/// The maximum number of resting replicas named in a question to the placer,
-/// which limits the size of the datagram.
+/// The maximum number of replicas to avoid, resting ones included, that are
+/// named in a question to the placer, which limits the size of the datagram.
 const MAX_RESTING_NAMED: usize = 32;
 
 /// Like [`MAX_RESTING_NAMED`], for questions with the fields for admission
@@ -116,6 +116,7 @@
         } else {
             MAX_RESTING_NAMED
         };
+        let named = named.saturating_sub(need.silent.len());
         placer_need.tried.extend(resting.iter().take(named).cloned());
         need.tried.extend(resting);
         let Some(peers) = self.peers.as_ref().filter(|p| p.hall_placing)
--- a/crates/gateway/src/relay/resume.rs
+++ b/crates/gateway/src/relay/resume.rs
@@ -84,6 +84,7 @@
             model: context.caller.model.clone(),
             version: self.version,
             tried: self.tried.clone(),
+            silent: Vec::new(),
             // Started streams take precedence over new requests.
             priority: 0,
             route_priority: 0,
--- a/crates/gateway/src/relay/run.rs
+++ b/crates/gateway/src/relay/run.rs
@@ -41,6 +41,8 @@
     heard: Instant,
     /// The longest time without data since the relay began to wait.
     gap: Duration,
+    /// Whether it has sent an event.
+    has_begun: bool,
     /// Whether the run resumes a stream that it has not gone on with yet.
     pub is_resumption: bool,
 }
@@ -100,6 +102,7 @@
             listener,
             heard,
             gap,
+            has_begun: false,
             is_resumption,
         }
     }
@@ -138,12 +141,16 @@
     ) -> Poll<Read> {
         loop {
             if let Some(events) = self.next_events() {
+                self.has_begun = true;
                 return Poll::Ready(Read::Events(events));
             }
             if self.splitter.buffered() as u64 > max_bytes {
                 return Poll::Ready(Read::LongEvent);
             }
-            self.listener.wait();
+            // The first event may take long at a replica that is not silent.
+            if self.has_begun {
+                self.listener.wait();
+            }
             let body = Pin::new(&mut self.upstream.body);
             let frame = ready!(body.poll_frame(cx));
             self.listener.hear();
--- a/src/overload/simulation_tests.rs
+++ b/src/overload/simulation_tests.rs
@@ -403,6 +403,7 @@
             model: None,
             version: None,
             tried: Vec::new(),
+            silent: Vec::new(),
             priority: 1,
             route_priority,
             prompt_tokens,
--- a/src/overload/tests.rs
+++ b/src/overload/tests.rs
@@ -30,6 +30,7 @@
         model: None,
         version: None,
         tried: Vec::new(),
+        silent: Vec::new(),
         priority: 1,
         route_priority,
         prompt_tokens: 0,
--- a/src/placing/message.rs
+++ b/src/placing/message.rs
@@ -57,6 +57,10 @@
     /// Replicas that must not be chosen because the request has been sent to
     /// them already or because their `Retry-After` has not expired.
     pub tried: Vec<Arc<str>>,
+    /// Replicas that are chosen only if there are no others, because the
+    /// requester's streams get no data from them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub silent: Vec<Arc<str>>,
     /// The priority; 0 is the most urgent.
     pub priority: u8,
     /// The route's own priority, if the workspace's priority takes
--- a/src/placing/recent_objectives_tests.rs
+++ b/src/placing/recent_objectives_tests.rs
@@ -39,6 +39,7 @@
         model: None,
         version: None,
         tried: Vec::new(),
+        silent: Vec::new(),
         priority: 1,
         route_priority: priority,
         prompt_tokens: PROMPT_TOKENS,
