Resume a stream at a replica that only declined it

A stream whose first attempt was declined could not be resumed at that replica, since it was told all replicas that were tried. It is told those that may have run the request, and counts as many attempts.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -77,14 +77,6 @@
     pub upstream: Upstream,
 }
 
-/// The replicas that a request was sent to.
-#[derive(Clone, Copy)]
-pub(crate) struct Tried<'a> {
-    pub by: &'a [Arc<str>],
-    /// How many of them may have run it.
-    pub runs: u32,
-}
-
 /// The failure of an attempt that got no usable answer.
 pub(crate) struct AttemptError {
     pub result: AttemptResult,
@@ -279,13 +271,14 @@
     }
 
     /// Relays an answer to the caller: a stream as it arrives, any other
-    /// answer once it is complete.
+    /// answer once it is complete. `ran_by` are the replicas that may have run
+    /// the request.
     async fn relay_answer(
         self: &Arc<Self>,
         context: &Arc<RequestContext>,
         answered: Answered,
         suspicion: Suspicion,
-        tried: Tried<'_>,
+        ran_by: Vec<Arc<str>>,
     ) -> Result<Response<Body>, AttemptError> {
         let Answered { mut head, mut upstream } = answered;
         let status = head.status;
@@ -306,7 +299,7 @@
                 upstream,
                 kept,
                 suspicion,
-                tried,
+                ran_by,
             );
             let body = match self.hold_answer(context) {
                 Some(held) => relay_buffered(state, held),
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -47,15 +47,21 @@
     pub ran: bool,
     /// The number of the latest one, from 1.
     pub attempt: u32,
-    /// How many failed ones may have run.
-    pub runs: u32,
+    /// The replicas of the failed ones that may have run.
+    pub ran_by: Vec<Arc<str>>,
     /// The last error response of a replica.
     pub failure: Option<Response<Body>>,
 }
 
 impl Tries {
     const fn new(need: Need) -> Tries {
-        Tries { need, ran: false, attempt: 0, runs: 0, failure: None }
+        Tries {
+            need,
+            ran: false,
+            attempt: 0,
+            ran_by: Vec::new(),
+            failure: None,
+        }
     }
 
     /// Records that another attempt is made.
@@ -163,7 +169,7 @@
         tries.failure = error.failure.take().or(tries.failure.take());
         if matches!(error.result, AttemptResult::NoResponse) {
             tries.ran = true;
-            tries.runs += 1;
+            tries.ran_by.push(Arc::clone(&replica.incarnation));
         }
         let lost = error.connection_lost;
         let (replica_ended, known) =
--- a/crates/gateway/src/forward/contest.rs
+++ b/crates/gateway/src/forward/contest.rs
@@ -12,13 +12,13 @@
 use futures::FutureExt as _;
 use futures::future::BoxFuture;
 use hyper::Response;
-use stairhinge::direct::Repeat;
+use stairhinge::direct::{Repeat, Replica};
 use stairhinge_shell::http::Body;
 
+use super::Forwarder;
 use super::attempts::{FailedTry, Tries};
 use super::further::{Further, FurtherError};
 use super::send::{HEAD_TIMEOUT, Headed, OpenAttempt};
-use super::{Forwarder, Tried};
 use crate::request_context::RequestContext;
 
 /// How long after a search without result another one begins.
@@ -157,15 +157,13 @@
         let replica = Arc::clone(open.replica());
         let passed = match forwarder.accept(context, open, headed).await {
             Ok(answered) => {
-                // This one, those that failed and those that are open.
-                let runs = 1 + self.tries.runs + self.open.len() as u32;
+                let ran_by = self.ran_by(&replica);
                 if !answered.head.status.is_server_error() {
                     self.search = None;
                     self.open.drain(..).for_each(OpenAttempt::give_up);
                 }
-                let tried = Tried { by: &self.tries.need.tried, runs };
                 forwarder
-                    .relay_answer(context, answered, suspicion, tried)
+                    .relay_answer(context, answered, suspicion, ran_by)
                     .await
             }
             Err(error) => Err(error),
@@ -173,6 +171,17 @@
         passed.map_err(|error| FailedTry { replica, sent, suspicion, error })
     }
 
+    /// Returns the replicas that may have run the request, `last` and those of
+    /// the open attempts included.
+    fn ran_by(&self, last: &Replica) -> Vec<Arc<str>> {
+        let mut ran_by = self.tries.ran_by.clone();
+        for open in &self.open {
+            ran_by.push(Arc::clone(&open.replica().incarnation));
+        }
+        ran_by.push(Arc::clone(&last.incarnation));
+        ran_by
+    }
+
     /// Notes the failure of an attempt while others are in progress.
     async fn note(&mut self, failed: FailedTry) {
         let (failed, ..) =
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -33,7 +33,7 @@
 use crate::buffers::{Delivery, Held};
 use crate::event_timing::EventTiming;
 use crate::forward::{
-    FailedAttempt, Forwarder, FurtherError, Headed, OpenAttempt, Tried,
+    FailedAttempt, Forwarder, FurtherError, Headed, OpenAttempt,
     left_unread_reason,
 };
 use crate::hop_headers::is_framed;
@@ -94,15 +94,15 @@
 }
 
 impl Relay {
-    /// Returns a relay of the answer with these headers from the last of the
-    /// replicas that were tried.
+    /// Returns a relay of the answer with these headers from the last of
+    /// `ran_by`, the replicas that may have run the request.
     pub(crate) fn new(
         forwarder: Arc<Forwarder>,
         context: Arc<RequestContext>,
         upstream: Upstream,
         headers: HeaderMap,
         suspicion: Suspicion,
-        tried: Tried<'_>,
+        ran_by: Vec<Arc<str>>,
     ) -> Relay {
         let version = upstream.version;
         let watch = &forwarder.silence;
@@ -116,8 +116,8 @@
             open: Vec::new(),
             search: None,
             search_at: Instant::now(),
-            attempt: tried.runs,
-            tried: tried.by.to_vec(),
+            attempt: ran_by.len() as u32,
+            tried: ran_by,
             suspicion,
             timing: EventTiming::default(),
             ended: false,
