--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -2,8 +2,8 @@
 
 mod attempts;
 mod buffered;
-mod contest;
 mod further;
+mod hedge;
 mod log;
 mod pass_on;
 mod refuse;
@@ -32,10 +32,10 @@
 
 pub(crate) use self::attempts::{FailedAttempt, FailedTry};
 pub(crate) use self::buffered::left_unread_reason;
-pub(crate) use self::contest::SEARCH_INTERVAL;
 pub(crate) use self::further::{Further, FurtherError};
+pub(crate) use self::hedge::SEARCH_INTERVAL;
 use self::refuse::refused;
-pub(crate) use self::send::{HEAD_TIMEOUT, Headed, OpenAttempt};
+pub(crate) use self::send::{BEGIN_TIMEOUT, BeginResult, OpenAttempt};
 use crate::admit::{find_route, find_workspace};
 use crate::buffers::Buffers;
 use crate::cancel_guard::CancelGuard;
@@ -317,7 +317,7 @@
         let bytes =
             read(body, max_bytes, context.remaining()).await.map_err(|e| {
                 if e.code() == Code::SlowSender {
-                    place.record_timeout(sent.elapsed(), HEAD_TIMEOUT);
+                    place.record_timeout(sent.elapsed(), BEGIN_TIMEOUT);
                 } else {
                     place.record_outcome(Outcome::Failed);
                 }
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -12,8 +12,8 @@
 use stairhinge::{Code, Error};
 use stairhinge_shell::http::{Body, Failed};
 
-use super::contest::Contest;
 use super::further::MAX_SILENT_NAMED;
+use super::hedge::HedgedAttempts;
 use super::refuse::{lost, quarantined, refused, shed};
 use super::{AttemptError, Forwarder};
 use crate::connect::has_ended;
@@ -132,8 +132,9 @@
             let open = self.send(context, place, attempt, after, suspicion);
             let failed = match open.await {
                 Ok(open) => {
-                    let contest = Contest::new(self, context, tries, open);
-                    match contest.run().await {
+                    let hedged =
+                        HedgedAttempts::new(self, context, tries, open);
+                    match hedged.run().await {
                         Ok(response) => return Ok(response),
                         Err(failed) => failed,
                     }
--- a/crates/gateway/src/forward/contest.rs
+++ b/crates/gateway/src/forward/hedge.rs
@@ -1,4 +1,4 @@
-//! Waiting for the head of an answer, at several replicas if the first one is
+//! Waiting for an answer to begin, at several replicas if the first one is
 //! silent.
 //!
 //! A silent replica may only be paused, so its attempt is not cancelled before
@@ -18,14 +18,14 @@
 use super::Forwarder;
 use super::attempts::{FailedTry, Tries};
 use super::further::{Further, FurtherError};
-use super::send::{HEAD_TIMEOUT, Headed, OpenAttempt};
+use super::send::{BEGIN_TIMEOUT, BeginResult, OpenAttempt};
 use crate::request_context::RequestContext;
 
 /// How long after a search without result another one begins.
 pub(crate) const SEARCH_INTERVAL: Duration = Duration::from_millis(500);
 
 /// The attempts of a request that are in progress.
-pub(super) struct Contest<'a> {
+pub(super) struct HedgedAttempts<'a> {
     forwarder: &'a Arc<Forwarder>,
     context: &'a Arc<RequestContext>,
     tries: &'a mut Tries,
@@ -37,21 +37,28 @@
 
 /// What happened to the attempts.
 enum Step {
-    Headed(OpenAttempt, Headed),
+    Begun(OpenAttempt, BeginResult),
     Found(Result<OpenAttempt, FurtherError>),
     Silent,
 }
 
-impl<'a> Contest<'a> {
+impl<'a> HedgedAttempts<'a> {
     pub(super) fn new(
         forwarder: &'a Arc<Forwarder>,
         context: &'a Arc<RequestContext>,
         tries: &'a mut Tries,
         first: OpenAttempt,
-    ) -> Contest<'a> {
-        let search_at = first.sent + HEAD_TIMEOUT;
+    ) -> HedgedAttempts<'a> {
+        let search_at = first.sent + BEGIN_TIMEOUT;
         let open = vec![first];
-        Contest { forwarder, context, tries, open, search: None, search_at }
+        HedgedAttempts {
+            forwarder,
+            context,
+            tries,
+            open,
+            search: None,
+            search_at,
+        }
     }
 
     /// Returns the first answer, or the failure of the last attempt.
@@ -60,8 +67,8 @@
             match self.step().await {
                 Step::Silent => self.begin_search(),
                 Step::Found(found) => self.add(found).await,
-                Step::Headed(open, headed) => {
-                    let failed = match self.pass_on(open, headed).await {
+                Step::Begun(open, begun) => {
+                    let failed = match self.pass_on(open, begun).await {
                         Ok(response) => return Ok(response),
                         Err(failed) => failed,
                     };
@@ -90,9 +97,9 @@
 
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Step> {
         for i in 0..self.open.len() {
-            if let Poll::Ready(headed) = self.open[i].poll(cx) {
+            if let Poll::Ready(begun) = self.open[i].poll(cx) {
                 let open = self.open.remove(i);
-                return Poll::Ready(Step::Headed(open, headed));
+                return Poll::Ready(Step::Begun(open, begun));
             }
         }
         let Some(search) = &mut self.search else { return Poll::Pending };
@@ -132,7 +139,7 @@
             Ok(open) => {
                 self.forwarder.metrics.retries.inc();
                 self.tries.begin(open.replica());
-                self.search_at = open.sent + HEAD_TIMEOUT;
+                self.search_at = open.sent + BEGIN_TIMEOUT;
                 self.open.push(open);
             }
             Err(error) => {
@@ -150,12 +157,12 @@
     async fn pass_on(
         &mut self,
         open: OpenAttempt,
-        headed: Headed,
+        begun: BeginResult,
     ) -> Result<Response<Body>, FailedTry> {
         let (forwarder, context) = (self.forwarder, self.context);
         let (sent, suspicion) = (open.sent, open.suspicion);
         let replica = Arc::clone(open.replica());
-        let passed = match forwarder.accept(context, open, headed).await {
+        let passed = match forwarder.accept(context, open, begun).await {
             Ok(answered) => {
                 let ran_by = self.ran_by(&replica);
                 if !answered.head.status.is_server_error() {
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -31,7 +31,7 @@
 
 /// How long an answer may take to begin before a repeatable request is sent to
 /// another replica as well.
-pub(crate) const HEAD_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub(crate) const BEGIN_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// A response that has begun.
 pub(crate) struct Begun {
@@ -41,7 +41,7 @@
 }
 
 /// The response to an attempt, or the expiry of its time limit.
-pub(crate) type Headed = Result<hyper::Result<Begun>, Elapsed>;
+pub(crate) type BeginResult = Result<hyper::Result<Begun>, Elapsed>;
 
 /// An attempt that was sent and has not been answered. Dropping it cancels it.
 pub(crate) struct OpenAttempt {
@@ -50,7 +50,7 @@
     pub suspicion: Suspicion,
     sent_at: Time,
     limit: Duration,
-    response: BoxFuture<'static, Headed>,
+    response: BoxFuture<'static, BeginResult>,
     connection: Connection,
     // Released only once the connection is closed.
     place: Place,
@@ -63,7 +63,7 @@
     }
 
     /// Polls for the beginning of the answer.
-    pub(crate) fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Headed> {
+    pub(crate) fn poll(&mut self, cx: &mut Context<'_>) -> Poll<BeginResult> {
         self.response.poll_unpin(cx)
     }
 
@@ -71,8 +71,8 @@
     /// has not answered within the usual time counts as failed.
     pub(crate) fn give_up(mut self) {
         let elapsed = self.sent.elapsed();
-        if elapsed >= HEAD_TIMEOUT {
-            self.place.record_timeout(elapsed, HEAD_TIMEOUT);
+        if elapsed >= BEGIN_TIMEOUT {
+            self.place.record_timeout(elapsed, BEGIN_TIMEOUT);
         }
     }
 }
@@ -132,7 +132,7 @@
         &self,
         context: &RequestContext,
         open: OpenAttempt,
-        response: Headed,
+        response: BeginResult,
     ) -> Result<Answered, AttemptError> {
         let OpenAttempt {
             sent, mut place, connection, sent_at, limit, ..
@@ -144,7 +144,7 @@
                 return Err(AttemptError::connection_lost(error));
             }
             Err(_) => {
-                place.record_timeout(limit, HEAD_TIMEOUT);
+                place.record_timeout(limit, BEGIN_TIMEOUT);
                 let why = format!("no answer in {} ms", limit.as_millis());
                 return Err(AttemptError::new(AttemptResult::NoResponse, why));
             }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -33,7 +33,7 @@
 use crate::buffers::{Delivery, Held};
 use crate::event_timing::EventTiming;
 use crate::forward::{
-    FailedAttempt, Forwarder, FurtherError, Headed, OpenAttempt,
+    BeginResult, FailedAttempt, Forwarder, FurtherError, OpenAttempt,
     left_unread_reason,
 };
 use crate::hop_headers::is_framed;
@@ -57,7 +57,7 @@
     context: Arc<RequestContext>,
     /// The runs whose next event is awaited: one, unless it is silent.
     runs: Vec<Run>,
-    /// The further attempts that have no head of an answer yet.
+    /// The further attempts whose answers have not begun.
     open: Vec<OpenAttempt>,
     search: Option<Search>,
     /// When the next search may begin.
@@ -88,7 +88,7 @@
 enum Step {
     /// The run with this index was read.
     Read(usize, Read),
-    Headed(OpenAttempt, Headed),
+    Begun(OpenAttempt, BeginResult),
     Found(Result<OpenAttempt, FurtherError>),
     Check,
 }
@@ -154,8 +154,8 @@
                     let run = self.runs.remove(i);
                     self.handle_failed_run(run, failure).await
                 }
-                Step::Headed(open, headed) => {
-                    self.handle_head(open, headed).await
+                Step::Begun(open, begun) => {
+                    self.handle_begin(open, begun).await
                 }
                 Step::Found(found) => self.handle_found(found).await,
                 Step::Check => self.check().await,
@@ -184,9 +184,9 @@
             }
         }
         for i in 0..self.open.len() {
-            if let Poll::Ready(headed) = self.open[i].poll(cx) {
+            if let Poll::Ready(begun) = self.open[i].poll(cx) {
                 let open = self.open.remove(i);
-                return Poll::Ready(Step::Headed(open, headed));
+                return Poll::Ready(Step::Begun(open, begun));
             }
         }
         let Some(search) = &mut self.search else { return Poll::Pending };
--- a/crates/gateway/src/relay/resume.rs
+++ b/crates/gateway/src/relay/resume.rs
@@ -13,8 +13,8 @@
 use super::run::{ReadFailure, Run};
 use super::{DATA_TIMEOUT, MIN_LEFT_UNREAD, Relay, Search};
 use crate::forward::{
-    AttemptError, FailedAttempt, FailedTry, Further, FurtherError,
-    HEAD_TIMEOUT, Headed, OpenAttempt, SEARCH_INTERVAL,
+    AttemptError, BEGIN_TIMEOUT, BeginResult, FailedAttempt, FailedTry,
+    Further, FurtherError, OpenAttempt, SEARCH_INTERVAL,
 };
 
 impl Relay {
@@ -28,7 +28,7 @@
             return false;
         }
         for open in &self.open {
-            if open.sent.elapsed() < HEAD_TIMEOUT {
+            if open.sent.elapsed() < BEGIN_TIMEOUT {
                 return false;
             }
         }
@@ -147,15 +147,14 @@
     }
 
     /// Handles the response to a further attempt.
-    pub(super) async fn handle_head(
+    pub(super) async fn handle_begin(
         &mut self,
         open: OpenAttempt,
-        headed: Headed,
+        begun: BeginResult,
     ) -> Result<(), BodyError> {
         let replica = Arc::clone(open.replica());
         let (sent, suspicion) = (open.sent, open.suspicion);
-        let accepted =
-            self.forwarder.accept(&self.context, open, headed).await;
+        let accepted = self.forwarder.accept(&self.context, open, begun).await;
         let (reason, lost) = match accepted {
             Ok(answered) if answered.head.status.is_success() => {
                 let headers = answered.head.headers;
