--- a/crates/gateway/src/dispatch/place.rs
+++ b/crates/gateway/src/dispatch/place.rs
@@ -92,6 +92,7 @@
             dispatcher.record_begin(&replica.incarnation, tokens, took);
             dispatcher.forget_awaited(self);
             if !errored {
+                dispatcher.record_answer_begun(&replica.incarnation);
                 dispatcher.record_first_token(&replica.service, took);
                 dispatcher.record_first_byte(self, took);
             }
@@ -229,7 +230,10 @@
         match outcome {
             Outcome::Unknown | Outcome::Errored => {}
             Outcome::Succeeded => dispatcher.record_success(incarnation),
-            Outcome::Failed => dispatcher.record_failure(incarnation),
+            Outcome::Failed => {
+                let sent_ago = self.given_at.elapsed();
+                dispatcher.record_failure(incarnation, sent_ago);
+            }
             Outcome::Full => dispatcher.record_full(incarnation),
             Outcome::Misdirected => {
                 dispatcher.record_misdirected(incarnation, self.version);
--- a/crates/loader/src/turn.rs
+++ b/crates/loader/src/turn.rs
@@ -12,11 +12,12 @@
 
 /// How long before the version bound the last replica stops receiving
 /// requests.
-const LAST_PAUSE_MARGIN: Duration = Duration::from_millis(900);
+const LAST_PAUSE_MARGIN: Duration = Duration::from_millis(1_500);
 
 /// How long before the version bound a replica that has not switched unloads
-/// its outdated version.
-const UNLOAD_MARGIN: Duration = Duration::from_millis(700);
+/// its outdated version. Once the engine has accepted the order, it begins
+/// nothing that lies unread, however long it stands still afterwards.
+const UNLOAD_MARGIN: Duration = Duration::from_millis(1_300);
 
 /// This replica's turn in the rollout of a version.
 #[derive(Clone, Copy, Debug)]
@@ -25,8 +26,8 @@
     /// When the replica stops receiving requests, or `None` if it serves no
     /// model, so that it can switch at any time.
     pauses_at: Option<Time>,
-    /// When the loaded version must not start any more requests.
-    expires_at: Option<Time>,
+    /// The loaded version, if it is outdated.
+    outdated: Option<u64>,
 }
 
 impl Turn {
@@ -49,7 +50,7 @@
         let (true, Some(targeted), Some(outdated)) =
             (serves, targeted, outdated)
         else {
-            return Turn { number: 0, pauses_at: None, expires_at: None };
+            return Turn { number: 0, pauses_at: None, outdated: None };
         };
         let service = &agent.settings.service;
         let mut members = Vec::new();
@@ -69,12 +70,10 @@
         let bound =
             agent.live.get().version_bound().saturating_sub(LAST_PAUSE_MARGIN);
         let pauses_at = rollout.pauses_at(first, outdated.after(bound));
-        let end =
-            agent.live.get().version_bound().saturating_sub(UNLOAD_MARGIN);
         Turn {
             number: rollout.turn(),
             pauses_at: Some(pauses_at),
-            expires_at: Some(outdated.after(end)),
+            outdated: held,
         }
     }
 
@@ -127,12 +126,22 @@
 
     /// Waits until the loaded version must not start any more requests, and
     /// pauses the replica.
-    pub(crate) async fn wait_for_expiry(&self, agent: &Agent) {
-        let Some(expires_at) = self.expires_at else {
-            return std::future::pending().await;
-        };
-        tokio::time::sleep(expires_at.since(agent.facts.now())).await;
-        agent.set_paused(true);
+    pub(crate) async fn wait_for_expiry(&self, agent: &Agent, model: &str) {
+        let mut changes = agent.facts.changes();
+        // The age of a target may be corrected meanwhile.
+        while let Some(expires_at) = self.expires_at(agent, model) {
+            let left = expires_at.since(agent.facts.now());
+            if left.is_zero() {
+                return agent.set_paused(true);
+            }
+            let _ = tokio::time::timeout(left, changes.changed()).await;
+        }
+        std::future::pending().await
+    }
+
+    /// Returns when the loaded version must not start any more requests.
+    fn expires_at(&self, agent: &Agent, model: &str) -> Option<Time> {
+        expires_at(agent, model, self.outdated?)
     }
 
     /// Waits until the turn comes, and pauses the replica.
@@ -144,6 +153,18 @@
     }
 }
 
+/// Returns when a version must not start any more requests, if it is outdated.
+pub(crate) fn expires_at(
+    agent: &Agent,
+    model: &str,
+    version: u64,
+) -> Option<Time> {
+    let view = agent.facts.view();
+    let since = view.targets.outdated_since(model, version)?;
+    let bound = agent.live.get().version_bound();
+    Some(since.after(bound.saturating_sub(UNLOAD_MARGIN)))
+}
+
 /// Returns how long the chunks of a version take to transfer over this
 /// instance's link.
 fn transfer(agent: &Agent, manifest: &VersionManifest) -> Duration {
--- a/crates/shell/src/decisions/decision.rs
+++ b/crates/shell/src/decisions/decision.rs
@@ -111,6 +111,21 @@
         version: u64,
         /// The source of the target.
         source: &'static str,
+        /// The time since it was set, in milliseconds.
+        age_ms: u64,
+        /// Whether `age_ms` is an upper bound, because the process was not
+        /// waiting for the target when it was set.
+        presumed: bool,
+    },
+    /// A process that was waiting when a target version was set told its age,
+    /// which had been presumed.
+    TargetDated {
+        /// The model.
+        model: &'a str,
+        /// The version.
+        version: u64,
+        /// The time since it was set, in milliseconds.
+        age_ms: u64,
     },
     /// An operator evacuated a data hall, so its replicas get no requests.
     HallEvacuated {
@@ -432,6 +447,34 @@
         /// The replicas that ended while they ran it.
         replicas: &'a [Arc<str>],
     },
+    /// A request has waited for a replica for longer than usual, and may be
+    /// sent to another one as well.
+    ReplicaSilent {
+        /// The request's id.
+        request: &'a str,
+        /// The replica's incarnation.
+        replica: &'a str,
+        /// How long the request has waited for it, in milliseconds.
+        silent_ms: u64,
+    },
+    /// A replica that was silent went on with a stream before another one did.
+    WentOn {
+        /// The request's id.
+        request: &'a str,
+        /// The replica's incarnation.
+        replica: &'a str,
+        /// How long it was silent, in milliseconds.
+        silent_ms: u64,
+        /// The last event that the caller had received.
+        after_event: Option<u64>,
+    },
+    /// No further attempt was sent while another one is in progress.
+    NotSentFurther {
+        /// The request's id.
+        request: &'a str,
+        /// Why not.
+        reason: &'a str,
+    },
     /// A stream was resumed at another replica.
     Resumed {
         /// The request's id.
@@ -560,6 +603,14 @@
         /// The number of chunks from the origin.
         origin: u32,
     },
+    /// The engine did not answer shortly before its version expires, so that
+    /// it gets no requests until it does.
+    EngineHeldBack {
+        /// The version that it has loaded.
+        version: u64,
+        /// How long it had not answered, in milliseconds.
+        silent_ms: u64,
+    },
     /// The engine was ordered to load.
     LoadOrdered {
         /// The model.
--- a/src/explanation/log_line.rs
+++ b/src/explanation/log_line.rs
@@ -51,6 +51,21 @@
         model: Arc<str>,
         /// The version.
         version: u64,
+        /// The time since it was set, in milliseconds.
+        #[serde(default)]
+        age_ms: Option<u64>,
+        /// Whether `age_ms` is an upper bound.
+        #[serde(default)]
+        presumed: bool,
+    },
+    /// The presumed age of a target version was corrected.
+    TargetDated {
+        /// The model.
+        model: Arc<str>,
+        /// The version.
+        version: u64,
+        /// The time since it was set, in milliseconds.
+        age_ms: u64,
     },
     /// A replica was added to the list of replicas, or its record changed.
     ReplicaListed {
@@ -209,6 +224,31 @@
         /// The request's id.
         request: Arc<str>,
     },
+    /// A request has waited for a replica for longer than usual.
+    ReplicaSilent {
+        /// The request's id.
+        request: Arc<str>,
+        /// The replica's incarnation.
+        replica: Arc<str>,
+        /// How long the request has waited for it, in milliseconds.
+        silent_ms: u64,
+    },
+    /// A replica that was silent went on with a stream before another one did.
+    WentOn {
+        /// The request's id.
+        request: Arc<str>,
+        /// The replica's incarnation.
+        replica: Arc<str>,
+        /// How long it was silent, in milliseconds.
+        silent_ms: u64,
+    },
+    /// No further attempt was sent while another one is in progress.
+    NotSentFurther {
+        /// The request's id.
+        request: Arc<str>,
+        /// Why not.
+        reason: Arc<str>,
+    },
     /// A stream was resumed at another replica.
     Resumed {
         /// The request's id.
@@ -251,6 +291,13 @@
         /// The time since the request's head arrived, in milliseconds.
         took_ms: u64,
     },
+    /// The engine did not answer shortly before its version expires.
+    EngineHeldBack {
+        /// The version that it has loaded.
+        version: u64,
+        /// How long it had not answered, in milliseconds.
+        silent_ms: u64,
+    },
     /// The engine was ordered to load a version.
     LoadOrdered {
         /// The model.
@@ -289,6 +336,9 @@
             | LoggedDecision::PoisonRefused { request, .. }
             | LoggedDecision::PoisonTried { request }
             | LoggedDecision::PoisonCleared { request }
+            | LoggedDecision::ReplicaSilent { request, .. }
+            | LoggedDecision::WentOn { request, .. }
+            | LoggedDecision::NotSentFurther { request, .. }
             | LoggedDecision::Resumed { request, .. }
             | LoggedDecision::Ended { request, .. }
             | LoggedDecision::CallerCut { request, .. }
@@ -303,6 +353,8 @@
             LoggedDecision::Sent { replica, .. }
             | LoggedDecision::AttemptFailed { replica, .. }
             | LoggedDecision::PoisonSuspected { replica, .. }
+            | LoggedDecision::ReplicaSilent { replica, .. }
+            | LoggedDecision::WentOn { replica, .. }
             | LoggedDecision::Resumed { replica, .. }
             | LoggedDecision::ReplicaListed { replica, .. }
             | LoggedDecision::ReplicaUnlisted { replica, .. }
