--- a/review/standins/src/bin/old_config.rs
+++ b/review/standins/src/bin/old_config.rs
@@ -12,21 +12,28 @@
 use review_standins::client::call;
 use review_standins::model::Replica;
 use review_standins::origin::{Origin, piece};
-use review_standins::process::{Agent, Entry, configuration};
+use review_standins::process::{Agent, Entry, Process, configuration};
 use review_standins::record::Record;
-use review_standins::store::Store;
+use review_standins::store::{Door, Store};
 use review_standins::{free, ip, trouble, wait};
 
 const PIECES: u32 = 8;
+/// The keys that are dropped, one after the other.
+const DROPPED: [&str; 3] = ["k2", "k3", "k4"];
 /// The entries of the hall, in the order of their addresses.
 const ENTRIES: u8 = 5;
-/// The entries that stand still, after the first one, which is cut off from
-/// the store.
-const FROZEN: usize = 2;
+/// The entries that stand still; the first one is cut off from the store.
+const FROZEN: [usize; 3] = [1, 2, 4];
+/// The entry that is judged, in touch all the while.
+const JUDGED: usize = 3;
 /// `configApplyMs` of the deployment.
 const APPLY: Duration = Duration::from_millis(2_000);
+/// Longer than two calls of a reader to the store are apart.
+const FRESH: Duration = Duration::from_millis(300);
 /// How long requests are sent after the change.
-const SENDING: Duration = Duration::from_secs(12);
+const SENDING: Duration = Duration::from_secs(9);
+/// How long the fleet is left alone after the disruption.
+const HEALED: Duration = Duration::from_secs(10);
 
 fn request(id: &str, key: &str) -> String {
     format!(
@@ -50,7 +57,11 @@
     let store_addr = free(ip(1));
     let _door = store.open(store_addr);
     let origin = Origin::start(free(ip(2)), PIECES, Arc::clone(record));
-    let config = |version: u64, keys: &str| {
+    let config = |version: u64, dropped: &[&str]| {
+        let mut keys = String::from("\"k1\"");
+        for key in dropped {
+            keys += &format!(",\"{key}\"");
+        }
         let tenant = format!(
             "\"tenants\":[{{\"name\":\"desk\",\"apiKeys\":[{keys}]}}]"
         );
@@ -58,7 +69,7 @@
             .replace("\"public\":true", "\"public\":false")
             .replace("\"tenants\":[]", &tenant)
     };
-    store.put("op/config", &config(1, "\"k1\",\"k2\""));
+    store.put("op/config", &config(1, &DROPPED));
     let port = free(ip(3)).port();
     let own = ip(50);
     let model = Replica::start(
@@ -124,62 +135,111 @@
     // The entries find one another, and the first one reads for all.
     std::thread::sleep(Duration::from_secs(8));
 
-    let judged = &entries[1 + FROZEN..];
-    if trouble() {
-        first_door.cut.store(true, Ordering::Relaxed);
-        record.note("front-1 is cut off from the store");
-        for process in &processes[1..1 + FROZEN] {
-            process.signal("-STOP");
+    let site = Site { store, first_door, entries, processes };
+    let mut broken = false;
+    let mut version = 1;
+    for (i, key) in DROPPED.iter().enumerate() {
+        // Changes that matter to no request, so that what all entries know is
+        // fresh.
+        for _ in 0..2 {
+            version += 1;
+            let idle = format!("\"idleTimeoutMs\":150{version:02}");
+            let text = config(version, &DROPPED[i..]);
+            let text = text.replace("\"idleTimeoutMs\":15000", &idle);
+            site.store.put("op/config", &text);
+            record.note(format!(
+                "store: version {version} of the configuration"
+            ));
+            std::thread::sleep(FRESH);
         }
-        record.note("front-2 and front-3 stand still");
+        version += 1;
+        let text = config(version, &DROPPED[i + 1..]);
+        let Some(late) = site.drop_key(key, &text, record) else { return 2 };
+        broken |= late;
     }
-    store.put("op/config", &config(2, "\"k1\""));
-    let acked = Instant::now();
-    record.note("store: version 2 of the configuration drops the key k2");
-    let mut threads = Vec::new();
-    for entry in judged {
-        let (name, front) = (entry.name.clone(), entry.front);
-        let record = Arc::clone(record);
-        threads.push(std::thread::spawn(move || {
-            let (mut late, mut last) = (0, Duration::ZERO);
-            let mut number = 0;
-            while acked.elapsed() < SENDING {
-                number += 1;
-                let id = format!("{name}-{number:04}");
-                let sent = acked.elapsed();
-                let status = call(front, &request(&id, "k2"), long);
-                record.note(format!("client: {id} with k2 gets {status}"));
-                if status == 200 && sent > APPLY {
-                    late += 1;
-                    last = sent;
+    i32::from(broken)
+}
+
+struct Site {
+    store: Arc<Store>,
+    first_door: Arc<Door>,
+    entries: Vec<Entry>,
+    processes: Vec<Process>,
+}
+
+impl Site {
+    /// Cuts off the first entry, freezes the next ones and drops a key. Returns
+    /// whether an entry in touch used it too long, or nothing if that could
+    /// not be found out.
+    fn drop_key(
+        &self,
+        key: &'static str,
+        config: &str,
+        record: &Arc<Record>,
+    ) -> Option<bool> {
+        let long = Duration::from_secs(4);
+        let judged = &self.entries[JUDGED..=JUDGED];
+        let frozen = FROZEN.map(|i| &self.processes[i]);
+        if trouble() {
+            self.first_door.cut.store(true, Ordering::Relaxed);
+            record.note("front-1 is cut off from the store");
+            for process in frozen {
+                process.signal("-STOP");
+            }
+            record.note("front-2, front-3 and front-5 stand still");
+        }
+        self.store.put("op/config", config);
+        let acked = Instant::now();
+        record.note(format!("store: a configuration without the key {key}"));
+        let mut threads = Vec::new();
+        for entry in judged {
+            let (name, front) = (entry.name.clone(), entry.front);
+            let record = Arc::clone(record);
+            threads.push(std::thread::spawn(move || {
+                let (mut late, mut last) = (0, Duration::ZERO);
+                let mut number = 0;
+                while acked.elapsed() < SENDING {
+                    number += 1;
+                    let id = format!("{name}-{key}-{number:04}");
+                    let sent = acked.elapsed();
+                    let status = call(front, &request(&id, key), long);
+                    record.note(format!(
+                        "client: {id} with {key} gets {status}"
+                    ));
+                    if status == 200 && sent > APPLY {
+                        late += 1;
+                        last = sent;
+                    }
+                    std::thread::sleep(Duration::from_millis(10));
                 }
-                std::thread::sleep(Duration::from_millis(10));
+                (name, late, last)
+            }));
+        }
+        let mut broken = false;
+        for thread in threads {
+            let (name, late, last) = thread.join().ok()?;
+            broken |= late > 0;
+            record.note(format!(
+                "{name}, in touch all the while, had {late} requests with the \
+                 dropped key {key} run that were sent more than 2000 ms after \
+                 the acknowledgement; the last was sent {} ms after it",
+                last.as_millis()
+            ));
+        }
+        if trouble() {
+            self.first_door.cut.store(false, Ordering::Relaxed);
+            for process in frozen {
+                process.signal("-CONT");
             }
-            (name, late, last)
-        }));
-    }
-    let mut broken = false;
-    for thread in threads {
-        let Ok((name, late, last)) = thread.join() else { return 2 };
-        broken |= late > 0;
-        record.note(format!(
-            "{name}, in touch all the while, had {late} requests with the \
-             dropped key run that were sent more than 2000 ms after the \
-             acknowledgement; the last was sent {} ms after it",
-            last.as_millis()
-        ));
-    }
-    let after = judged
-        .iter()
-        .all(|entry| call(entry.front, &request("after", "k1"), long) == 200);
-    if !after {
-        record.note("the key that stayed is not served");
-        return 2;
-    }
-    if trouble() {
-        for process in &processes[1..1 + FROZEN] {
-            process.signal("-CONT");
+            record.note("the cut heals, and the others wake");
         }
+        std::thread::sleep(HEALED);
+        let after = judged
+            .iter()
+            .all(|e| call(e.front, &request("after", "k1"), long) == 200);
+        if !after {
+            record.note("the key that stayed is not served");
+        }
+        after.then_some(broken)
     }
-    i32::from(broken)
 }
