--- a/review/standins/src/model.rs
+++ b/review/standins/src/model.rs
@@ -11,17 +11,6 @@
 
 pub const LAYERS: u32 = 4;
 
-/// A request that began to run.
-#[derive(Clone)]
-pub struct Run {
-    pub at_ms: u64,
-    pub id: String,
-    pub replica: String,
-    pub version: u64,
-    /// The entry's process, as the request names it.
-    pub via: String,
-}
-
 #[derive(Default)]
 struct Inner {
     version: Option<u64>,
@@ -37,7 +26,6 @@
     service: String,
     model: bool,
     inner: Mutex<Inner>,
-    pub runs: Mutex<Vec<Run>>,
     record: Arc<Record>,
     /// How long a request to a plain service runs.
     pub takes: Duration,
@@ -61,7 +49,6 @@
             service: service.to_string(),
             model: held.is_some(),
             inner: Mutex::new(inner),
-            runs: Mutex::default(),
             record,
             takes: Duration::from_millis(20),
         });
@@ -147,14 +134,7 @@
             let more = format!("{echo}Not-Executed: 1\r\n");
             return answer(stream, 421, &more, b"");
         }
-        let at_ms = self.record.note(format!("{}: runs {id}", self.id));
-        self.runs.lock().unwrap().push(Run {
-            at_ms,
-            id: id.clone(),
-            replica: self.id.clone(),
-            version: version.unwrap_or(0),
-            via: request.header("via-entry").unwrap_or("").to_string(),
-        });
+        self.record.note(format!("{}: runs {id}", self.id));
         let stamp = format!("Response-Stamp: {}.{id}\r\n", self.id);
         if !self.model {
             std::thread::sleep(self.takes);
--- a/review/standins/src/origin.rs
+++ b/review/standins/src/origin.rs
@@ -1,8 +1,8 @@
 //! The service that gives out weights.
 
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
 
 use crate::digest::sha256;
 use crate::http::{Handler, Request, answer, serve};
@@ -20,8 +20,6 @@
     pub piece_bytes: usize,
     newest: AtomicU64,
     away: AtomicBool,
-    /// How many of the next manifests are sent spoilt.
-    spoil: Mutex<u32>,
     record: Arc<Record>,
 }
 
@@ -39,7 +37,6 @@
             piece_bytes: 24_576,
             newest: AtomicU64::new(1),
             away: AtomicBool::default(),
-            spoil: Mutex::default(),
             record,
         });
         serve(addr, Arc::clone(&origin));
@@ -54,26 +51,13 @@
         self.away.store(away, Ordering::Relaxed);
     }
 
-    pub fn spoil_manifests(&self, count: u32) {
-        *self.spoil.lock().unwrap() = count;
-    }
-
     fn manifest(&self, model: &str, version: u64) -> String {
         let mut digests = Vec::new();
         for index in 0..self.pieces {
             let bytes = piece(version, index, self.piece_bytes);
             digests.push(sha256(&bytes));
         }
-        let mut spoil = self.spoil.lock().unwrap();
-        if *spoil > 0 {
-            *spoil -= 1;
-            // One sign of one digest.
-            let first = if digests[3].starts_with('0') { "1" } else { "0" };
-            digests[3].replace_range(0..1, first);
-            self.record.note(format!("origin: manifest {version}, spoilt"));
-        } else {
-            self.record.note(format!("origin: manifest {version}"));
-        }
+        self.record.note(format!("origin: manifest {version}"));
         let digests: Vec<String> =
             digests.iter().map(|d| format!("\"{d}\"")).collect();
         format!(
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -60,19 +60,6 @@
         self.changed.notify_all();
     }
 
-    pub fn delete(&self, key: &str) {
-        let mut inner = self.inner.lock().unwrap();
-        inner.revision += 1;
-        let revision = inner.revision;
-        inner.items.remove(key);
-        let event = format!(
-            "{{\"key\":\"{key}\",\"revision\":{revision},\"gone\":true}}"
-        );
-        inner.history.push((revision, key.to_string(), event));
-        drop(inner);
-        self.changed.notify_all();
-    }
-
     fn range(&self, request: &Request) -> (u16, String) {
         let prefix = request.query("pathPrefix").unwrap_or("");
         let after = request.query("after").unwrap_or("");
