Log what a request on an outdated version was expected to take, and took

A late start has three possible causes that logs did not tell apart: a version that the process never heard of, one heard of late, and a replica that stood still while the request waited there.

`target_taken` has the newest version known before, which shows a gap. `sent` has the expected time to the first token and the time left to begin, and `begun_outdated` when the first data came. No decision changes.

--- a/crates/gateway/src/dispatch/place.rs
+++ b/crates/gateway/src/dispatch/place.rs
@@ -66,6 +66,12 @@
 }
 
 impl Place {
+    /// Returns the expected time to the first token in milliseconds, if this
+    /// entry chose the replica and the service has an engine.
+    pub(crate) fn expected_ms(&self) -> Option<u64> {
+        self.outcome.expected_ms.map(|ms| ms.max(0.0).round() as u64)
+    }
+
     /// Records that the replica has started to answer, with an error response
     /// if `errored` is set.
     pub(crate) fn record_begin(&mut self, errored: bool) {
--- a/crates/gateway/src/forward/log.rs
+++ b/crates/gateway/src/forward/log.rs
@@ -114,9 +114,36 @@
             version: place.version,
             left_ms: left.as_millis() as u64,
             waited_ms: context.elapsed_ms(),
+            expected_ms: place.expected_ms(),
+            begin_in_ms: self.left_to_begin(place),
         });
     }
 
+    /// Logs that a request has begun, if the replica's version is outdated.
+    pub(super) fn log_begun(
+        &self,
+        context: &RequestContext,
+        place: &Place,
+        version: Option<u64>,
+        took: Duration,
+    ) {
+        let Some(left_ms) = self.left_to_begin(place) else { return };
+        self.facts.log().write(&Decision::BegunOutdated {
+            request: &context.caller.id,
+            replica: &place.replica.incarnation,
+            version,
+            took_ms: took.as_millis() as u64,
+            left_ms,
+        });
+    }
+
+    /// Returns the time left for a replica with an outdated version to begin,
+    /// in milliseconds.
+    fn left_to_begin(&self, place: &Place) -> Option<u64> {
+        let begin_by = place.begin_by?;
+        Some(begin_by.since(self.facts.now()).as_millis() as u64)
+    }
+
     /// Logs that a replica is silent while a request waits for it.
     pub(crate) fn log_silent(
         &self,
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -158,6 +158,7 @@
         match judgement {
             ResponseKind::Answer { version } => {
                 place.record_begin(head.status.is_server_error());
+                self.log_begun(context, &place, version, sent.elapsed());
                 let upstream =
                     Upstream { body, first, connection, place, sent, version };
                 Ok(Answered { head, upstream })
--- a/crates/shell/src/decisions/decision.rs
+++ b/crates/shell/src/decisions/decision.rs
@@ -116,6 +116,8 @@
         /// Whether `age_ms` is an upper bound, because the process was not
         /// waiting for the target when it was set.
         presumed: bool,
+        /// The newest version known before, if any.
+        previous: Option<u64>,
     },
     /// A process that was waiting when a target version was set told its age,
     /// which had been presumed.
@@ -280,6 +282,29 @@
         left_ms: u64,
         /// How long the request waited at this entry, in milliseconds.
         waited_ms: u64,
+        /// How long the replica is expected to take until the first token,
+        /// in milliseconds, if this entry chose it and it is an engine.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        expected_ms: Option<u64>,
+        /// The time left for the replica to begin, in milliseconds, if its
+        /// version is outdated.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        begin_in_ms: Option<u64>,
+    },
+    /// A request began at a replica with an outdated version.
+    BegunOutdated {
+        /// The request's id.
+        request: &'a str,
+        /// The replica's incarnation.
+        replica: &'a str,
+        /// The version of its weights, if its answer tells.
+        version: Option<u64>,
+        /// The time between sending the request and its first data, in
+        /// milliseconds.
+        took_ms: u64,
+        /// What was left of the time in which it had to begin, in
+        /// milliseconds.
+        left_ms: u64,
     },
     /// No replica was available for a request.
     NoReplica {
--- a/crates/shell/src/decisions_tests.rs
+++ b/crates/shell/src/decisions_tests.rs
@@ -81,6 +81,8 @@
             version: Some(2),
             left_ms: 900,
             waited_ms: 40,
+            expected_ms: None,
+            begin_in_ms: None,
         },
         Decision::AttemptFailed {
             request: "r1",
--- a/crates/shell/src/directory/facts/targets.rs
+++ b/crates/shell/src/directory/facts/targets.rs
@@ -94,7 +94,9 @@
         let since = since.unwrap_or_else(|| self.ago(self.presumed_age));
         let presumed = published.observed.is_none();
         let mut taken = false;
+        let mut previous = None;
         self.change(|view| {
+            previous = view.targets.version(&target.model);
             taken = if presumed {
                 view.targets.record_estimate(target, since)
             } else {
@@ -109,6 +111,7 @@
                 source,
                 age_ms: self.now().since(since).as_millis() as u64,
                 presumed,
+                previous,
             });
         }
     }
