Send to an outdated replica only what it begins before a standstill can delay it

Callers' requests could begin on an outdated version after its bound. The last request was sent 1.5 s before the bound whatever its prompt took, and what had not begun was cancelled 0.3 s before it. A request sent at -1.6 s whose prompt takes 0.9 s to read, at a replica that stands still from -1.0 to +0.2 s, began after the bound: its closed connection was read only then, or never.

Attempts that have not begun are now cancelled 1.3 s before the bound, a standstill of 1.2 s and the time of the cancellation. A replica with an outdated version is chosen only if the request is expected to begin before that, from the estimate of the entry that chooses (queue, prompt, pace, link). The entry that sends checks again, also what a placer granted, after it has a connection.

A short prompt at an idle replica is sent until about 1.48 s before the bound, as before. One of 0.9 s is sent until 2.4 s before it.

--- a/crates/gateway/src/dispatch/find.rs
+++ b/crates/gateway/src/dispatch/find.rs
@@ -1,7 +1,7 @@
 //! Selection of the replica for one request.
 
 use std::sync::{Arc, Weak};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use stairhinge::direct::Replica;
 use stairhinge::direct::balance::{Candidate, LatencyModel, choose};
@@ -13,7 +13,7 @@
 use stairhinge_shell::directory::{FactsView, Standing};
 
 use super::place::PlaceOutcome;
-use super::terms::Terms;
+use super::terms::{Terms, expected_wait};
 use super::{Dispatcher, Place, State};
 use crate::placing::Chooser;
 
@@ -238,6 +238,7 @@
         Some(Place {
             version: terms.version.or(need.version),
             begin_by: terms.begin_by,
+            send_by: terms.send_by(wait_at(&candidate, need)),
             load: known.load.total(),
             delay_ms: known.delay_ms() as u64,
             report_age: reported.map(|r| r.at.elapsed()),
@@ -280,6 +281,9 @@
             sets.in_service |= self.is_in_service(state, replica, now);
             let candidate = self.candidate(state, view, need, kind, replica);
             let Some((candidate, fitness)) = candidate else { continue };
+            if !terms.can_begin(wait_at(&candidate, need), now) {
+                continue;
+            }
             let set = sets.get_mut(fitness);
             set.candidates.push(candidate);
             set.replicas.push((Arc::clone(replica), terms));
@@ -425,6 +429,12 @@
     view.engine(&need.service).map_or(0, |engine| engine.layers)
 }
 
+/// Returns the expected time from sending a request to its first token.
+fn wait_at(candidate: &Candidate, need: &Need) -> Duration {
+    let Candidate { latency, load, slowdown, link_delay_ms, .. } = candidate;
+    expected_wait(latency, load, *slowdown, *link_delay_ms, need)
+}
+
 /// Returns how many requests may be queued at a replica beyond its slots.
 ///
 /// An engine frees a slot only after a whole generation, so nothing is queued
--- a/crates/gateway/src/dispatch/hall.rs
+++ b/crates/gateway/src/dispatch/hall.rs
@@ -5,11 +5,14 @@
 use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant};
 
-use stairhinge::direct::{HallEntry, ReplicaState};
+use stairhinge::direct::balance::LatencyModel;
+use stairhinge::direct::{HallEntry, Replica, ReplicaState};
 use stairhinge::placing::{Need, Placed, leading_entries};
 use stairhinge_shell::directory::{FactsView, Standing};
 
+use super::known::KnownReplica;
 use super::place::PlaceOutcome;
+use super::terms::{expected_wait, send_by};
 use super::{Dispatcher, Place, State};
 use crate::placing::{Chooser, Lease};
 
@@ -160,6 +163,12 @@
         let incarnation = Arc::clone(&replica.incarnation);
         let known = state.known.entry(incarnation).or_default();
         known.reset_if_restarted(replica);
+        let expected = granted_wait(&view, need, replica, known, &placed);
+        let send_by = begin_by.map(|at| send_by(at, expected));
+        // The placer's answer may be late, or its date of the version.
+        if send_by.is_some_and(|at| now >= at) {
+            return None;
+        }
         if let Some(at) = known.leaving.last_at() {
             // The placer may not have received the announcement yet.
             lease.report_leaving(now.since(at), known.born);
@@ -179,6 +188,7 @@
             replica: Arc::clone(replica),
             version: placed.version,
             begin_by,
+            send_by,
             load: placed.load,
             delay_ms: placed.delay_ms,
             report_age: placed.report_age_ms.map(Duration::from_millis),
@@ -197,6 +207,27 @@
     }
 }
 
+/// Returns the expected time from sending a request to its first token at a
+/// replica that the placer has chosen.
+fn granted_wait(
+    view: &FactsView,
+    need: &Need,
+    replica: &Replica,
+    known: &KnownReplica,
+    placed: &Placed,
+) -> Duration {
+    let latency = view.engine(&need.service).map_or_else(
+        || LatencyModel::plain(replica.slots),
+        |engine| engine.latency_model(replica.slots),
+    );
+    let mut load = known.load;
+    // The placer counts this request, too.
+    let others = placed.load.saturating_sub(1);
+    load.others_running += others.saturating_sub(load.total());
+    let delay_ms = placed.delay_ms as f64;
+    expected_wait(&latency, &load, known.slowdown(), delay_ms, need)
+}
+
 /// Returns the time at which a version became outdated, if it is.
 fn outdated_since(
     view: &FactsView,
--- a/crates/gateway/src/dispatch/place.rs
+++ b/crates/gateway/src/dispatch/place.rs
@@ -46,6 +46,9 @@
     /// The time by which the replica has to start the request, so that it does
     /// not run on an expired version.
     pub begin_by: Option<Time>,
+    /// The time by which the request has to be sent so that it is expected to
+    /// start in time.
+    pub send_by: Option<Time>,
     /// The number of requests known to be at the replica.
     pub load: u32,
     /// The delay of the link beyond the usual one, in milliseconds.
--- a/crates/gateway/src/dispatch/place_tests.rs
+++ b/crates/gateway/src/dispatch/place_tests.rs
@@ -27,6 +27,7 @@
         replica: Arc::new(replica),
         version: None,
         begin_by: None,
+        send_by: None,
         load: 0,
         delay_ms: 0,
         report_age: None,
--- a/crates/gateway/src/dispatch/terms.rs
+++ b/crates/gateway/src/dispatch/terms.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use stairhinge::Time;
+use stairhinge::direct::balance::{LatencyModel, Load};
 use stairhinge::direct::{Replica, ReplicaState};
 use stairhinge::placing::Need;
 use stairhinge_shell::directory::FactsView;
@@ -10,17 +11,22 @@
 use super::known::KnownReplica;
 use super::{Dispatcher, State};
 
-/// How long before the version bound replicas with an outdated version stop
-/// getting requests. A replica may stand still for about a second, and a
-/// request may have to wait there before and after that.
-const VERSION_MARGIN: Duration = Duration::from_millis(1_500);
+/// The longest standstill of a replica that carries nothing past the version
+/// bound. Replicas may fall silent for about a second and go on.
+const STANDSTILL: Duration = Duration::from_millis(1_200);
 
-/// How long before the version bound an attempt that has not started is
-/// cancelled, which leaves time for the cancellation to reach the replica.
-const CANCEL_MARGIN: Duration = Duration::from_millis(300);
+/// How long the cancellation of an attempt may take to reach a replica.
+const CANCEL_TIME: Duration = Duration::from_millis(100);
 
-/// Like [`VERSION_MARGIN`], for slow replicas, which requests may take long
-/// to reach.
+/// How long before the last moment of sending a replica may still be chosen.
+/// It has to be reached then.
+const BEGIN_RESERVE: Duration = Duration::from_millis(50);
+
+/// The expected time to the first token if there is no estimate.
+const UNKNOWN_WAIT: Duration = Duration::from_millis(500);
+
+/// How long before the version bound slow replicas with an outdated version
+/// stop getting requests, which may take long to reach them.
 const SLOW_MARGIN: Duration = Duration::from_millis(3_000);
 
 /// The conditions under which a replica may take a request.
@@ -33,6 +39,45 @@
     pub begin_by: Option<Time>,
 }
 
+impl Terms {
+    /// Returns the time by which a request has to be sent that takes
+    /// `expected` until its first token, if the version is outdated.
+    pub(super) fn send_by(&self, expected: Duration) -> Option<Time> {
+        self.begin_by.map(|at| send_by(at, expected))
+    }
+
+    /// Returns whether a request that takes `expected` until its first token
+    /// may be sent now.
+    pub(super) fn can_begin(&self, expected: Duration, now: Time) -> bool {
+        let send_by = self.send_by(expected);
+        send_by.is_none_or(|at| now.after(BEGIN_RESERVE) < at)
+    }
+}
+
+/// Returns the time by which a request has to be sent that has to start by
+/// `begin_by` and takes `expected` until then.
+pub(super) fn send_by(begin_by: Time, expected: Duration) -> Time {
+    begin_by.before(expected)
+}
+
+/// Returns the expected time from sending a request to its first token at a
+/// replica with this load and latency. `slowdown` is the factor by which the
+/// replica is slower than usual.
+pub(super) fn expected_wait(
+    latency: &LatencyModel,
+    load: &Load,
+    slowdown: f64,
+    delay_ms: f64,
+    need: &Need,
+) -> Duration {
+    let Some(ms) = latency.expected_first_token_ms(load, need.prompt_tokens)
+    else {
+        return UNKNOWN_WAIT;
+    };
+    let ms = ms * slowdown.max(1.0) + delay_ms.max(0.0);
+    Duration::try_from_secs_f64(ms / 1e3).unwrap_or(Duration::MAX)
+}
+
 impl Dispatcher {
     /// Returns the conditions under which a replica may take the request, or
     /// `None` if it may not.
@@ -87,7 +132,21 @@
         let slow = known.is_none_or(KnownReplica::is_slow);
         let begin_by = match view.targets.outdated_since(model, held) {
             None => None,
-            Some(since) => Some(self.begin_by(since, slow, now)?),
+            Some(since) => {
+                let begin_by = self.begin_by(since, slow, now)?;
+                let slowdown = known.map_or(1.0, KnownReplica::slowdown);
+                // What it runs now may have ended by the time of sending.
+                let least = view.engine(&need.service).map(|engine| {
+                    let latency = engine.latency_model(replica.slots);
+                    let idle = Load::default();
+                    expected_wait(&latency, &idle, slowdown, 0.0, need)
+                });
+                let least = least.unwrap_or(UNKNOWN_WAIT);
+                if now.after(BEGIN_RESERVE) >= send_by(begin_by, least) {
+                    return None;
+                }
+                Some(begin_by)
+            }
         };
         // A replica that changes its version now has to decline requests for
         // the previous one. Long after the last target no replica changes, so
@@ -113,18 +172,21 @@
     }
 
     /// Returns the time by which a request must start on a version outdated
-    /// since `since`, or `None` if no more requests may be sent to it.
+    /// since `since`, or `None` if it is too late to send one.
+    ///
+    /// A request that has not started by then is cancelled. From then on a
+    /// standstill could carry it past the version bound.
     pub(super) fn begin_by(
         &self,
         since: Time,
         slow: bool,
         now: Time,
     ) -> Option<Time> {
-        let margin = if slow { SLOW_MARGIN } else { VERSION_MARGIN };
         let bound = self.bounds.version;
-        if now >= since.after(bound.saturating_sub(margin)) {
+        if slow && now >= since.after(bound.saturating_sub(SLOW_MARGIN)) {
             return None;
         }
-        Some(since.after(bound.saturating_sub(CANCEL_MARGIN)))
+        let margin = STANDSTILL + CANCEL_TIME;
+        Some(since.after(bound.saturating_sub(margin)))
     }
 }
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -105,6 +105,10 @@
                 "no time left",
             ));
         }
+        if place.send_by.is_some_and(|at| self.facts.now() >= at) {
+            let why = "too late to begin on the replica's version";
+            return Err(AttemptError::new(AttemptResult::Unsent, why));
+        }
         self.log_sent(context, &place, attempt, left);
         let sent = Instant::now();
         let sent_at = self.facts.now();
--- a/src/direct/balance.rs
+++ b/src/direct/balance.rs
@@ -113,9 +113,28 @@
         ms + utilization * LatencyModel::FULL_LOAD_MS
     }
 
+    /// Returns the expected time to the first token of a request with this
+    /// many prompt tokens at a replica with this load, in milliseconds, or
+    /// `None` if the parameters do not include prompts.
+    pub fn expected_first_token_ms(
+        &self,
+        load: &Load,
+        prompt_tokens: u32,
+    ) -> Option<f64> {
+        let prompt = f64::from(prompt_tokens) / self.tokens_per_ms;
+        (self.tokens_per_ms > 0.0).then(|| {
+            self.first_token_ms(load)
+                + LatencyModel::IDLE_FIRST_TOKEN_MS
+                + prompt
+        })
+    }
+
     /// The latency that a fully loaded replica adds over an idle one, in
     /// milliseconds.
     const FULL_LOAD_MS: f64 = 40.0;
+
+    /// The time to the first token on an idle replica, in milliseconds.
+    const IDLE_FIRST_TOKEN_MS: f64 = 120.0;
 }
 
 /// A replica that may be chosen for a request.
@@ -144,9 +163,6 @@
     /// The cost of sending to another data hall, in milliseconds.
     const CROSS_HALL_MS: f64 = 30.0;
 
-    /// The time to the first token on an idle replica, in milliseconds.
-    const IDLE_FIRST_TOKEN_MS: f64 = 120.0;
-
     /// The cost of an offset of 1, in milliseconds.
     const MAX_OFFSET_MS: f64 = 50.0;
 
@@ -159,13 +175,7 @@
     /// many prompt tokens, in milliseconds, or `None` if the latency
     /// parameters do not include prompts.
     pub fn expected_first_token_ms(&self, prompt_tokens: u32) -> Option<f64> {
-        let rate = self.latency.tokens_per_ms;
-        let prompt = f64::from(prompt_tokens) / rate;
-        (rate > 0.0).then(|| {
-            self.latency.first_token_ms(&self.load)
-                + Candidate::IDLE_FIRST_TOKEN_MS
-                + prompt
-        })
+        self.latency.expected_first_token_ms(&self.load, prompt_tokens)
     }
 
     fn cost(&self) -> f64 {
@@ -173,7 +183,7 @@
             if self.near { 0.0 } else { Candidate::CROSS_HALL_MS };
         let offset = self.offset * Candidate::MAX_OFFSET_MS;
         let first = self.latency.first_token_ms(&self.load)
-            + Candidate::IDLE_FIRST_TOKEN_MS;
+            + LatencyModel::IDLE_FIRST_TOKEN_MS;
         first * self.slowdown.max(1.0)
             + cross_hall
             + offset
