--- a/crates/gateway/src/dispatch/find.rs
+++ b/crates/gateway/src/dispatch/find.rs
@@ -432,7 +432,8 @@
 /// Returns the expected time from sending a request to its first token.
 fn wait_at(candidate: &Candidate, need: &Need) -> Duration {
     let Candidate { latency, load, slowdown, link_delay_ms, .. } = candidate;
-    expected_wait(latency, load, *slowdown, *link_delay_ms, need)
+    let tokens = need.prompt_tokens;
+    expected_wait(latency, load, *slowdown, *link_delay_ms, tokens)
 }
 
 /// Returns how many requests may be queued at a replica beyond its slots.
--- a/crates/gateway/src/dispatch/hall.rs
+++ b/crates/gateway/src/dispatch/hall.rs
@@ -225,7 +225,8 @@
     let others = placed.load.saturating_sub(1);
     load.others_running += others.saturating_sub(load.total());
     let delay_ms = placed.delay_ms as f64;
-    expected_wait(&latency, &load, known.slowdown(), delay_ms, need)
+    let (slowdown, tokens) = (known.slowdown(), need.prompt_tokens);
+    expected_wait(&latency, &load, slowdown, delay_ms, tokens)
 }
 
 /// Returns the time at which a version became outdated, if it is.
--- a/crates/gateway/src/dispatch/terms.rs
+++ b/crates/gateway/src/dispatch/terms.rs
@@ -68,12 +68,10 @@
     load: &Load,
     slowdown: f64,
     delay_ms: f64,
-    need: &Need,
+    prompt_tokens: u32,
 ) -> Duration {
-    let Some(ms) = latency.expected_first_token_ms(load, need.prompt_tokens)
-    else {
-        return UNKNOWN_WAIT;
-    };
+    let expected = latency.expected_first_token_ms(load, prompt_tokens);
+    let Some(ms) = expected else { return UNKNOWN_WAIT };
     let ms = ms * slowdown.max(1.0) + delay_ms.max(0.0);
     Duration::try_from_secs_f64(ms / 1e3).unwrap_or(Duration::MAX)
 }
@@ -138,11 +136,12 @@
                 // What it runs now may have ended by the time of sending.
                 let least = view.engine(&need.service).map(|engine| {
                     let latency = engine.latency_model(replica.slots);
-                    let idle = Load::default();
-                    expected_wait(&latency, &idle, slowdown, 0.0, need)
+                    let (idle, tokens) = (Load::default(), need.prompt_tokens);
+                    expected_wait(&latency, &idle, slowdown, 0.0, tokens)
                 });
                 let least = least.unwrap_or(UNKNOWN_WAIT);
-                if now.after(BEGIN_RESERVE) >= send_by(begin_by, least) {
+                let terms = Terms { version: None, begin_by: Some(begin_by) };
+                if !terms.can_begin(least, now) {
                     return None;
                 }
                 Some(begin_by)
@@ -190,3 +189,7 @@
         Some(since.after(bound.saturating_sub(margin)))
     }
 }
+
+#[cfg(test)]
+#[path = "terms_tests.rs"]
+mod tests;
