Verify staged chunks once the engine is idle

An agent verified the staged chunks, waited up to 8 s until its engine had finished another order, and ordered the load without another check. Nothing bounded the age of the check when the order was sent or taken: the same gap was open while a check was slow, while the agent stood still between check and order, and while the engine did before it took the order.

The check now follows the wait, reads four chunks at a time, and is repeated if it is older than 1 s when the order is about to be sent. If the engine may have taken the order over 2.5 s after the check began, by its answer or its count of orders, the replica gets no requests until the chunks have been read again after the load: one that is intact then was intact before. If one is not, the engine unloads and loads again. The load has a module of its own.

--- a/crates/loader/src/agent.rs
+++ b/crates/loader/src/agent.rs
@@ -29,6 +29,7 @@
 use crate::serve::AgentServer;
 use crate::settings::AgentSettings;
 use crate::subscribers::Subscribers;
+use crate::version_selection::ModelVersion;
 use crate::watch_engine::watch_engine;
 use crate::watch_link::watch_link;
 
@@ -87,6 +88,9 @@
     /// The version that was last chosen among several, if versions in quick
     /// succession are kept.
     pub chosen: Mutex<Option<u64>>,
+    /// The version that the engine was ordered to load, if it may take the
+    /// order so late that a staged chunk has turned bad since its check.
+    doubtful: Mutex<Option<ModelVersion>>,
 }
 
 impl Agent {
@@ -174,7 +178,31 @@
         }
         // Notifies entries immediately instead of with the engine's next
         // report.
-        self.report.send_modify(|report| report.loading = paused);
+        let state = self.state.borrow().clone();
+        let doubtful = state.is_some_and(|state| self.is_doubtful(&state));
+        self.report.send_modify(|report| report.loading = paused || doubtful);
+    }
+
+    /// Sets the version whose order to load is not known to be taken in time,
+    /// and returns the previous one.
+    pub(crate) fn set_doubtful(
+        &self,
+        version: Option<ModelVersion>,
+    ) -> Option<ModelVersion> {
+        std::mem::replace(&mut *self.doubtful(), version)
+    }
+
+    /// Returns whether the engine has loaded a version that may include a
+    /// chunk that had turned bad.
+    pub(crate) fn is_doubtful(&self, state: &EngineState) -> bool {
+        self.doubtful().as_ref().is_some_and(|doubtful| {
+            state.version == Some(doubtful.version)
+                && state.model.as_ref() == Some(&doubtful.model)
+        })
+    }
+
+    fn doubtful(&self) -> MutexGuard<'_, Option<ModelVersion>> {
+        self.doubtful.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns whether the replica must not receive new requests.
@@ -281,6 +309,7 @@
         report: watch::Sender::new(EngineReport::default()),
         paused: AtomicBool::new(false),
         chosen: Mutex::default(),
+        doubtful: Mutex::default(),
     });
     tokio::spawn(watch_engine(Arc::clone(&agent)));
     tokio::spawn(read_routes(Arc::clone(&agent)));
--- a/crates/loader/src/lib.rs
+++ b/crates/loader/src/lib.rs
@@ -3,7 +3,7 @@
 //! An agent runs beside one engine and is not on the path of requests. It
 //! fetches the chunks of the target version ([`stairhinge_chunks`]), stages
 //! them at the engine ([`fetch_owner`]), serves them to peers ([`serve`]), and
-//! orders the load when the replica's turn in the rollout comes
+//! orders the load ([`load`]) when the replica's turn in the rollout comes
 //! ([`reconcile`]).
 //! It streams the engine's state to the entries ([`watch_engine`],
 //! [`feed`]).
@@ -15,6 +15,7 @@
 mod fetch_owner;
 mod first_report;
 mod hall_entries;
+mod load;
 mod peer_list;
 mod read_routes;
 mod reconcile;
--- a/crates/loader/src/reconcile.rs
+++ b/crates/loader/src/reconcile.rs
@@ -4,19 +4,19 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use stairhinge::direct::LayerRange;
-use stairhinge::{Code, Error};
+use stairhinge::Error;
 use stairhinge_chunks::{
     ChunkOwner as _, VersionManifest, fetch, find_manifest, log_failure,
 };
 use stairhinge_shell::decisions::Decision;
 
 use crate::agent::Agent;
-use crate::engine::{EngineState, LoadOrder, LoadOutcome};
+use crate::engine::EngineState;
 use crate::fetch_owner::FetchOwner;
 use crate::first_report::first_report;
+use crate::load::{load, log_order, one_layer};
 use crate::peer_list::{list_peers, peers};
-use crate::staging::{reuse_staged, share_staged, verify_staged};
+use crate::staging::{reuse_staged, share_staged};
 use crate::turn::Turn;
 use crate::version_selection::{ModelVersion, has_choice, select_version};
 
@@ -36,9 +36,6 @@
 /// are several candidates.
 const CHOICE_INTERVAL: Duration = Duration::from_millis(250);
 
-/// The maximum duration of a load, after which it counts as failed.
-const LOAD_TIMEOUT: Duration = Duration::from_secs(8);
-
 /// How long chunks stay in memory for peers after a load.
 const SHARE_AFTER_LOAD: Duration = Duration::from_secs(6);
 
@@ -75,7 +72,7 @@
             continue;
         };
         let wanted = select_version(&agent, newest).await;
-        if serves(&engine, &wanted) {
+        if serves(&engine, &wanted) && !agent.is_doubtful(&engine) {
             if shared.as_ref() != Some(&wanted) {
                 share_staged(&agent, &wanted).await;
                 shared = Some(wanted.clone());
@@ -305,120 +302,9 @@
     let Some(version) = outdated.filter(|_| !state.busy) else {
         return Ok(());
     };
-    // A single layer cannot serve requests, whichever chunks are staged now,
-    // and loading the new version replaces it.
-    let order = LoadOrder {
-        model: Arc::clone(&manifest.model),
-        version,
-        sequence: state.sequence,
-        layers: Some(LayerRange { from: 0, to: 1 }),
-    };
+    // Loading the new version replaces the layer.
+    let order = one_layer(&manifest.model, version, state.sequence);
     let outcome = agent.engine.load(&order).await;
-    log_order(agent, &order, 0, &outcome);
+    log_order(agent, &order, 0, None, &outcome);
     outcome.map(|_| ())
 }
-
-/// Verifies the staged chunks, orders the load, and waits until it ends.
-async fn load(
-    agent: &Arc<Agent>,
-    manifest: &VersionManifest,
-    turn: usize,
-) -> Result<(), Error> {
-    verify_staged(agent, manifest).await?;
-    let state = idle_engine(agent).await?;
-    let order = LoadOrder {
-        model: Arc::clone(&manifest.model),
-        version: manifest.version,
-        sequence: state.sequence,
-        layers: None,
-    };
-    let outcome = agent.engine.load(&order).await;
-    log_order(agent, &order, turn, &outcome);
-    if matches!(outcome, Ok(LoadOutcome::Conflict)) {
-        return Err(Error::new(
-            Code::EngineRefused,
-            "the engine refused the load order: its state does not match",
-        ));
-    }
-    // The engine may have accepted an order without an answer.
-    await_loaded(agent, manifest).await
-}
-
-/// Waits until the engine has finished its current order, since it refuses
-/// orders while one is in progress.
-async fn idle_engine(agent: &Agent) -> Result<EngineState, Error> {
-    let deadline = tokio::time::Instant::now() + LOAD_TIMEOUT;
-    loop {
-        let state = agent.engine_state().await?;
-        if !state.busy {
-            return Ok(state);
-        }
-        if tokio::time::Instant::now() > deadline {
-            return Err(Error::new(
-                Code::EngineLost,
-                "timed out waiting for the engine to finish an order",
-            ));
-        }
-        tokio::time::sleep(RETRY_DELAY / 2).await;
-    }
-}
-
-fn log_order(
-    agent: &Agent,
-    order: &LoadOrder,
-    turn: usize,
-    outcome: &Result<LoadOutcome, Error>,
-) {
-    let outcome_text = match outcome {
-        Ok(LoadOutcome::Started) => "begun",
-        Ok(LoadOutcome::AlreadyLoaded) => "already loaded",
-        Ok(LoadOutcome::Conflict) => "conflict",
-        Err(_) => "no answer",
-    };
-    agent.facts.log().write(&Decision::LoadOrdered {
-        model: &order.model,
-        version: order.version,
-        layers: order.layers.map(|l| (l.from, l.to)),
-        turn,
-        outcome: outcome_text,
-    });
-}
-
-/// Waits until the engine has loaded the version of `manifest`.
-async fn await_loaded(
-    agent: &Agent,
-    manifest: &VersionManifest,
-) -> Result<(), Error> {
-    let deadline = tokio::time::Instant::now() + LOAD_TIMEOUT;
-    loop {
-        tokio::time::sleep(RETRY_DELAY / 2).await;
-        let state = agent.engine_state().await;
-        if let Ok(state) = &state {
-            if loaded(state, manifest) {
-                agent.state.send_replace(Some(state.clone()));
-                agent.facts.log().write(&Decision::Serving {
-                    model: &manifest.model,
-                    version: manifest.version,
-                });
-                return Ok(());
-            }
-            if !state.busy {
-                return Err(Error::new(
-                    Code::EngineRefused,
-                    "the engine did not load the version",
-                ));
-            }
-        }
-        if tokio::time::Instant::now() > deadline {
-            return Err(Error::new(
-                Code::EngineLost,
-                "timed out waiting for the engine to load the version",
-            ));
-        }
-    }
-}
-
-fn loaded(state: &EngineState, manifest: &VersionManifest) -> bool {
-    state.version == Some(manifest.version)
-        && state.model.as_ref() == Some(&manifest.model)
-}
--- a/crates/loader/src/staging.rs
+++ b/crates/loader/src/staging.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use futures::future::try_join_all;
 use stairhinge::{Code, Digest, Error};
 use stairhinge_chunks::{ChunkLocation, VersionManifest, find_manifest};
 
@@ -14,6 +15,10 @@
 use crate::fetch_owner::FetchOwner;
 use crate::version_selection::ModelVersion;
 
+/// How many staged chunks are read back at once, so that the check of a large
+/// version is not outdated when it ends.
+const CONCURRENT_READS: usize = 4;
+
 /// Offers the chunks staged at the engine to peers.
 pub(crate) async fn share_staged(agent: &Arc<Agent>, wanted: &ModelVersion) {
     let owner = FetchOwner::new(Arc::clone(agent));
@@ -118,23 +123,52 @@
     agent: &Agent,
     manifest: &VersionManifest,
 ) -> Result<(), Error> {
-    let model = &manifest.model;
+    let mut checks = Vec::with_capacity(CONCURRENT_READS);
     for (i, digest) in manifest.digests.iter().enumerate() {
-        let index = i as u32;
-        let intact = agent
-            .engine
-            .read(model, index)
-            .await
-            .is_ok_and(|bytes| Digest::sha256(&bytes) == *digest);
-        if intact {
-            continue;
+        checks.push(verify_chunk(agent, &manifest.model, i as u32, digest));
+        if checks.len() == CONCURRENT_READS {
+            try_join_all(checks.drain(..)).await?;
         }
-        let Some(bytes) = agent.holdings.bytes(digest) else {
-            agent.holdings.remove_chunk(digest);
-            let why = format!("staged chunk {index} is missing or corrupt");
-            return Err(Error::new(Code::CorruptChunk, why));
-        };
-        agent.engine.write(model, index, bytes).await?;
     }
-    Ok(())
+    try_join_all(checks).await.map(|_| ())
+}
+
+async fn verify_chunk(
+    agent: &Agent,
+    model: &str,
+    index: u32,
+    digest: &Digest,
+) -> Result<(), Error> {
+    if is_intact(agent, model, index, digest).await {
+        return Ok(());
+    }
+    let Some(bytes) = agent.holdings.bytes(digest) else {
+        agent.holdings.remove_chunk(digest);
+        let why = format!("staged chunk {index} is missing or corrupt");
+        return Err(Error::new(Code::CorruptChunk, why));
+    };
+    agent.engine.write(model, index, bytes).await
+}
+
+/// Reads every staged chunk back, and returns whether all are intact.
+pub(crate) async fn staged_intact(
+    agent: &Agent,
+    manifest: &VersionManifest,
+) -> bool {
+    for (i, digest) in manifest.digests.iter().enumerate() {
+        if !is_intact(agent, &manifest.model, i as u32, digest).await {
+            return false;
+        }
+    }
+    true
+}
+
+async fn is_intact(
+    agent: &Agent,
+    model: &str,
+    index: u32,
+    digest: &Digest,
+) -> bool {
+    let read = agent.engine.read(model, index).await;
+    read.is_ok_and(|bytes| Digest::sha256(&bytes) == *digest)
 }
--- a/crates/loader/src/watch_engine.rs
+++ b/crates/loader/src/watch_engine.rs
@@ -108,7 +108,7 @@
     let Some(state) = state else { return EngineReport::default() };
     EngineReport {
         up: true,
-        loading: agent.is_paused() || state.busy,
+        loading: agent.is_paused() || state.busy || agent.is_doubtful(state),
         model: state.model.clone(),
         version: state.version,
         running: state.running,
--- a/crates/shell/src/decisions/decision.rs
+++ b/crates/shell/src/decisions/decision.rs
@@ -696,6 +696,9 @@
         layers: Option<(u32, u32)>,
         /// The position of this replica in the loading order.
         turn: usize,
+        /// When the order was sent, the time since the check of the staged
+        /// chunks began, in milliseconds; `None` if none was needed.
+        check_ms: Option<u64>,
         /// The engine's response.
         outcome: &'a str,
     },
