End the wait for a manifest that the origin refuses

All requests to models were refused for good, though all replicas were up (RECOVER): agents that started while the origin was away waited for the manifest of the version that their engines served, and looked at nothing else. Once two newer versions had been named, the origin answered 410 for it for ever.

`reconcile` awaited the sharing of staged chunks, which is only for peers, outside the `select!` that watches for a newer target, and `find_manifest` had no end but success.

Sharing is now a task that ends once the engine should serve, or serves, another version. The origin's 410 has a code of its own (4009): the search then asks each peer once and ends with that error. The agent ends the sharing then, and tries a wanted version again; a cache at an entry does so each 0.5 s while agents request the version. A 410 does not mark the origin as lost. 404 is not final, since another server may have the origin's previous address.

--- a/crates/chunks/src/cache.rs
+++ b/crates/chunks/src/cache.rs
@@ -50,6 +50,10 @@
 /// started together begin to fetch within one or two seconds of each other.
 const RETENTION: Duration = Duration::from_secs(12);
 
+/// How long a version that the origin does not provide any more is not
+/// searched for. Agents may still serve it, and ask while they want it.
+const GONE_RETRY_DELAY: Duration = Duration::from_millis(500);
+
 /// How often the cache checks whether versions are still requested.
 const REQUEST_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -296,8 +300,16 @@
         let may_be_held = self.may_be_partly_held(key);
         let owner = CacheOwner { cache: self, key, may_be_held };
         loop {
-            let manifest =
+            let found =
                 find_manifest(&self.context, &owner, model, version).await;
+            let manifest = match found {
+                Ok(manifest) => manifest,
+                Err(error) => {
+                    log_failure(&self.context.facts, "cache", &error);
+                    tokio::time::sleep(GONE_RETRY_DELAY).await;
+                    continue;
+                }
+            };
             let fetched = fetch(&self.context, &owner, &manifest).await;
             let Err(error) = fetched else { return };
             log_failure(&self.context.facts, "cache", &error);
--- a/crates/chunks/src/find_manifest.rs
+++ b/crates/chunks/src/find_manifest.rs
@@ -25,30 +25,42 @@
 const MAX_NEAR_ATTEMPTS: usize = 2;
 
 /// Returns the manifest of a version from the holdings, or else from a cache,
-/// a peer or the origin. Retries until one of them has it.
+/// a peer or the origin. Retries until one of them has it, also while the
+/// origin is unreachable, so callers drop the search once they do not want the
+/// version any more.
+///
+/// # Errors
+///
+/// [`Code::VersionGone`] if the origin does not provide the version any more,
+/// and no peer has the manifest.
 pub async fn find_manifest(
     context: &FetchContext,
     owner: &dyn ChunkOwner,
     model: &Arc<str>,
     version: u64,
-) -> Arc<VersionManifest> {
+) -> Result<Arc<VersionManifest>, Error> {
     let search = Search { context, owner, model, version };
     let started = Instant::now();
     let mut attempt = 0;
     loop {
         if let Some(manifest) = context.holdings.manifest(model, version) {
-            return manifest;
+            return Ok(manifest);
         }
-        match search.attempt(attempt, started.elapsed()).await {
-            Ok(manifest) => {
-                let manifest = Arc::new(manifest);
-                context.holdings.add_manifest(&manifest);
-                return manifest;
+        let found = match search.attempt(attempt, started.elapsed()).await {
+            Err(error) if error.code() == Code::VersionGone => {
+                search.ask_all_peers().await.ok_or(error)?
             }
-            Err(error) => log_failure(&context.facts, "manifest", &error),
-        }
-        attempt += 1;
-        tokio::time::sleep(RETRY_DELAY).await;
+            Err(error) => {
+                log_failure(&context.facts, "manifest", &error);
+                attempt += 1;
+                tokio::time::sleep(RETRY_DELAY).await;
+                continue;
+            }
+            Ok(manifest) => manifest,
+        };
+        let manifest = Arc::new(found);
+        context.holdings.add_manifest(&manifest);
+        return Ok(manifest);
     }
 }
 
@@ -114,7 +126,30 @@
         let addr = self.context.origin_addr()?;
         let origin = &self.context.origin;
         let response = origin.manifest(addr, self.model, self.version).await;
-        response.inspect_err(|_| self.owner.record_origin_failure())
+        response.inspect_err(|error| {
+            // An origin that refuses a version is not lost.
+            if error.code() != Code::VersionGone {
+                self.owner.record_origin_failure();
+            }
+        })
+    }
+
+    /// Asks each peer once. Returns `None` if no peer has the manifest.
+    async fn ask_all_peers(&self) -> Option<VersionManifest> {
+        let (ranked, own_rank) = self.ranked();
+        for (rank, addr) in ranked.into_iter().enumerate() {
+            if rank == own_rank {
+                continue;
+            }
+            let answer = self.ask_peer(addr, SHORT_HOLD).await;
+            match answer.and_then(|found| self.check(found)) {
+                Ok(manifest) => return Some(manifest),
+                Err(error) => {
+                    log_failure(&self.context.facts, "manifest", &error);
+                }
+            }
+        }
+        None
     }
 
     async fn ask_peer(
--- a/crates/chunks/src/manifest.rs
+++ b/crates/chunks/src/manifest.rs
@@ -33,6 +33,13 @@
 /// A client of the origin, which provides all versions of the weights.
 pub trait WeightOrigin: Send + Sync {
     /// Requests the manifest of a version from the origin at `addr`.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::VersionGone`] if the origin does not provide the version any
+    /// more, or any other code if it may do so later.
+    ///
+    /// [`Code::VersionGone`]: stairhinge::Code::VersionGone
     fn manifest<'a>(
         &'a self,
         addr: SocketAddr,
--- a/crates/loader/src/reconcile.rs
+++ b/crates/loader/src/reconcile.rs
@@ -16,7 +16,7 @@
 use crate::first_report::first_report;
 use crate::load::{load, log_order, one_layer};
 use crate::peer_list::{list_peers, peers};
-use crate::staging::{reuse_staged, share_staged};
+use crate::staging::{Sharing, reuse_staged};
 use crate::turn::Turn;
 use crate::version_selection::{ModelVersion, has_choice, select_version};
 
@@ -52,7 +52,7 @@
     await_targets(&agent).await;
     list_peers(&agent).await;
     tokio::spawn(learn_ages(Arc::clone(&agent)));
-    let mut shared: Option<ModelVersion> = None;
+    let mut sharing: Option<Sharing> = None;
     loop {
         let Some(newest) = target_version(&agent) else {
             list_peers(&agent).await;
@@ -73,9 +73,8 @@
         };
         let wanted = select_version(&agent, newest).await;
         if serves(&engine, &wanted) && !agent.is_doubtful(&engine) {
-            if shared.as_ref() != Some(&wanted) {
-                share_staged(&agent, &wanted).await;
-                shared = Some(wanted.clone());
+            if sharing.as_ref().is_none_or(|s| *s.version() != wanted) {
+                sharing = Some(Sharing::start(&agent, wanted));
             }
             tokio::select! {
                 _ = changes.changed() => {}
@@ -83,7 +82,7 @@
             }
             continue;
         }
-        shared = None;
+        sharing = None;
         let result = tokio::select! {
             result = switch_version(&agent, &wanted) => result,
             () = selection_changed(&agent, &wanted) => Ok(()),
@@ -214,7 +213,7 @@
     let fetch_context = &agent.fetch_context;
     let manifest =
         find_manifest(fetch_context, &owner, &wanted.model, wanted.version)
-            .await;
+            .await?;
     evict_versions(agent, &wanted.model);
     reuse_staged(agent, &manifest).await;
     let turn = Turn::for_manifest(agent, &manifest);
--- a/crates/loader/src/staging.rs
+++ b/crates/loader/src/staging.rs
@@ -9,7 +9,10 @@
 use bytes::Bytes;
 use futures::future::try_join_all;
 use stairhinge::{Code, Digest, Error};
-use stairhinge_chunks::{ChunkLocation, VersionManifest, find_manifest};
+use stairhinge_chunks::{
+    ChunkLocation, VersionManifest, find_manifest, log_failure,
+};
+use tokio::task::JoinHandle;
 
 use crate::agent::Agent;
 use crate::fetch_owner::FetchOwner;
@@ -19,16 +22,48 @@
 /// version is not outdated when it ends.
 const CONCURRENT_READS: usize = 4;
 
-/// Offers the chunks staged at the engine to peers.
-pub(crate) async fn share_staged(agent: &Arc<Agent>, wanted: &ModelVersion) {
+/// A task that offers the chunks staged at the engine to peers. It ends when
+/// this is dropped: the manifest may be unavailable for as long as the origin
+/// is.
+pub(crate) struct Sharing {
+    version: ModelVersion,
+    task: JoinHandle<()>,
+}
+
+impl Sharing {
+    /// Starts to offer the chunks of the version that the engine serves.
+    pub(crate) fn start(agent: &Arc<Agent>, version: ModelVersion) -> Sharing {
+        let (agent, shared) = (Arc::clone(agent), version.clone());
+        let task =
+            tokio::spawn(async move { share_staged(&agent, &shared).await });
+        Sharing { version, task }
+    }
+
+    /// Returns the version whose chunks are offered.
+    pub(crate) const fn version(&self) -> &ModelVersion {
+        &self.version
+    }
+}
+
+impl Drop for Sharing {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn share_staged(agent: &Arc<Agent>, wanted: &ModelVersion) {
     let owner = FetchOwner::new(Arc::clone(agent));
-    let manifest = find_manifest(
+    let found = find_manifest(
         &agent.fetch_context,
         &owner,
         &wanted.model,
         wanted.version,
     )
     .await;
+    let manifest = match found {
+        Ok(manifest) => manifest,
+        Err(error) => return log_failure(&agent.facts, "share", &error),
+    };
     let Ok(staged) = agent.engine.staged(&wanted.model).await else {
         return;
     };
--- a/src/code.rs
+++ b/src/code.rs
@@ -237,6 +237,9 @@
     PoorLink = 4008, 503, None,
         "The instance's link is too slow or too busy to relay chunks.",
         "None: they are fetched elsewhere; check what loads the link.";
+    VersionGone = 4009, 410, None,
+        "The origin does not provide this version any more.",
+        "None: a newer version is the target.";
     BadSettings = 5001, 400, None,
         "The process cannot start with its settings.",
         "Correct the settings that the preceding messages name.";
