Let stand-ins play successions, be silent to some, and stand still by arguments

The platform plays documents at given times (`play`, `--later AT:PATH`), has a second address at which it can be silent (`Door`, `--door`, `--silent FROM-TO`), and the engine's program stands still (`--still FROM-TO`).

--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -9,8 +9,8 @@
 use bytes::Bytes;
 use stairhinge_shell::on_signals;
 use stairhinge_standins::{
-    Engine, EngineSettings, Origin, Pack, Platform, Service, StandIn, start,
-    weights,
+    Door, Engine, EngineSettings, Later, Origin, Pack, Platform, Running,
+    Service, Span, StandIn, start, weights,
 };
 
 /// Stand-ins for what the platform brings; for trials and tests only.
@@ -42,6 +42,17 @@
     /// instance list (JSON) to publish at start
     #[argh(option)]
     instances: Option<PathBuf>,
+    /// declaration to publish later, as AT:PATH in milliseconds after the
+    /// start, in order; may be given more than once
+    #[argh(option)]
+    later: Vec<Later>,
+    /// second address, for processes that it can be silent to
+    #[argh(option)]
+    door: Option<SocketAddr>,
+    /// when it is silent at the second address, as FROM-TO in milliseconds
+    /// after the start; may be given more than once
+    #[argh(option)]
+    silent: Vec<Span>,
 }
 
 /// the origin of weights, with made-up weights of some seeds
@@ -81,6 +92,10 @@
     /// do not check fences
     #[argh(switch)]
     no_fences: bool,
+    /// when it stands still, as FROM-TO in milliseconds after the start; may
+    /// be given more than once
+    #[argh(option)]
+    still: Vec<Span>,
 }
 
 /// a plain service
@@ -98,8 +113,14 @@
 #[tokio::main]
 async fn main() -> eyre::Result<()> {
     let args: Args = argh::from_env();
+    let mut door = None;
     let (addr, handler) = match args.what {
-        What::Platform(args) => platform(&args)?,
+        What::Platform(args) => {
+            let platform = platform(&args)?;
+            door = open_door(&args, &platform).await?;
+            let handler: Arc<dyn StandIn> = platform;
+            (args.listen, handler)
+        }
         What::Origin(args) => match origin(&args)? {
             Some(origin) => (args.listen, origin),
             None => return Ok(()),
@@ -115,26 +136,55 @@
     let running = start(addr, handler).await?;
     shutdown.wait().await;
     drop(running);
+    drop(door);
     Ok(())
 }
 
 type Start = (SocketAddr, Arc<dyn StandIn>);
 
-fn platform(args: &PlatformArgs) -> eyre::Result<Start> {
+fn platform(args: &PlatformArgs) -> eyre::Result<Arc<Platform>> {
     use stairhinge::declaration::Fleet;
     use stairhinge::document::{Kind, Listing};
 
     let platform = Platform::new();
-    if let Some(path) = &args.config {
+    let declaration = |path: &PathBuf| {
         let text = std::fs::read_to_string(path)?;
         let fleet = Fleet::parse(&text).map_err(|f| eyre::eyre!("{f}"))?;
-        let bytes = Bytes::from(text);
-        platform.publish(Kind::Config, fleet.revision(), bytes);
+        eyre::Ok((fleet.revision(), Bytes::from(text)))
+    };
+    if let Some(path) = &args.config {
+        let (revision, bytes) = declaration(path)?;
+        platform.publish(Kind::Config, revision, bytes);
+    }
+    let mut series = Vec::new();
+    for later in &args.later {
+        let (revision, bytes) = declaration(&later.path)?;
+        series.push((later.at, revision, bytes));
     }
+    let playing = Arc::clone(&platform);
+    tokio::spawn(async move { playing.play(Kind::Config, series).await });
     if let Some(path) = &args.instances {
         platform.list(&Listing::parse(&std::fs::read(path)?)?);
     }
-    Ok((args.listen, platform))
+    Ok(platform)
+}
+
+async fn open_door(
+    args: &PlatformArgs,
+    platform: &Arc<Platform>,
+) -> eyre::Result<Option<Running>> {
+    let Some(addr) = args.door else { return Ok(None) };
+    let door = Door::new(Arc::clone(platform));
+    shut(&*door, &args.silent);
+    Ok(Some(start(addr, door).await?))
+}
+
+/// Has a stand-in be silent in some spans after the start.
+fn shut(handler: &dyn StandIn, spans: &[Span]) {
+    let Some(gate) = handler.gate() else { return };
+    for span in spans {
+        tokio::spawn(span.shut(Arc::clone(&gate)));
+    }
 }
 
 fn origin(args: &OriginArgs) -> eyre::Result<Option<Arc<dyn StandIn>>> {
@@ -159,5 +209,7 @@
         fences: !args.no_fences,
         ..EngineSettings::default()
     };
-    (args.listen, Engine::new(settings))
+    let engine = Engine::new(settings);
+    shut(&*engine, &args.still);
+    (args.listen, engine)
 }
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -83,6 +83,16 @@
         self.changed.send_modify(|n| *n += 1);
     }
 
+    /// Publishes documents of a kind one after another, each so long after
+    /// now, with their revisions.
+    pub async fn play(&self, kind: Kind, series: Vec<(Duration, u64, Bytes)>) {
+        let start = tokio::time::Instant::now();
+        for (at, revision, bytes) in series {
+            tokio::time::sleep_until(start + at).await;
+            self.publish(kind, revision, bytes);
+        }
+    }
+
     /// Publishes an instance list.
     pub fn list(&self, listing: &Listing) {
         let bytes = serde_json::to_vec(listing).unwrap_or_default();
