Check when versions become outdated by a specification of its own

A process that reads the newest version only presumes when it was set. If that time is corrected by what another tells of the newest version alone, versions in between are lost, and requests start on what they outdated.

`targets` explores two processes that start, are cut off, and tell one another single versions late and in any order.

--- a/crates/model/src/main.rs
+++ b/crates/model/src/main.rs
@@ -3,7 +3,7 @@
 use argh::FromArgs;
 use stairhinge::direct::Repeat;
 use stairhinge_model::{
-    Outcome, config, explore, gate, once, quarantine, send_once,
+    Outcome, config, explore, gate, once, quarantine, send_once, targets,
 };
 
 /// Explores the core protocol exhaustively within bounds, then each mutant
@@ -78,6 +78,14 @@
             rule => violates(&format!("{rule:?}"), &outcome),
         };
     }
+    let bounds =
+        targets::Bounds { ticks: 4, versions: 3, disruptions: 2, messages: 1 };
+    println!("target versions, {bounds:?}");
+    let spec = |without| targets::Targets { without, bounds };
+    passed &= holds(&explore(&spec(targets::Without::Nothing)));
+    for rule in targets::Without::RULES {
+        passed &= violates(&format!("{rule:?}"), &explore(&spec(rule)));
+    }
     if !passed {
         std::process::exit(1);
     }
--- a/crates/model/tests/model.rs
+++ b/crates/model/tests/model.rs
@@ -2,7 +2,7 @@
 
 use stairhinge::direct::Repeat;
 use stairhinge_model::{
-    Outcome, config, explore, gate, once, quarantine, send_once,
+    Outcome, config, explore, gate, once, quarantine, send_once, targets,
 };
 
 const ONCE: once::Bounds = once::Bounds { ticks: 3, attempts: 1, restarts: 1 };
@@ -12,6 +12,9 @@
 
 const GATE: gate::Bounds = gate::Bounds { requests: 1, orders: 3 };
 
+const TARGETS: targets::Bounds =
+    targets::Bounds { ticks: 5, versions: 3, disruptions: 1, messages: 1 };
+
 fn holds(what: &str, outcome: &Outcome, min_states: usize) {
     println!("{what}: {} states", outcome.states);
     assert_eq!(outcome.counterexample, None, "{what}");
@@ -138,3 +141,21 @@
         }
     }
 }
+
+#[test]
+fn target_versions_hold_and_each_rule_is_needed() {
+    let run =
+        |without| explore(&targets::Targets { without, bounds: TARGETS });
+    holds("target versions", &run(targets::Without::Nothing), 10_000);
+    let late = "a request starts on an outdated version";
+    let unknown = "told when, and not known";
+    let table = [
+        (targets::Without::Gap, late),
+        (targets::Without::Insert, unknown),
+        (targets::Without::Presume, late),
+    ];
+    assert_eq!(table.len(), targets::Without::RULES.len());
+    for (rule, property) in table {
+        violates(&format!("{rule:?}"), &run(rule), property);
+    }
+}
