Count a version as outdated since one that was never heard of

Cause: the store holds the newest version only. A process that starts, or is in touch again, after versions 2 and 3 were set reads 3 alone, and presumes a safe date. A process that was there then told it 2 and 3 with their ages: 2 was refused since 3 was known, and the presumed date of 3 was moved up to the true one. Version 1 then counted as outdated since 3. The same table tells agents when to unload a version, and chunk caches what to keep.

Callers saw requests begin on the oldest version for as long after its bound as the two versions were apart, less the margins.

Change: each version has, besides its date, the earliest time at which one before it can have been set unheard of. An older version is outdated since then unless the two are consecutive, or it is known that none lies between them. That is known from a watch, which returns all events since a revision, and is told on (`previous` of a target; absent from earlier builds: no claim). Older versions take their place when they are told, with or without an age. Of two dates of observers the earliest counts. Agents ask their peers, and tell entries, until no gap is open. A question to another entry has the newest version of each model in place of a count, which does not tell whether the asker lacks it; the count is still sent and read.

`target_linked` and `unheard_ms` of `target_taken` show gaps in logs.

`only_estimates_are_replaced` and the test of successions record the same facts by `learn`, which replaces the two functions that they called.

--- a/crates/chunks/src/cache/retention_tests.rs
+++ b/crates/chunks/src/cache/retention_tests.rs
@@ -256,6 +256,25 @@
     assert_eq!(setup.origin.sent(2), sent);
 }
 
+/// Guards against a version that is kept for too long by a cache that never
+/// heard of the next one, but only of the one after it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_version_is_evicted_as_if_an_unheard_one_had_followed_it() {
+    let setup = Setup::new(1 << 20);
+    setup.target(1);
+    setup.request_until(1, |s| s.held(1) == CHUNKS).await;
+    setup.facts.note_routes_known(setup.facts.now());
+    let synced = tokio::time::Instant::now();
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    let told = r#"[{"model":"matcher","version":3,"age_ms":0}]"#;
+    setup.facts.learn_targets(&serde_json::from_str::<Vec<_>>(told).unwrap());
+    setup.request_until(3, |s| s.held(3) == CHUNKS).await;
+    assert_eq!(setup.held(1), CHUNKS, "it may still be served");
+    setup.request_until(3, |s| s.held(1) == 0).await;
+    let kept = synced.elapsed();
+    assert!(kept < BOUND + Duration::from_millis(500), "{kept:?}");
+}
+
 /// Guards against messages of the previous build that cannot be read, and
 /// against settings out of range.
 #[test]
--- a/crates/loader/src/feed.rs
+++ b/crates/loader/src/feed.rs
@@ -82,13 +82,15 @@
 struct SentLine {
     report: EngineReport,
     at: Instant,
-    /// The news; `targets` holds for each target version whether its age was
-    /// known.
+    /// The news; `targets` holds for each target version whether its age and
+    /// the version before it were known.
     news: Option<News>,
-    targets: Vec<(Arc<str>, u64, bool)>,
+    targets: Vec<KnownTarget>,
     others: KnownEntries,
 }
 
+type KnownTarget = (Arc<str>, u64, bool, bool);
+
 /// The other entries that are announced to an entry of the agent's hall.
 #[derive(Clone, Default, PartialEq)]
 struct KnownEntries {
@@ -183,9 +185,12 @@
     }
 }
 
-fn targets(facts: &Facts) -> Vec<(Arc<str>, u64, bool)> {
+fn targets(facts: &Facts) -> Vec<KnownTarget> {
     let ages = facts.target_ages().into_iter();
-    ages.map(|t| (t.model, t.version, t.age_ms.is_some())).collect()
+    ages.map(|t| {
+        (t.model, t.version, t.age_ms.is_some(), t.previous.is_some())
+    })
+    .collect()
 }
 
 /// Waits for a change that should be sent. Returns `None` if no more reports
--- a/crates/loader/src/hall_entries.rs
+++ b/crates/loader/src/hall_entries.rs
@@ -150,6 +150,7 @@
             after: (known > 0).then_some(known),
             revision: self.facts.revision(),
             targets: 0,
+            newest: None,
             evacuated: Vec::new(),
             wait_ms: 0,
             most_age_ms: MAX_LIST_AGE.as_millis() as u64,
--- a/crates/loader/src/reconcile.rs
+++ b/crates/loader/src/reconcile.rs
@@ -107,14 +107,15 @@
 }
 
 /// Asks peers for the ages of versions that were targeted while this process
-/// was out of touch or not running. Until a peer answers, such versions are
-/// presumed to be as old as they can be.
+/// was out of touch or not running, and for versions that it never heard of.
+/// Until a peer answers, such versions are presumed to be as old as they can
+/// be.
 async fn learn_ages(agent: Arc<Agent>) {
     let mut changes = agent.facts.changes();
     let mut asked = Vec::new();
     loop {
         let known = targets(&agent);
-        if known != asked && agent.facts.view().targets.has_estimates() {
+        if known != asked && agent.facts.view().targets.is_uncertain() {
             ask_ages(&agent).await;
             asked = known;
         }
@@ -132,7 +133,7 @@
     known
 }
 
-/// Asks peers until the ages of all target versions are known.
+/// Asks peers until all target versions and their ages are known.
 async fn ask_ages(agent: &Agent) {
     for _ in 0..MAX_AGE_QUERIES {
         for (_, addr) in peers(agent) {
@@ -141,7 +142,7 @@
             };
             let news = report.news.unwrap_or_default();
             agent.facts.learn_targets(&news.targets);
-            if !agent.facts.view().targets.has_estimates() {
+            if !agent.facts.view().targets.is_uncertain() {
                 return;
             }
         }
--- a/crates/shell/src/decisions/decision.rs
+++ b/crates/shell/src/decisions/decision.rs
@@ -118,6 +118,20 @@
         presumed: bool,
         /// The newest version known before, if any.
         previous: Option<u64>,
+        /// The maximum time since any older version was set that this process
+        /// has not heard of, in milliseconds; absent if there is none.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        unheard_ms: Option<u64>,
+    },
+    /// A process that has read all target versions told which one came before
+    /// another, so that none is missing between the two.
+    TargetLinked {
+        /// The model.
+        model: &'a str,
+        /// The version.
+        version: u64,
+        /// The version before it, 0 if it is the first.
+        previous: Option<u64>,
     },
     /// A process that was waiting when a target version was set told its age,
     /// which had been presumed.
--- a/crates/shell/src/directory/facts/targets.rs
+++ b/crates/shell/src/directory/facts/targets.rs
@@ -1,10 +1,11 @@
 //! A process's view of the target versions of models.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use stairhinge::direct::VersionTarget;
+use stairhinge::direct::{HeardVersion, Learned, VersionTarget};
 
 use super::Facts;
 use crate::decisions::Decision;
@@ -20,6 +21,10 @@
     /// The time since it was set, in milliseconds, if the sender was waiting
     /// for it then, or was told by a process that was.
     pub age_ms: Option<u64>,
+    /// A version with none between it and this one, 0 if this is the first,
+    /// if the sender knows.
+    #[serde(default)]
+    pub previous: Option<u64>,
 }
 
 impl Facts {
@@ -27,91 +32,119 @@
     pub fn target_ages(&self) -> Vec<TargetAge> {
         let now = self.now();
         let mut ages = Vec::new();
-        for (model, version, since) in self.view().targets.all() {
-            let age = since.map(|s| now.since(s).as_millis() as u64);
-            let model = Arc::clone(model);
-            ages.push(TargetAge { model, version, age_ms: age });
+        for (model, version, heard) in self.view().targets.all() {
+            let since = (!heard.estimated).then_some(heard.since);
+            ages.push(TargetAge {
+                model: Arc::clone(model),
+                version,
+                age_ms: since.map(|s| now.since(s).as_millis() as u64),
+                previous: heard.previous,
+            });
         }
         ages
     }
 
+    /// Returns the newest target version of each model.
+    pub fn newest_targets(&self) -> BTreeMap<Arc<str>, u64> {
+        let view = self.view();
+        let newest = view.targets.newest();
+        newest.map(|(m, version)| (Arc::clone(m), version)).collect()
+    }
+
     /// Applies target versions that another process knows.
     pub fn learn_targets(&self, told: &[TargetAge]) {
-        for told in told.iter() {
-            let known = self.view().targets.version(&told.model);
-            if known.is_some_and(|version| version >= told.version) {
-                continue;
-            }
-            let age = told.age_ms.map(Duration::from_millis);
+        for told in told {
             let target = VersionTarget {
                 model: Arc::clone(&told.model),
                 version: told.version,
             };
-            let published = match age {
-                Some(age) => Published::at(self.ago(age)),
-                None => Published::after(self.last_synced()),
-            };
-            self.learn_target(&target, "peer", published);
-        }
-        if self.view().targets.has_estimates() {
-            self.refine_ages(told);
+            let age = told.age_ms.map(Duration::from_millis);
+            let observed = age.map(|age| self.ago(age));
+            let published =
+                Published { observed, ..Published::after(self.last_synced()) };
+            self.take_target(&target, "peer", published, told.previous);
         }
     }
 
-    /// Replaces estimated ages of target versions by those of a process that
-    /// was waiting for them when they were set.
-    fn refine_ages(&self, ages: &[TargetAge]) {
-        for told in ages {
-            let Some(ms) = told.age_ms else { continue };
-            let since = self.ago(Duration::from_millis(ms));
-            let target = VersionTarget {
-                model: Arc::clone(&told.model),
-                version: told.version,
-            };
-            let mut dated = false;
-            self.change(|view| {
-                dated = view.targets.replace_estimate(&target, since);
-                dated
-            });
-            if dated {
-                self.log.write(&Decision::TargetDated {
-                    model: &target.model,
-                    version: target.version,
-                    age_ms: ms,
-                });
-            }
-        }
+    pub(super) fn learn_target(
+        &self,
+        target: &VersionTarget,
+        source: &'static str,
+        published: Published,
+    ) {
+        let previous = published.gapless.then(|| {
+            self.view().targets.before(&target.model, target.version)
+        });
+        self.take_target(target, source, published, previous);
     }
 
-    pub(super) fn learn_target(
+    /// Applies a target version with none between it and `previous`.
+    fn take_target(
         &self,
         target: &VersionTarget,
         source: &'static str,
         published: Published,
+        previous: Option<u64>,
     ) {
-        let earliest = published.earliest;
-        let since = published.observed.or(earliest);
-        let since = since.unwrap_or_else(|| self.ago(self.presumed_age));
-        let presumed = published.observed.is_none();
-        let mut taken = false;
-        let mut previous = None;
+        let presumed = || self.ago(self.presumed_age);
+        let unheard = published.earliest.unwrap_or_else(presumed);
+        let told = HeardVersion {
+            since: published.observed.unwrap_or(unheard),
+            estimated: published.observed.is_none(),
+            previous,
+            unheard,
+        };
+        // A change copies the whole view.
+        if !self.view().targets.lacks(target, &told) {
+            return;
+        }
+        let mut learned = Learned::default();
+        let mut newest = None;
         self.change(|view| {
-            previous = view.targets.version(&target.model);
-            taken = if presumed {
-                view.targets.record_estimate(target, since)
-            } else {
-                view.targets.record(target, since)
-            };
-            taken
+            newest = view.targets.version(&target.model);
+            learned = view.targets.learn(target, &told);
+            learned.is_any()
         });
-        if taken {
+        self.log_target(target, source, learned, newest);
+    }
+
+    /// Logs what was learned about a target version while `newest` was the
+    /// newest known one.
+    fn log_target(
+        &self,
+        target: &VersionTarget,
+        source: &'static str,
+        learned: Learned,
+        newest: Option<u64>,
+    ) {
+        let (model, version) = (&*target.model, target.version);
+        let view = self.view();
+        let Some(heard) = view.targets.heard(model, version) else { return };
+        let age_ms = |at| self.now().since(at).as_millis() as u64;
+        if learned.added {
+            let gap = view.targets.has_gap(model, version);
             self.log.write(&Decision::TargetTaken {
-                model: &target.model,
-                version: target.version,
+                model,
+                version,
                 source,
-                age_ms: self.now().since(since).as_millis() as u64,
-                presumed,
-                previous,
+                age_ms: age_ms(heard.since),
+                presumed: heard.estimated,
+                previous: newest,
+                unheard_ms: gap.then(|| age_ms(heard.unheard)),
+            });
+        }
+        if learned.dated {
+            self.log.write(&Decision::TargetDated {
+                model,
+                version,
+                age_ms: age_ms(heard.since),
+            });
+        }
+        if learned.linked {
+            self.log.write(&Decision::TargetLinked {
+                model,
+                version,
+                previous: heard.previous,
             });
         }
     }
--- a/crates/shell/src/directory/follow.rs
+++ b/crates/shell/src/directory/follow.rs
@@ -176,6 +176,7 @@
             after: self.at,
             revision: self.facts.revision(),
             targets: self.facts.target_ages().len(),
+            newest: Some(self.facts.newest_targets()),
             evacuated: self.evacuated(),
             wait_ms: sharing.wait().as_millis() as u64,
             most_age_ms: sharing.most_age().as_millis() as u64,
--- a/crates/shell/src/directory/follow/contact.rs
+++ b/crates/shell/src/directory/follow/contact.rs
@@ -110,7 +110,8 @@
             let unknown = times.answered.since(*at);
             unknown <= (RESPONSE_TIME + self.lag) * 2
         });
-        Published { earliest, observed: observed.or(recent) }
+        let observed = observed.or(recent);
+        Published { earliest, observed, gapless: true }
     }
 
     /// Returns when the platform sent the answer to a watch, if it was waiting
--- a/crates/shell/src/directory/follow/read.rs
+++ b/crates/shell/src/directory/follow/read.rs
@@ -136,7 +136,7 @@
         let took = self.facts.now().since(called);
         let source = Source::platform("watch", took, 0);
         for change in changes {
-            let published = Published::after(self.synced);
+            let published = Published::after(self.synced).watched();
             self.facts.apply(change, source, true, published);
         }
         let routes = Collection::Routes;
--- a/crates/shell/src/directory/share.rs
+++ b/crates/shell/src/directory/share.rs
@@ -6,6 +6,7 @@
 //! states how old its data may be, so that the asker can tell a reader that
 //! has lost the platform from a platform without changes.
 
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -27,6 +28,9 @@
 /// How long after a question a process counts as a reader for others.
 const READER_WINDOW: Duration = Duration::from_secs(2);
 
+/// The newest target version of each model.
+type Newest = BTreeMap<Arc<str>, u64>;
+
 /// How far a collection is in sync with the platform.
 #[derive(Clone, Copy, Debug, Default)]
 struct SyncStatus {
@@ -147,10 +151,11 @@
         let mut synced_count = self.synced_count.subscribe();
         let mut changes = self.facts.changes();
         let fresh_at_first = self.age(collection) <= most_age;
+        let known = self.known_targets(question);
         loop {
             let left = most_age.checked_sub(self.age(collection));
             let answers = match left {
-                Some(_) => self.has_changes(question),
+                Some(_) => self.has_changes(question, &known),
                 // This process has just lost the platform, which the asker
                 // should learn at once. Newer routes from other processes are
                 // worth an answer even so.
@@ -180,11 +185,33 @@
             && self.facts.revision() > question.revision
     }
 
-    fn has_changes(&self, question: &SharedQuestion) -> bool {
+    /// Returns the newest target version of each model that an asker knows.
+    ///
+    /// A number of versions does not tell whether the asker lacks the newest
+    /// one, or one that it does not take because it knows a newer one. So
+    /// an asker that tells only their number is answered at once only when a
+    /// new version arrives, or if it knows none.
+    fn known_targets(&self, asked: &SharedQuestion) -> Newest {
+        match &asked.newest {
+            Some(newest) => newest.clone(),
+            None if asked.targets == 0 => Newest::new(),
+            None => self.facts.newest_targets(),
+        }
+    }
+
+    /// Returns whether a target version is newer than those `known`.
+    fn has_newer_target(&self, known: &Newest) -> bool {
+        let view = self.facts.view();
+        let newer = |(model, version): (&Arc<str>, u64)| {
+            known.get(model).is_none_or(|known| *known < version)
+        };
+        view.targets.newest().any(newer)
+    }
+
+    fn has_changes(&self, question: &SharedQuestion, known: &Newest) -> bool {
         if question.collection != Collection::Replicas {
-            let named = self.facts.target_ages().len();
             let newer = self.has_newer_routes(question);
-            let named = named > question.targets;
+            let named = self.has_newer_target(known);
             if question.collection == Collection::Targets {
                 return named;
             }
--- a/crates/shell/src/directory/shared_messages.rs
+++ b/crates/shell/src/directory/shared_messages.rs
@@ -1,5 +1,6 @@
 //! Messages between processes that share reads of the platform.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,8 +23,13 @@
     pub after: Option<u64>,
     /// The revision of the routes that the asker knows.
     pub revision: u64,
-    /// The number of target versions that the asker knows.
+    /// The number of target versions that the asker knows, for processes that
+    /// don't read `newest`.
     pub targets: usize,
+    /// The newest target version of each model that the asker knows, absent
+    /// if only their number is told.
+    #[serde(default)]
+    pub newest: Option<BTreeMap<Arc<str>, u64>>,
     /// The data halls that the asker knows to be evacuated.
     #[serde(default)]
     pub evacuated: Vec<Arc<str>>,
--- a/crates/shell/tests/share.rs
+++ b/crates/shell/tests/share.rs
@@ -4,8 +4,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use serde_json::json;
 use stairhinge::Code;
-use stairhinge::direct::{RouteTable, RouteTableParts};
+use stairhinge::direct::{RouteTable, RouteTableParts, VersionTarget};
 use stairhinge_shell::decisions::DecisionLog;
 use stairhinge_shell::directory::{
     Collection, Facts, Published, Record, Share, SharedQuestion, SharedRoutes,
@@ -38,6 +39,7 @@
         after: None,
         revision,
         targets: 0,
+        newest: None,
         wait_ms: 100,
         most_age_ms: 1_000,
         evacuated: Vec::new(),
@@ -136,6 +138,77 @@
     assert!(old.replicas.is_none() && old.age_ms > 20);
 }
 
+/// Returns a question of a process that knows these versions of a model.
+fn asks_with(newest: Option<u64>, targets: usize) -> SharedQuestion {
+    let mut asks = serde_json::to_value(question(0)).unwrap();
+    asks["targets"] = json!(targets);
+    asks["newest"] = json!(newest.map(|n| json!({"m": n})));
+    asks["wait_ms"] = json!(300);
+    serde_json::from_value(asks).unwrap()
+}
+
+fn name(facts: &Facts, version: u64) {
+    let target = VersionTarget { model: Arc::from("m"), version };
+    let published = Published::at(facts.now());
+    facts.learn(Record::Target(target), Source::new("test"), published);
+}
+
+async fn answered_after(share: &Share, asks: &SharedQuestion) -> Duration {
+    let asked = Instant::now();
+    let answer = share.answer(asks).await.unwrap();
+    assert!(!answer.targets.is_empty());
+    asked.elapsed()
+}
+
+/// Guards against a process that is told late of the newest version because
+/// it knows as many as the one that it asks.
+#[tokio::test]
+async fn a_newer_version_is_told_at_once_however_many_are_known() {
+    let share = share();
+    share.reach(Collection::Declarations, 1, share.facts().now());
+    name(share.facts(), 3);
+    let at_once = answered_after(&share, &asks_with(Some(2), 2)).await;
+    assert!(at_once < Duration::from_millis(200), "{at_once:?}");
+}
+
+/// Guards against questions and answers without a pause between a process
+/// and one that knows fewer versions, or an older one.
+#[tokio::test]
+async fn a_process_that_knows_the_newest_version_waits_for_the_next() {
+    let share = share();
+    share.reach(Collection::Declarations, 1, share.facts().now());
+    for version in [2, 3] {
+        name(share.facts(), version);
+    }
+    for asks in [asks_with(Some(3), 1), asks_with(Some(4), 1)] {
+        let waited = answered_after(&share, &asks).await;
+        assert!(waited >= Duration::from_millis(300), "{waited:?}");
+    }
+}
+
+/// Guards against processes that understand no question of another build.
+#[tokio::test]
+async fn a_question_that_only_counts_versions_is_answered() {
+    let share = share();
+    share.reach(Collection::Declarations, 1, share.facts().now());
+    name(share.facts(), 2);
+    name(share.facts(), 3);
+    let at_once = answered_after(&share, &asks_with(None, 0)).await;
+    assert!(at_once < Duration::from_millis(200), "{at_once:?}");
+    // It may know 3 and take no older version.
+    let waited = answered_after(&share, &asks_with(None, 1)).await;
+    assert!(waited >= Duration::from_millis(300), "{waited:?}");
+    let mut asks = asks_with(None, 1);
+    asks.wait_ms = 2_000;
+    let answered = answered_after(&share, &asks);
+    let naming = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        name(share.facts(), 4);
+    };
+    let (took, ()) = tokio::join!(answered, naming);
+    assert!(took < Duration::from_millis(1_000), "{took:?}");
+}
+
 #[test]
 fn incomplete_or_oversized_compressed_input_is_rejected() {
     let packed = pack(&[7; 10_000]);
--- a/crates/shell/tests/target_ages.rs
+++ b/crates/shell/tests/target_ages.rs
@@ -14,12 +14,14 @@
 
 use bytes::Bytes;
 use futures::future::BoxFuture;
+use serde_json::json;
 use stairhinge::direct::VersionTarget;
 use stairhinge::{Code, Error};
 use stairhinge_shell::decisions::DecisionLog;
 use stairhinge_shell::directory::{
     Change, Collection, Directory, Facts, Freshness, HallAnswer, HallReader,
-    Listing, ReaderAnswer, Record, SharedQuestion, TargetAge, Watched,
+    Listing, Published, ReaderAnswer, Record, SharedQuestion, Source,
+    TargetAge, Watched,
 };
 use support::{Nobody, fresh, parsed, share_reading, until};
 use tokio::sync::watch;
@@ -29,7 +31,8 @@
 /// How long a call takes whose answer is lost.
 const LOST_AFTER: Duration = Duration::from_millis(700);
 
-/// A platform that publishes target versions; revision and version are equal.
+/// A platform that publishes target versions. Each revision sets the version
+/// of the same number.
 struct Versions {
     newest: watch::Sender<u64>,
     set_at: Mutex<Option<Instant>>,
@@ -40,6 +43,8 @@
     /// Whether it no longer has its history, until it is listed.
     forgets: AtomicBool,
     waiting: AtomicU64,
+    /// The newest revision that sets no version.
+    skipped: AtomicU64,
 }
 
 fn target(version: u64) -> Record {
@@ -56,6 +61,7 @@
             loses_answer: AtomicBool::new(false),
             forgets: AtomicBool::new(false),
             waiting: AtomicU64::new(0),
+            skipped: AtomicU64::new(0),
         })
     }
 
@@ -64,6 +70,12 @@
         self.newest.send_replace(version);
     }
 
+    /// Sets a version as the first one.
+    fn skip_to(&self, version: u64) {
+        self.skipped.store(version - 1, Ordering::Relaxed);
+        self.set(version);
+    }
+
     /// Returns how long ago the newest version was set.
     fn age(&self) -> Duration {
         self.set_at.lock().unwrap().unwrap().elapsed()
@@ -82,7 +94,9 @@
         self.waiting.fetch_sub(1, Ordering::Relaxed);
         let at = *self.newest.borrow();
         let set = |version| Change::Set(target(version));
-        Watched::Changes((after + 1..=at).map(set).collect(), at)
+        let skipped = self.skipped.load(Ordering::Relaxed);
+        let found = (after + 1..=at).filter(|version| *version > skipped);
+        Watched::Changes(found.map(set).collect(), at)
     }
 }
 
@@ -97,7 +111,7 @@
             self.forgets.store(false, Ordering::Relaxed);
             let at = *self.newest.borrow();
             let records = match collection {
-                Collection::Declarations => vec![Ok(target(at))],
+                Collection::Declarations if at > 0 => vec![Ok(target(at))],
                 _ => Vec::new(),
             };
             Ok(Listing { records, at })
@@ -184,6 +198,34 @@
     facts.now().since(since)
 }
 
+/// Returns what a process of an earlier build tells of a version.
+fn told(version: u64, age_ms: Option<u64>) -> TargetAge {
+    let told = json!({"model": MODEL, "version": version, "age_ms": age_ms});
+    serde_json::from_value(told).unwrap()
+}
+
+/// Returns what a process tells that knows the version before it.
+fn told_after(previous: u64, version: u64, age_ms: u64) -> TargetAge {
+    let told = json!({"model": MODEL, "version": version, "age_ms": age_ms,
+                      "previous": previous});
+    serde_json::from_value(told).unwrap()
+}
+
+/// Returns how long a version has been outdated according to a process.
+fn outdated_for(facts: &Facts, version: u64) -> Duration {
+    let since = facts.view().targets.outdated_since(MODEL, version).unwrap();
+    facts.now().since(since)
+}
+
+/// Fails unless a version has been outdated for so long according to a
+/// process, but for a few milliseconds.
+#[track_caller]
+fn assert_outdated_for(facts: &Facts, version: u64, real: Duration) {
+    let known = outdated_for(facts, version);
+    let known = known.as_millis().abs_diff(real.as_millis());
+    assert!(known < 100, "{:?}, {real:?}", outdated_for(facts, version));
+}
+
 /// Returns the age of a version that a process tells others.
 fn told_age(facts: &Facts, version: u64) -> Option<u64> {
     let ages = facts.target_ages();
@@ -292,8 +334,7 @@
     until_version(&facts, 2).await;
     assert_not_too_new(&facts, &platform);
     let age_ms = Some(platform.age().as_millis() as u64);
-    let told = TargetAge { model: MODEL.into(), version: 2, age_ms };
-    facts.learn_targets(&[told]);
+    facts.learn_targets(&[told(2, age_ms)]);
     let known = presumed_age(&facts);
     let real = platform.age();
     assert!(known <= real + Duration::from_millis(50), "{known:?}, {real:?}");
@@ -306,9 +347,99 @@
     let log = DecisionLog::new(DecisionLog::MOST_BYTES);
     let facts = Facts::new(log, Duration::from_secs(5));
     facts.note_routes_known(facts.now());
-    let told = TargetAge { model: MODEL.into(), version: 2, age_ms: None };
-    facts.learn_targets(&[told]);
+    facts.learn_targets(&[told(2, None)]);
     let age = presumed_age(&facts);
     assert!(age < Duration::from_millis(500), "{age:?}");
     assert_eq!(told_age(&facts, 2), None);
 }
+
+/// Guards against an old version that is used for too long: a process that
+/// starts after versions 2 and 3 were set reads 3 alone, and learns when 3 was
+/// set from one that was there.
+#[tokio::test]
+async fn a_version_set_before_the_start_is_not_forgotten_for_a_newer_one() {
+    let log = DecisionLog::new(DecisionLog::MOST_BYTES);
+    let facts = Facts::new(log, Duration::from_secs(5));
+    facts.learn(target(3), Source::new("list"), Published::default());
+    facts.note_routes_known(facts.now());
+    facts.learn_targets(&[told(3, Some(100))]);
+    assert_outdated_for(&facts, 2, Duration::from_millis(100));
+    assert_outdated_for(&facts, 1, Duration::from_secs(5));
+    let all = [told_after(1, 2, 2_000), told_after(2, 3, 100)];
+    facts.learn_targets(&all);
+    assert_outdated_for(&facts, 2, Duration::from_millis(100));
+    assert_outdated_for(&facts, 1, Duration::from_secs(2));
+}
+
+#[tokio::test]
+async fn a_version_told_after_a_newer_one_takes_its_place() {
+    let log = DecisionLog::new(DecisionLog::MOST_BYTES);
+    let facts = Facts::new(log, Duration::from_secs(5));
+    facts.learn(target(1), Source::new("list"), Published::default());
+    facts.note_routes_known(facts.now());
+    facts.learn_targets(&[told(3, Some(100)), told(2, Some(2_000))]);
+    assert_outdated_for(&facts, 2, Duration::from_millis(100));
+    assert_outdated_for(&facts, 1, Duration::from_secs(2));
+}
+
+/// Guards against an old version that is used for too long: a process that
+/// lost its history while versions 2 and 3 were set reads 3 alone.
+#[tokio::test]
+async fn a_version_that_a_list_skipped_is_not_forgotten_for_a_newer_one() {
+    let platform = Versions::start();
+    let (facts, _stopper) =
+        share_reading(Arc::clone(&platform) as _, Arc::new(Nobody));
+    until_version(&facts, 1).await;
+    tokio::time::sleep(Duration::from_millis(250)).await;
+    platform.loses_answer.store(true, Ordering::Relaxed);
+    platform.forgets.store(true, Ordering::Relaxed);
+    platform.set(2);
+    let second = Instant::now();
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    platform.set(3);
+    until_version(&facts, 3).await;
+    let age_ms = Some(platform.age().as_millis() as u64);
+    facts.learn_targets(&[told(3, age_ms)]);
+    assert_not_too_new(&facts, &platform);
+    let (known, real) = (outdated_for(&facts, 1), second.elapsed());
+    // The clock of a process counts whole milliseconds.
+    assert!(known + Duration::from_millis(2) >= real, "{known:?}, {real:?}");
+}
+
+#[tokio::test]
+async fn a_late_watch_that_returns_all_versions_tells_which_came_before() {
+    let platform = Versions::start();
+    let (facts, _stopper) =
+        share_reading(Arc::clone(&platform) as _, Arc::new(Nobody));
+    until_version(&facts, 1).await;
+    tokio::time::sleep(Duration::from_millis(250)).await;
+    platform.loses_answer.store(true, Ordering::Relaxed);
+    platform.set(2);
+    platform.set(9);
+    until_version(&facts, 9).await;
+    let before: Vec<_> = facts
+        .target_ages()
+        .iter()
+        .map(|told| serde_json::to_value(told).unwrap()["previous"].clone())
+        .collect();
+    assert_eq!(before.len(), 9);
+    assert_eq!(before[8], json!(8), "{before:?}");
+    facts.learn_targets(&[told(9, Some(10))]);
+    assert_outdated_for(&facts, 8, Duration::from_millis(10));
+}
+
+/// Guards against a process that never reads a version because the platform
+/// sets none before its first list.
+#[tokio::test]
+async fn the_first_version_after_an_empty_list_is_the_first_of_all() {
+    let platform = Versions::start();
+    platform.newest.send_replace(0);
+    let (facts, _stopper) =
+        share_reading(Arc::clone(&platform) as _, Arc::new(Nobody));
+    until("a list", || facts.knows_declarations()).await;
+    tokio::time::sleep(Duration::from_millis(250)).await;
+    platform.skip_to(7);
+    until_version(&facts, 7).await;
+    let told = serde_json::to_value(&facts.target_ages()[0]).unwrap();
+    assert_eq!(told["previous"], json!(0), "{told}");
+}
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -54,7 +54,9 @@
 pub use self::route_table::{
     Engine, Origin, RouteTable, RouteTableParts, Service, Workspace,
 };
-pub use self::version_target::{VersionTarget, VersionTargets};
+pub use self::version_target::{
+    HeardVersion, Learned, VersionTarget, VersionTargets,
+};
 
 #[cfg(test)]
 mod first_read_delay_tests;
@@ -68,3 +70,5 @@
 mod sharing_tests;
 #[cfg(test)]
 mod tests;
+#[cfg(test)]
+mod version_target_tests;
--- a/src/direct/tests.rs
+++ b/src/direct/tests.rs
@@ -5,9 +5,9 @@
 
 use super::balance::{Candidate, LatencyModel, Load, choose};
 use super::{
-    AttemptResult, EventSplitter, LayerRange, NextStep, Repeat, RetryShare,
-    RolloutTurn, RouteTable, RouteTableParts, VersionTarget, VersionTargets,
-    next_step,
+    AttemptResult, EventSplitter, HeardVersion, LayerRange, NextStep, Repeat,
+    RetryShare, RolloutTurn, RouteTable, RouteTableParts, VersionTarget,
+    VersionTargets, next_step,
 };
 use crate::{Code, Time};
 
@@ -19,6 +19,11 @@
     Time::from_millis(ms)
 }
 
+const fn heard(ms: u64, estimated: bool) -> HeardVersion {
+    let at = Time::from_millis(ms);
+    HeardVersion { since: at, estimated, previous: None, unheard: at }
+}
+
 #[test]
 fn target_version_never_decreases() {
     let mut targets = VersionTargets::default();
@@ -312,14 +317,12 @@
 fn only_estimates_are_replaced() {
     let mut targets = VersionTargets::default();
     targets.record(&target(2), at(9_000));
-    targets.record_estimate(&target(3), at(1_000));
+    targets.learn(&target(3), &heard(1_000, true));
     assert!(targets.has_estimates());
-    assert!(
-        !targets.replace_estimate(&target(2), at(9_500)),
-        "not an estimate"
-    );
-    assert!(targets.replace_estimate(&target(3), at(8_000)));
-    assert!(!targets.replace_estimate(&target(3), at(8_500)));
+    let late = targets.learn(&target(2), &heard(9_500, false));
+    assert!(!late.is_any(), "not an estimate");
+    assert!(targets.learn(&target(3), &heard(8_000, false)).dated);
+    assert!(!targets.learn(&target(3), &heard(8_500, false)).is_any());
     assert!(!targets.has_estimates());
     assert_eq!(targets.outdated_since("matcher", 2), Some(at(8_000)));
 }
@@ -363,7 +366,7 @@
     assert!(targets.is_succession("matcher", bound));
     assert!(!targets.is_succession("other", bound));
     let mut estimated = VersionTargets::default();
-    estimated.record_estimate(&target(1), at(17_000));
+    estimated.learn(&target(1), &heard(17_000, true));
     estimated.record(&target(2), at(18_000));
     assert!(!estimated.is_succession("matcher", bound));
 }
