Bound how long entries leave the reading of the platform to others

Callers had requests run with a dropped key for up to 9 s (bound 2 s) by an entry in touch, and requests begin on an outdated version: the first entries of its hall could not read the platform, and it waited for them.

Cause: entries behind the first three of a hall of five or more waited for a reader with old data in 19 of 20 rounds, whether or not any of the three could read, and two that did not answer were waited for before that. The sum of all delays was 1.04 of the bound even for an entry that then read at once.

Change: once its data is 0.7 of the bound old, an entry reads target versions and evacuations itself, beside its questions to others, and then the routes, in turns by rank, unless another entry has fresh data by then. Entries that do not answer no longer count as readers. An entry whose data is too old asks all leading entries of its hall whatever their rank. While the platform is away an entry that waits makes one small call per bound. Log lines reader_awaited and platform_read_alone.

--- a/crates/gateway/src/hall_reader.rs
+++ b/crates/gateway/src/hall_reader.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::StreamExt as _;
 use futures::future::BoxFuture;
+use futures::stream::FuturesUnordered;
 use rand::RngExt as _;
 use stairhinge::Error;
 use stairhinge::direct::{HallEntry, ReaderChoice};
@@ -25,11 +27,9 @@
 /// already waited there for up to an eighth of the propagation bound.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// An entry that would wait for another's data instead reads the platform with
-/// a probability of 1 in this number, since the platform may reject the
-/// readers of a hall and serve the other entries. A round of waiting takes
-/// about 0.7 s and an unanswered call 2.8 s, so of a hall's 40 entries eight
-/// are reading at any time.
+/// An entry that has no data yet and would wait for another's instead reads
+/// the platform with a probability of 1 in this number, since the platform may
+/// reject the readers of a hall and serve the other entries.
 const READ_ODDS: u32 = 20;
 
 /// The entries that one entry asks for published data, in order of rank.
@@ -39,6 +39,10 @@
     client: Client,
     choice: Mutex<ReaderChoice>,
     own: SocketAddr,
+    /// The entry that had fresh data when those to ask by rank had none.
+    source: Mutex<Option<SocketAddr>>,
+    /// The entry that this one waits for.
+    awaited: Mutex<Option<SocketAddr>>,
 }
 
 impl HallReaders {
@@ -55,6 +59,8 @@
             dispatcher,
             client: Client::new(),
             choice: Mutex::new(ReaderChoice::new(entry)),
+            source: Mutex::default(),
+            awaited: Mutex::default(),
         }
     }
 
@@ -105,6 +111,71 @@
         responsive.or_else(|| choice.choose(&entries, now))
     }
 
+    /// Asks the entry that had fresh data when the others had none.
+    async fn ask_source(
+        &self,
+        question: &SharedQuestion,
+    ) -> Option<ReaderAnswer> {
+        let source = *lock(&self.source);
+        let answer = self.query(source?, question).await;
+        if answer.is_none() {
+            *lock(&self.source) = None;
+        }
+        answer
+    }
+
+    /// Asks the first entry by rank until it has fresh data.
+    async fn ask_first(&self, question: &SharedQuestion) -> ReaderAnswer {
+        loop {
+            if let Some(entry) = self.entry_during_read()
+                && let Some(answer) = self.query(entry, question).await
+            {
+                return answer;
+            }
+            tokio::time::sleep(RETRY_DELAY).await;
+        }
+    }
+
+    /// Asks all known entries of the hall until one has fresh data, once the
+    /// data of this one is too old. One that is ranked behind this one, or
+    /// behind others with old data, may be the only one that can read.
+    async fn ask_others(&self, question: &SharedQuestion) -> ReaderAnswer {
+        let most_age = Duration::from_millis(question.most_age_ms);
+        loop {
+            let age = self.facts.routes_age().unwrap_or(most_age);
+            let fresh_for = most_age.saturating_sub(age);
+            if !fresh_for.is_zero() {
+                tokio::time::sleep(fresh_for).await;
+                continue;
+            }
+            let entries = self.entries();
+            let others = self.choice().responsive(&entries, self.facts.now());
+            let asked = others.into_iter().map(|e| self.query(e, question));
+            let mut answers: FuturesUnordered<_> = asked.collect();
+            while let Some(answer) = answers.next().await {
+                let Some(answer) = answer else { continue };
+                // Entries that follow each other would have no data between
+                // them, so only those behind in rank follow.
+                if answer.entry < self.own && self.readers_before() > 0 {
+                    *lock(&self.source) = Some(answer.entry);
+                }
+                return answer;
+            }
+            tokio::time::sleep(RETRY_DELAY).await;
+        }
+    }
+
+    /// Logs which entry this one begins to wait for.
+    fn record_awaited(&self, entry: Option<SocketAddr>) {
+        let before = std::mem::replace(&mut *lock(&self.awaited), entry);
+        let Some(entry) = entry.filter(|_| before != entry) else { return };
+        let age = self.facts.routes_age();
+        self.facts.log().write(&Decision::ReaderAwaited {
+            entry,
+            age_ms: age.map(|age| age.as_millis() as u64),
+        });
+    }
+
     fn record_failure(&self, entry: SocketAddr, failure: &FetchError) {
         let now = self.facts.now();
         let was_healthy = match failure {
@@ -134,14 +205,23 @@
     }
 
     fn choice(&self) -> MutexGuard<'_, ReaderChoice> {
-        self.choice.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.choice)
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 impl HallReader for HallReaders {
     fn ask(&self, question: SharedQuestion) -> BoxFuture<'_, HallAnswer> {
         Box::pin(async move {
-            if let Some(answer) = self.ask_by_rank(&question).await {
+            let mut answer = self.ask_by_rank(&question).await;
+            if answer.is_none() {
+                answer = self.ask_source(&question).await;
+            }
+            if let Some(answer) = answer {
+                self.record_awaited(None);
                 return HallAnswer::Answered(answer);
             }
             if question.collection == Collection::Replicas {
@@ -153,9 +233,11 @@
             let entries = self.entries();
             let awaited = self.choice().reader_to_await(&entries, leading);
             let Some(entry) = awaited else { return HallAnswer::ReadPlatform };
-            if rand::rng().random_ratio(1, READ_ODDS) {
+            let has_data = question.after.is_some();
+            if !has_data && rand::rng().random_ratio(1, READ_ODDS) {
                 return HallAnswer::ReadPlatform;
             }
+            self.record_awaited(Some(entry));
             match self.query(entry, &question).await {
                 Some(answer) => HallAnswer::Answered(answer),
                 None => HallAnswer::Pending,
@@ -168,13 +250,9 @@
         question: SharedQuestion,
     ) -> BoxFuture<'_, ReaderAnswer> {
         Box::pin(async move {
-            loop {
-                if let Some(entry) = self.entry_during_read()
-                    && let Some(answer) = self.query(entry, &question).await
-                {
-                    return answer;
-                }
-                tokio::time::sleep(RETRY_DELAY).await;
+            tokio::select! {
+                answer = self.ask_first(&question) => answer,
+                answer = self.ask_others(&question) => answer,
             }
         })
     }
@@ -188,6 +266,14 @@
         self.choice().leads(&self.entries())
     }
 
+    fn readers_before(&self) -> usize {
+        if self.dispatcher.leading_entries().len() < ReaderChoice::MAX_ASKED {
+            // In a small hall all entries may read.
+            return 0;
+        }
+        self.choice().readers_before(&self.entries())
+    }
+
     fn fetch_routes(
         &self,
         entry: SocketAddr,
--- a/crates/shell/src/decisions/decision.rs
+++ b/crates/shell/src/decisions/decision.rs
@@ -74,6 +74,24 @@
         /// How long it did not respond, in milliseconds.
         lost_ms: u64,
     },
+    /// An entry waits for another one that reads the platform for it, though
+    /// that one has only old data.
+    ReaderAwaited {
+        /// The address of the other entry.
+        entry: SocketAddr,
+        /// How long ago this entry knew all routes, in milliseconds, if ever.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        age_ms: Option<u64>,
+    },
+    /// The process reads the platform completely itself, since no process
+    /// that should read for it has fresh data.
+    PlatformReadAlone {
+        /// The collection.
+        collection: &'static str,
+        /// How long ago the process knew all of it, in milliseconds, if ever.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        age_ms: Option<u64>,
+    },
     /// A call to the platform has ended.
     PlatformCalled {
         /// The collection that was read.
--- a/crates/shell/src/directory/follow.rs
+++ b/crates/shell/src/directory/follow.rs
@@ -1,6 +1,7 @@
 //! Keeps a process up to date with the platform.
 
 mod contact;
+mod overdue;
 mod read;
 mod start;
 
@@ -11,6 +12,7 @@
 use stairhinge::{Code, Error, Time};
 
 use self::contact::Contact;
+use self::overdue::SmallRead;
 use super::{
     Change, Collection, Directory, Facts, HallAnswer, Published, ReaderAnswer,
     Record, Share, SharedAnswer, SharedQuestion, SharedRoutes, Sharing,
@@ -78,6 +80,10 @@
         retry_delay: FIRST_RETRY_DELAY,
         burst: false,
         rejoined: false,
+        alone: false,
+        small: None,
+        next_small: Instant::now(),
+        first_due: None,
         began: Instant::now(),
     };
     tokio::select! {
@@ -94,6 +100,9 @@
     Pending,
     /// No answer; this process has to read the platform itself.
     ReadPlatform,
+    /// No answer in time: the data of this process is so old that it may not
+    /// leave the reading to others any longer.
+    Overdue,
 }
 
 struct Follower {
@@ -113,12 +122,21 @@
     /// Whether the current state was read in full after an interruption, with
     /// no answer since from the platform or the data hall.
     rejoined: bool,
+    /// Whether the last answer came from the platform itself.
+    alone: bool,
+    /// The last small read since the last sync.
+    small: Option<SmallRead>,
+    /// The earliest time of the next small read.
+    next_small: Instant,
+    /// When the first read was due, unless it is still delayed.
+    first_due: Option<Instant>,
     began: Instant,
 }
 
 impl Follower {
     async fn run(&mut self) {
         self.delay_first_read().await;
+        self.first_due = Some(Instant::now());
         loop {
             let called = Instant::now();
             match self.ask_hall().await {
@@ -128,10 +146,19 @@
                     continue;
                 }
                 HallOutcome::Pending => {
-                    self.rest(called, PENDING_ASK_INTERVAL).await;
+                    let pace = PENDING_ASK_INTERVAL.min(self.reliance());
+                    self.rest(called, pace).await;
                     continue;
                 }
-                HallOutcome::ReadPlatform => {}
+                HallOutcome::Overdue if self.leaves_documents() => {
+                    match self.read_overdue().await {
+                        Ok(()) => self.record_success(),
+                        Err(error) => self.record_failure(&error),
+                    }
+                    self.rest(called, ASK_INTERVAL).await;
+                    continue;
+                }
+                HallOutcome::Overdue | HallOutcome::ReadPlatform => {}
             }
             match self.read().await {
                 Ok(()) => self.record_success(),
@@ -161,12 +188,15 @@
         let Some(sharing) = self.follow.sharing.clone() else {
             return self.read_platform().await;
         };
-        let called = self.facts.now();
-        let fresh = sharing.reader.ask_until_fresh(self.question(&sharing));
-        let answer = tokio::select! {
-            read = self.read_platform() => return read,
-            answer = fresh => answer,
+        let newer = self.ask_for_newer(&sharing);
+        let (answer, called) = tokio::select! {
+            read = self.read_platform() => {
+                self.alone = read.is_ok();
+                return read;
+            }
+            newer = newer => newer,
         };
+        self.alone = false;
         self.take(answer, called, &sharing).await
     }
 
@@ -194,15 +224,24 @@
         let Some(sharing) = self.follow.sharing.clone() else {
             return HallOutcome::ReadPlatform;
         };
+        if self.alone && self.leaves_documents() {
+            // The readers are asked again during the read.
+            return HallOutcome::ReadPlatform;
+        }
         let called = self.facts.now();
-        let question = self.question(&sharing);
-        let answer = match sharing.reader.ask(question).await {
+        let asked = sharing.reader.ask(self.question(&sharing));
+        let asked = tokio::time::timeout(self.reliance(), asked);
+        let Ok(answer) = asked.await else { return HallOutcome::Overdue };
+        let answer = match answer {
             HallAnswer::Answered(answer) => answer,
             HallAnswer::Pending => return HallOutcome::Pending,
             HallAnswer::ReadPlatform => return HallOutcome::ReadPlatform,
         };
         match self.take(answer, called, &sharing).await {
-            Ok(()) => HallOutcome::Updated,
+            Ok(()) => {
+                self.alone = false;
+                HallOutcome::Updated
+            }
             Err(error) => {
                 self.facts.refuse(&error);
                 HallOutcome::ReadPlatform
@@ -308,7 +347,8 @@
     /// Records that all changes up to revision `at` were known at `synced`.
     fn record_sync(&mut self, at: u64, synced: Time) {
         self.at = Some(at);
-        self.synced = Some(synced);
+        self.synced = self.synced.max(Some(synced));
+        self.small = None;
         self.rejoined = false;
         self.contact.record_sync(synced);
         if self.follow.collection != Collection::Replicas {
--- a/crates/shell/src/directory/follow/read.rs
+++ b/crates/shell/src/directory/follow/read.rs
@@ -219,7 +219,7 @@
     }
 
     /// Applies the evacuations of a list that contains all of them.
-    fn take_evacuations(&self, listing: &Listing) {
+    pub(super) fn take_evacuations(&self, listing: &Listing) {
         let now = self.facts.now();
         let since = self.synced.unwrap_or(Time::from_millis(0));
         let age_ms = now.since(since).as_millis() as u64;
--- a/crates/shell/src/directory/shared_messages.rs
+++ b/crates/shell/src/directory/shared_messages.rs
@@ -148,6 +148,12 @@
     /// Returns whether other processes ask this one.
     fn leads(&self) -> bool;
 
+    /// Returns the number of processes that read documents before this one, as
+    /// far as known.
+    fn readers_before(&self) -> usize {
+        0
+    }
+
     /// Fetches the document of an entry's current routes.
     ///
     /// # Errors
--- a/crates/shell/src/directory/sharing.rs
+++ b/crates/shell/src/directory/sharing.rs
@@ -65,4 +65,23 @@
     pub(super) fn pace(&self) -> Duration {
         self.bound / 8
     }
+
+    /// Returns the age of its data from which on a process no longer leaves
+    /// the reading to others. Others with older data than
+    /// [`most_age`](Sharing::most_age) don't count as readers, and the next
+    /// ones have a tenth of the bound to answer.
+    pub(super) fn overdue(&self) -> Duration {
+        self.bound * 7 / 10
+    }
+
+    /// Returns the timeout of a small read.
+    pub(super) fn small_read(&self) -> Duration {
+        self.bound / 2
+    }
+
+    /// Returns how much later than the one ranked before it a process reads
+    /// documents.
+    pub(super) fn documents_slot(&self) -> Duration {
+        self.bound / 20
+    }
 }
--- a/src/direct/reader_choice.rs
+++ b/src/direct/reader_choice.rs
@@ -194,8 +194,48 @@
     /// [`LEADERS`]: ReaderChoice::LEADERS
     pub fn leads(&self, entries: &[HallEntry]) -> bool {
         let near = hall_addrs(entries, &self.own.hall);
-        let before = near.iter().filter(|addr| **addr < self.own.addr);
-        !near.is_empty() && before.count() < ReaderChoice::LEADERS
+        !near.is_empty() && self.readers_before(entries) < Self::LEADERS
+    }
+
+    /// Returns the number of entries of its hall that should read the platform
+    /// before this one.
+    ///
+    /// Unresponsive entries don't count, unless this entry is not among the
+    /// first [`MAX_ASKED`]: as many entries as there are would otherwise
+    /// replace the first ones.
+    ///
+    /// [`MAX_ASKED`]: ReaderChoice::MAX_ASKED
+    pub fn readers_before(&self, entries: &[HallEntry]) -> usize {
+        let mut before = hall_addrs(entries, &self.own.hall);
+        before.retain(|addr| *addr < self.own.addr);
+        before.sort_unstable();
+        before.dedup();
+        if before.len() < Self::MAX_ASKED {
+            before.retain(|addr| !self.is_unresponsive(*addr));
+        }
+        before.len()
+    }
+
+    /// Returns the entries of its hall that this one may ask whatever their
+    /// rank: all but those excluded because they are unresponsive.
+    pub fn responsive(
+        &self,
+        entries: &[HallEntry],
+        now: Time,
+    ) -> Vec<SocketAddr> {
+        let mut near = hall_addrs(entries, &self.own.hall);
+        near.retain(|addr| {
+            let failure = self.failures.get(addr).filter(|f| !f.responsive);
+            let excluded = failure.is_some_and(|f| f.excluded_until > now);
+            *addr != self.own.addr && !excluded
+        });
+        near.sort_unstable();
+        near.dedup();
+        near
+    }
+
+    fn is_unresponsive(&self, entry: SocketAddr) -> bool {
+        self.failures.get(&entry).is_some_and(|failure| !failure.responsive)
     }
 
     /// Returns the entry to wait for instead of reading the platform: the
--- a/src/direct/sharing_tests.rs
+++ b/src/direct/sharing_tests.rs
@@ -273,3 +273,41 @@
     assert!(!choice.leads(&[far(1, "south")]));
     assert!(choice.leads(&[near(1), near(5)]));
 }
+
+/// Guards against entries that wait for ones that stand still: the first that
+/// can read did not read.
+#[test]
+fn unresponsive_entries_do_not_lead() {
+    let entries = [1, 2, 3, 4, 5].map(near);
+    let mut fourth = ReaderChoice::new(near(4));
+    assert_eq!(fourth.readers_before(&entries), 3);
+    fourth.record_stale(entry(1), at(0));
+    fourth.record_failure(entry(2), at(0));
+    fourth.record_failure(entry(3), at(0));
+    assert_eq!(fourth.readers_before(&entries), 1);
+    assert!(fourth.leads(&entries));
+    assert_eq!(fourth.reader_to_await(&entries, 5), None);
+    // The one that leads is asked whatever its rank.
+    let mut first = ReaderChoice::new(near(1));
+    first.record_failure(entry(2), at(0));
+    let others = [entry(3), entry(4), entry(5)];
+    assert_eq!(first.responsive(&entries, at(0)), others);
+    assert_eq!(first.responsive(&entries, at(2_000)).len(), 4);
+    // They lead again once they answer.
+    fourth.record_stale(entry(2), at(100));
+    fourth.record_success(entry(3), at(100));
+    assert!(!fourth.leads(&entries));
+}
+
+/// Guards against a hall in which all entries behind the first five replace
+/// the ones that are silent.
+#[test]
+fn entries_behind_the_leading_ones_do_not_lead() {
+    let entries = [1, 2, 3, 4, 5].map(near);
+    let mut behind = ReaderChoice::new(near(6));
+    for number in 1..=3 {
+        behind.record_failure(entry(number), at(0));
+    }
+    assert_eq!(behind.readers_before(&entries), 5);
+    assert!(!behind.leads(&entries));
+}
