Link the versions that a small read returns

A small read watches from a known revision and so misses no version, but told so of none: a version before them then stayed in doubt until another process linked them.

--- a/crates/shell/src/directory/follow/overdue.rs
+++ b/crates/shell/src/directory/follow/overdue.rs
@@ -149,7 +149,7 @@
         let source = Source::platform("watch", took, 0);
         let synced = self.small.map(|small| small.synced).max(self.synced);
         for change in changes {
-            let published = Published::after(synced);
+            let published = Published::after(synced).watched();
             self.facts.apply(change, source, true, published);
         }
         self.small = Some(SmallRead { at, synced: called });
