Leave documents to the first entries when the platform returns

After an outage some entries that wait for others read documents before the first three of their hall had them: a process whose small read was answered waited 0.1 to 0.5 of the bound, and the first three may need a quarter of it to find that the platform is back. It now waits 0.3 to 0.6.

--- a/crates/shell/src/directory/follow/overdue.rs
+++ b/crates/shell/src/directory/follow/overdue.rs
@@ -115,12 +115,14 @@
     /// Returns how long this process leaves the documents to others after a
     /// small read that was answered.
     ///
-    /// The delay is longer if the platform did not answer before: it may have
-    /// failed for all processes, which then recover at the same time.
+    /// If the platform did not answer before, it may have failed for all
+    /// processes, which then recover at the same time. The delay is then
+    /// longer than it takes the first ones to find that out, which probe the
+    /// platform four times in the bound.
     fn documents_delay(&self, sharing: &Sharing) -> Duration {
         let random: f64 = rand::rng().random();
         if self.lost_since.is_some() {
-            return sharing.bound.mul_f64(0.1 + 0.4 * random);
+            return sharing.bound.mul_f64(0.3 + 0.3 * random);
         }
         let slot = sharing.documents_slot();
         match self.readers_before() {
