Bound an agent's watch by the bound of a version and the contact time

An agent without an entry loaded a version 13.5 s after it was named (bound 11 s) if its connections to the platform fell silent: its watch lasted 10 s whatever the bound, and a silent one fails only after that.

The watch now lasts half of version_ms less contact_ms (2.5 s for 8 s and 3 s, 3 s for 10 s and 4 s). With its timeout and a new call the agent knows of the version before it has to order the engine to unload. Agents with an entry make no calls, as before; 350 without one would make 140 a second in place of 35, by calculation.

--- a/crates/loader/src/agent.rs
+++ b/crates/loader/src/agent.rs
@@ -39,13 +39,6 @@
 /// The maximum number of open connections to an agent.
 const MAX_CONNECTIONS: usize = 512;
 
-/// How long a watch of the target versions waits at the platform. It must be
-/// shorter than the 20 s of history that the platform keeps. Otherwise a
-/// target is found by a list, which only tells that it was set after the last
-/// answer, and replicas stop serving their version as if its time had
-/// expired.
-const TARGET_WATCH_TIMEOUT: Duration = Duration::from_millis(10_000);
-
 /// The maximum time to wait for the head of a request, and for its body.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -257,7 +250,7 @@
         Arc::clone(&facts),
         Follow {
             collection: Collection::Targets,
-            wait: TARGET_WATCH_TIMEOUT,
+            wait: settings.target_watch(),
             pace: Duration::from_millis(100),
             unlisted_grace: Duration::from_millis(4_000),
             burst_read_interval: Duration::ZERO,
@@ -267,7 +260,7 @@
                 share: Arc::new(Share::new(Arc::clone(&facts))),
                 reader: Arc::clone(&entries) as Arc<dyn HallReader>,
                 bound: settings.version_bound(),
-                watch: Some(TARGET_WATCH_TIMEOUT),
+                watch: Some(settings.target_watch()),
             }),
         },
         shutdown.clone(),
--- a/crates/loader/src/settings.rs
+++ b/crates/loader/src/settings.rs
@@ -115,4 +115,17 @@
     pub const fn presumed_age(&self) -> Duration {
         Duration::from_millis(self.version_ms.saturating_sub(self.contact_ms))
     }
+
+    /// Returns how long a watch of the target versions waits at the platform.
+    ///
+    /// A watch on a connection that has fallen silent fails only after that,
+    /// and the version must then be known before its bound. It must also be
+    /// shorter than the 20 s of history that the platform keeps. Otherwise a
+    /// version is found by a list, which only tells that it was set after the
+    /// last answer, and replicas stop serving the previous one too early.
+    pub(crate) fn target_watch(&self) -> Duration {
+        const MIN_WATCH: Duration = Duration::from_secs(1);
+        const MAX_WATCH: Duration = Duration::from_secs(10);
+        (self.presumed_age() / 2).clamp(MIN_WATCH, MAX_WATCH)
+    }
 }
