Log when requests that run once avoid a failing replica

`requests_that_run_once_avoid_a_failing_replica` failed in 2 of 25 runs: "no ejection is logged", though few requests failed and none reached the replica from 0.5 s on.

Where a service fails no other request, a failure counts 2.3. From a sum of 4 on, so after two failures, requests that must run at most once go to other replicas; an ejection takes a sum of 8, so four failures. Without retries four only fail if they are under way together.

The check was wrong. But nothing told why the replica got no requests, so the suspicion is now logged as `replica_avoided`.

--- a/crates/gateway/src/dispatch/health.rs
+++ b/crates/gateway/src/dispatch/health.rs
@@ -309,6 +309,13 @@
         match change {
             None => {}
             Some(HealthChange::Suspected) => {
+                let evidence = known.outcomes.evidence();
+                self.facts.log().write(&Decision::ReplicaAvoided {
+                    replica: &replica.incarnation,
+                    failures: evidence.failures,
+                    requests: evidence.requests,
+                    expected: evidence.expected,
+                });
                 let standing = ReportedStanding::Suspected;
                 self.report_health(state, replica, standing, now);
             }
--- a/crates/shell/src/decisions/decision.rs
+++ b/crates/shell/src/decisions/decision.rs
@@ -266,6 +266,18 @@
         /// Whether it failed its trials.
         trial: bool,
     },
+    /// Requests that must run at most once go to other replicas, since this one
+    /// fails more than they do.
+    ReplicaAvoided {
+        /// The incarnation of the replica.
+        replica: &'a str,
+        /// The requests that failed since it was suspected.
+        failures: u32,
+        /// All requests since it was suspected.
+        requests: u32,
+        /// The rate at which such requests fail at the other replicas.
+        expected: f64,
+    },
     /// An ejected replica gets a request as a trial.
     ReplicaTrial {
         /// The incarnation of the replica.
--- a/src/explanation/log_line.rs
+++ b/src/explanation/log_line.rs
@@ -92,6 +92,17 @@
         /// How long it is excluded, in milliseconds.
         for_ms: u64,
     },
+    /// Requests that must run at most once go to other replicas.
+    ReplicaAvoided {
+        /// The name of the replica.
+        replica: Arc<str>,
+        /// The requests that failed since it was suspected.
+        failures: u32,
+        /// All requests since it was suspected.
+        requests: u32,
+        /// The rate at which such requests fail at the other replicas.
+        expected: f64,
+    },
     /// A replica is excluded because it fails more requests than the others.
     ReplicaEjected {
         /// The replica's incarnation.
@@ -368,6 +379,7 @@
             | LoggedDecision::Resumed { replica, .. }
             | LoggedDecision::ReplicaListed { replica, .. }
             | LoggedDecision::ReplicaUnlisted { replica, .. }
+            | LoggedDecision::ReplicaAvoided { replica, .. }
             | LoggedDecision::ReplicaEjected { replica, .. }
             | LoggedDecision::ReplicaReadmitted { replica }
             | LoggedDecision::ReplicaExited { replica }
