Let no date of an older version postpone that of a newer one

A version counted as outdated since the first newer one alone. The date of that one may come by an answer that was under way for seconds, and is late by that, though a later version is known to have been set before. The earliest of all exact dates of newer versions counts now.

The test fails before (9,000 in place of 4,000) and passes.

--- a/src/direct/version_target.rs
+++ b/src/direct/version_target.rs
@@ -259,10 +259,15 @@
     /// which that can have been.
     pub fn outdated_since(&self, model: &str, version: u64) -> Option<Time> {
         let versions = self.versions.get(model)?;
-        let newer = versions.iter().find(|v| v.version > version)?;
-        let HeardVersion { since, unheard, .. } = newer.heard;
-        let gap = newer.has_gap(version);
-        Some(if gap { since.min(unheard) } else { since })
+        let newer = versions.iter().filter(|v| v.version > version);
+        let first = newer.clone().next()?;
+        let HeardVersion { since, unheard, .. } = first.heard;
+        let since =
+            if first.has_gap(version) { since.min(unheard) } else { since };
+        // The date of the first one may have been under way for longer than
+        // that of a later one.
+        let dated = newer.filter(|v| !v.heard.estimated);
+        dated.map(|v| v.heard.since).chain([since]).min()
     }
 }
 
--- a/src/direct/version_target_tests.rs
+++ b/src/direct/version_target_tests.rs
@@ -108,6 +108,14 @@
     assert_eq!(targets.outdated_since(MODEL, 1), Some(at(4_000)));
 }
 
+#[test]
+fn a_date_that_was_long_under_way_does_not_postpone_an_earlier_one() {
+    let mut targets = VersionTargets::default();
+    targets.learn(&target(3), &told(4_000, None, 2_000));
+    targets.learn(&target(2), &told(9_000, Some(1), 9_000));
+    assert_eq!(targets.outdated_since(MODEL, 1), Some(at(4_000)));
+}
+
 /// A process, as far as it hears of versions.
 #[derive(Clone, Default)]
 struct Process {
