Presume the age of a version at the start, not when it is found

A process that has not been in sync presumes that a version was set `version_ms - contact_ms` ago, since it has to be up to date `contact_ms` after its start. It counted from when it found the version, which may be seconds after the start if it waits for others to read the platform: an entry in touch then used the previous version for as much too long. It counts from the start now, or from the last time at which the platform did not answer.

Found by reading. The test needs the new function, so it was not run on the code before; it passes.

--- a/crates/shell/src/directory/facts.rs
+++ b/crates/shell/src/directory/facts.rs
@@ -82,6 +82,9 @@
     routes_known: AtomicU64,
     /// The number of full routes documents read from the platform.
     documents: AtomicU64,
+    /// When the platform last failed before the first sync, in milliseconds
+    /// of the process's clock; the start if it did not.
+    out_of_reach: AtomicU64,
 }
 
 /// The process's clock at its start. It isn't 0, so that times before the
@@ -91,13 +94,15 @@
 impl Facts {
     /// Creates an empty view.
     ///
-    /// A target version that was set before the process started is presumed
-    /// to be `presumed_age` old, unless the process has been in sync since.
+    /// A target version that was set before the process started, or while it
+    /// could not reach the platform after that, is presumed to have been
+    /// `presumed_age` old then, unless the process has been in sync since.
     pub fn new(log: DecisionLog, presumed_age: Duration) -> Facts {
         Facts {
             presumed_age,
             routes_known: AtomicU64::new(0),
             documents: AtomicU64::new(0),
+            out_of_reach: AtomicU64::new(START.as_millis()),
             view: ArcSwap::default(),
             writing: Mutex::new(()),
             changed: watch::Sender::new(0),
@@ -227,6 +232,22 @@
         self.documents.load(Ordering::Relaxed)
     }
 
+    /// Records that the platform has not answered. Until the first sync this
+    /// defers the time from which on the process has to be up to date.
+    pub fn note_out_of_reach(&self) {
+        if !self.knows_declarations() {
+            let now = self.now().as_millis();
+            self.out_of_reach.fetch_max(now, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns since when a target version counts as set that the process
+    /// found without having been in sync before.
+    fn presumed_since(&self) -> Time {
+        let at = self.out_of_reach.load(Ordering::Relaxed);
+        Time::from_millis(at).before(self.presumed_age)
+    }
+
     fn ago(&self, span: Duration) -> Time {
         let ms = span.as_millis() as u64;
         Time::from_millis(self.now().as_millis().saturating_sub(ms))
--- a/crates/shell/src/directory/facts/targets.rs
+++ b/crates/shell/src/directory/facts/targets.rs
@@ -86,7 +86,7 @@
         published: Published,
         previous: Option<u64>,
     ) {
-        let presumed = || self.ago(self.presumed_age);
+        let presumed = || self.presumed_since();
         let unheard = published.earliest.unwrap_or_else(presumed);
         let told = HeardVersion {
             since: published.observed.unwrap_or(unheard),
--- a/crates/shell/src/directory/follow.rs
+++ b/crates/shell/src/directory/follow.rs
@@ -403,6 +403,9 @@
 
     fn record_failure(&mut self, error: &Error) {
         self.failed = Some(Instant::now());
+        if error.code() != Code::PeerLost {
+            self.facts.note_out_of_reach();
+        }
         if let Some(sharing) = &self.follow.sharing {
             let now = self.facts.now();
             sharing.share.fail(self.follow.collection, now);
--- a/crates/shell/tests/target_ages.rs
+++ b/crates/shell/tests/target_ages.rs
@@ -443,3 +443,27 @@
     let told = serde_json::to_value(&facts.target_ages()[0]).unwrap();
     assert_eq!(told["previous"], json!(0), "{told}");
 }
+
+/// Guards against an old version that is used for too long by a process that
+/// waits for its first news though it has to be up to date by then.
+#[tokio::test]
+async fn a_version_found_late_is_presumed_to_be_older_than_the_start() {
+    let presumed = Duration::from_secs(5);
+    let waited = Duration::from_millis(400);
+    let found = async |out_of_reach: bool| {
+        let log = DecisionLog::new(DecisionLog::MOST_BYTES);
+        let facts = Facts::new(log, presumed);
+        tokio::time::sleep(waited).await;
+        if out_of_reach {
+            facts.note_out_of_reach();
+        }
+        let target = VersionTarget { model: MODEL.into(), version: 3 };
+        let record = Record::Target(target);
+        facts.learn(record, Source::new("list"), Published::default());
+        outdated_for(&facts, 1)
+    };
+    let late = found(false).await;
+    assert!(late >= presumed + waited, "{late:?}");
+    let unreachable = found(true).await;
+    assert!(unreachable < presumed + waited, "{unreachable:?}");
+}
