Unload an expired version also without a manifest of the next one

The order to unload an outdated version was given beside the fetch of the next one, so it never came while nobody had the manifest, as when the origin is away before a version is named. What an engine had not read yet then began on the old version if its entry had been stopped or was wrong about the date. The expiry is watched beside the whole search and fetch.

`an_engine_unloads_in_time_without_a_manifest_of_the_next_version` fails before (no order by the expiry) and passes.

--- a/crates/loader/src/reconcile.rs
+++ b/crates/loader/src/reconcile.rs
@@ -205,28 +205,11 @@
     agent: &Arc<Agent>,
     wanted: &ModelVersion,
 ) -> Result<(), Error> {
-    let mut owner = FetchOwner::new(Arc::clone(agent));
-    if peers(agent).is_empty() {
-        list_peers(agent).await;
-    } else {
-        owner.refresh_peers();
-    }
-    let fetch_context = &agent.fetch_context;
-    let manifest =
-        find_manifest(fetch_context, &owner, &wanted.model, wanted.version)
-            .await?;
-    evict_versions(agent, &wanted.model);
-    reuse_staged(agent, &manifest).await;
-    let turn = Turn::for_manifest(agent, &manifest);
-    owner.set_pace(turn.pace(agent, &manifest));
-    let fetched = tokio::select! {
-        fetched = fetch(fetch_context, &owner, &manifest) => fetched,
-        never = unload_when_expired(agent, &manifest, &turn) => match never {},
+    // The loaded version expires whether or not the wanted one is available.
+    let (manifest, turn) = tokio::select! {
+        fetched = fetch_version(agent, wanted) => fetched?,
+        never = unload_when_expired(agent, wanted) => match never {},
     };
-    if let Err(error) = fetched {
-        agent.holdings.remove_manifest(&wanted.model, wanted.version);
-        return Err(error);
-    }
     // A replica that is paused already has finished its requests.
     if !agent.is_paused() {
         turn.after_fetch(agent, &manifest).wait(agent).await;
@@ -248,6 +231,33 @@
     Ok(())
 }
 
+/// Fetches the chunks of a version, and returns its manifest and the replica's
+/// turn.
+async fn fetch_version(
+    agent: &Arc<Agent>,
+    wanted: &ModelVersion,
+) -> Result<(Arc<VersionManifest>, Turn), Error> {
+    let mut owner = FetchOwner::new(Arc::clone(agent));
+    if peers(agent).is_empty() {
+        list_peers(agent).await;
+    } else {
+        owner.refresh_peers();
+    }
+    let fetch_context = &agent.fetch_context;
+    let manifest =
+        find_manifest(fetch_context, &owner, &wanted.model, wanted.version)
+            .await?;
+    evict_versions(agent, &wanted.model);
+    reuse_staged(agent, &manifest).await;
+    let turn = Turn::for_manifest(agent, &manifest);
+    owner.set_pace(turn.pace(agent, &manifest));
+    if let Err(error) = fetch(fetch_context, &owner, &manifest).await {
+        agent.holdings.remove_manifest(&wanted.model, wanted.version);
+        return Err(error);
+    }
+    Ok((manifest, turn))
+}
+
 /// Evicts the versions that may not be served any more or do not fit into the
 /// memory, if the agent keeps versions in quick succession.
 fn evict_versions(agent: &Agent, model: &str) {
@@ -276,12 +286,13 @@
 /// itself can make sure that such a request does not start.
 async fn unload_when_expired(
     agent: &Agent,
-    manifest: &VersionManifest,
-    turn: &Turn,
+    wanted: &ModelVersion,
 ) -> Infallible {
-    turn.wait_for_expiry(agent, &manifest.model).await;
+    let (model, version) = (&wanted.model, wanted.version);
+    let turn = Turn::new(agent, model, version, Duration::ZERO);
+    turn.wait_for_expiry(agent, model).await;
     loop {
-        if let Err(error) = unload_outdated(agent, manifest).await {
+        if let Err(error) = unload_outdated(agent, wanted).await {
             log_failure(&agent.facts, "unload", &error);
         }
         if agent.engine_state().await.is_ok_and(|s| s.version.is_none()) {
@@ -292,18 +303,18 @@
 }
 
 /// Orders the engine to keep only one layer if it has loaded a version older
-/// than that of `manifest` and is not busy.
+/// than `wanted` and is not busy.
 async fn unload_outdated(
     agent: &Agent,
-    manifest: &VersionManifest,
+    wanted: &ModelVersion,
 ) -> Result<(), Error> {
     let state = agent.engine.state().await?;
-    let outdated = state.version.filter(|v| *v < manifest.version);
+    let outdated = state.version.filter(|v| *v < wanted.version);
     let Some(version) = outdated.filter(|_| !state.busy) else {
         return Ok(());
     };
     // Loading the new version replaces the layer.
-    let order = one_layer(&manifest.model, version, state.sequence);
+    let order = one_layer(&wanted.model, version, state.sequence);
     let outcome = agent.engine.load(&order).await;
     log_order(agent, &order, 0, None, &outcome);
     outcome.map(|_| ())
