Hold a granted place to the entry's own dates if the placer names no version

A placer that knows of no newer version grants a place without a version and without a time to begin by. The entry that asked took both as told, although it knew that the replica's version had expired. It now looks at the replica's version itself. The estimate of the shortest wait also leaves out how slow a replica is at the moment: one that was slow for a second counted as unable to serve, and requests were refused at once though its version had seconds left.

Found by reading, by a second reader; no test shows either.

--- a/crates/gateway/src/dispatch/hall.rs
+++ b/crates/gateway/src/dispatch/hall.rs
@@ -10,9 +10,10 @@
 use stairhinge::placing::{Need, Placed, leading_entries};
 use stairhinge_shell::directory::{FactsView, Standing};
 
+use super::find::layer_count;
 use super::known::KnownReplica;
 use super::place::PlaceOutcome;
-use super::terms::{expected_wait, send_by};
+use super::terms::{expected_wait, held_version, send_by};
 use super::{Dispatcher, Place, State};
 use crate::placing::{Chooser, Lease};
 
@@ -154,7 +155,10 @@
         let placer_bound =
             placed.begin_in_ms.map(|ms| now.after(Duration::from_millis(ms)));
         let mut begin_by = placer_bound;
-        if let Some(since) = outdated_since(&view, need, placed.version) {
+        // A placer that doesn't know of a newer version names none.
+        let version =
+            placed.version.or_else(|| self.outdated_version(need, replica));
+        if let Some(since) = outdated_since(&view, need, version) {
             let own_bound = self.begin_by(since, false, now)?;
             begin_by =
                 Some(placer_bound.map_or(own_bound, |at| at.min(own_bound)));
@@ -186,7 +190,7 @@
         }
         Some(Place {
             replica: Arc::clone(replica),
-            version: placed.version,
+            version,
             begin_by,
             send_by,
             load: placed.load,
@@ -207,6 +211,19 @@
     }
 }
 
+impl Dispatcher {
+    /// Returns the version that a replica holds, if it is outdated.
+    fn outdated_version(&self, need: &Need, replica: &Replica) -> Option<u64> {
+        let view = self.facts.view();
+        let model = need.model.as_ref()?;
+        let layers = layer_count(&view, need);
+        let state = self.lock();
+        let known = state.known.get(&replica.incarnation);
+        let held = held_version(known, replica, model, layers);
+        held.filter(|v| view.targets.outdated_since(model, *v).is_some())
+    }
+}
+
 /// Returns the expected time from sending a request to its first token at a
 /// replica that the placer has chosen.
 fn granted_wait(
--- a/crates/gateway/src/dispatch/terms.rs
+++ b/crates/gateway/src/dispatch/terms.rs
@@ -1,5 +1,6 @@
 //! Whether a replica may take a request, and under which conditions.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use stairhinge::Time;
@@ -76,6 +77,23 @@
     Duration::try_from_secs_f64(ms / 1e3).unwrap_or(Duration::MAX)
 }
 
+/// Returns the version of a model that a replica holds, by its last report if
+/// that is recent, or else by the list.
+pub(super) fn held_version(
+    known: Option<&KnownReplica>,
+    replica: &Replica,
+    model: &Arc<str>,
+    layers: u32,
+) -> Option<u64> {
+    let reported =
+        known.and_then(|k| k.reported.as_ref()).filter(|r| r.is_fresh());
+    match reported {
+        Some(r) if r.report.model.as_ref() == Some(model) => r.report.version,
+        Some(_) => None,
+        None => replica.version(model, layers),
+    }
+}
+
 impl Dispatcher {
     /// Returns the conditions under which a replica may take the request, or
     /// `None` if it may not.
@@ -114,13 +132,7 @@
         if reported.is_some_and(|r| !r.report.up || r.report.loading) {
             return None;
         }
-        let held = match reported {
-            Some(r) if r.report.model.as_ref() == Some(model) => {
-                r.report.version
-            }
-            Some(_) => None,
-            None => replica.version(model, layers),
-        }?;
+        let held = held_version(known, replica, model, layers)?;
         if need.version.is_some_and(|v| v != held) {
             return None;
         }
@@ -132,12 +144,12 @@
             None => None,
             Some(since) => {
                 let begin_by = self.begin_by(since, slow, now)?;
-                let slowdown = known.map_or(1.0, KnownReplica::slowdown);
-                // What it runs now may have ended by the time of sending.
+                // What it runs now may have ended by the time of sending, and
+                // what slows it down may have passed.
                 let least = view.engine(&need.service).map(|engine| {
                     let latency = engine.latency_model(replica.slots);
                     let (idle, tokens) = (Load::default(), need.prompt_tokens);
-                    expected_wait(&latency, &idle, slowdown, 0.0, tokens)
+                    expected_wait(&latency, &idle, 1.0, 0.0, tokens)
                 });
                 let least = least.unwrap_or(UNKNOWN_WAIT);
                 let terms = Terms { version: None, begin_by: Some(begin_by) };
