Hold no attempt against a replica that was cancelled for its version

An attempt that has not begun by the time that its version allows is cancelled. That counted as a failure of the replica, which was then left out and taken for slow for 5 s, also for its next version. The limit is due to the version.

Found by reading; no test shows it.

--- a/crates/gateway/src/dispatch/place.rs
+++ b/crates/gateway/src/dispatch/place.rs
@@ -215,6 +215,10 @@
     /// about the replica if the caller or the version's expiry allowed less
     /// than `usual`: the limit is then due to the request.
     pub(crate) fn record_timeout(&mut self, limit: Duration, usual: Duration) {
+        if self.begin_by.is_some() && limit < usual {
+            // It was cancelled because its version expires.
+            return;
+        }
         self.record_outcome(Outcome::Failed);
         if limit < usual {
             self.outcome.source = None;
