Let an agent's watch last as long as the bound less the contact time

They now last all of it (5 s and 6 s), which leaves the timeout of a lost answer, 1.6 s, and a call before the order to unload: 6.6 of 6.7 s, and 7.6 of 8.7 s.

--- a/crates/loader/src/settings.rs
+++ b/crates/loader/src/settings.rs
@@ -126,6 +126,6 @@
     pub(crate) fn target_watch(&self) -> Duration {
         const MIN_WATCH: Duration = Duration::from_secs(1);
         const MAX_WATCH: Duration = Duration::from_secs(10);
-        (self.presumed_age() / 2).clamp(MIN_WATCH, MAX_WATCH)
+        self.presumed_age().clamp(MIN_WATCH, MAX_WATCH)
     }
 }
