Confirm a load by what the engine has done, and remember it per load

What callers saw: streams whose tokens were made with spoilt layers.

Cause: the age of a check of staged chunks was compared with the order's answer, and not with the end of the load, which may follow much later; and that a load was in doubt was known to one process only, under the name of a version. So an order that waits for what runs, a late order of an agent that has ended, one that is overtaken by the next process, a layer that was kept, and the platform's list without an agent's report all put unconfirmed layers into service.

Change: a load is confirmed if the engine has loaded it within 2.5 s of the check, or if the staged chunks are intact afterwards and unwritten since. What is known belongs to one sequence number of the engine. Anything else is verified or unloaded before it gets requests. Entries remember the version that the last agent confirmed, and use no other by the list or by what a new agent has found; they tell that agent. Layers of the version to be loaded are unloaded first. Requests always name their version, since one that lay unread could begin on what the engine loaded meanwhile.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -2,6 +2,7 @@
 //! capacity.
 
 mod admit;
+mod confirmed;
 mod find;
 mod hall;
 mod health;
@@ -33,6 +34,7 @@
 use tokio::sync::Notify;
 
 use self::admit::Arrived;
+use self::confirmed::ConfirmedVersion;
 use self::find::layer_count;
 pub(crate) use self::health::HealthBounds;
 use self::health::HealthState;
@@ -331,14 +333,16 @@
         }
     }
 
-    /// Records an agent's report about the engine on its instance.
+    /// Records an agent's report about the engine on its instance. Returns
+    /// whether its version may be used; if not, no agent has confirmed it.
     pub(crate) fn record_report(
         &self,
         incarnation: &Arc<str>,
         mut report: EngineReport,
-    ) {
+    ) -> bool {
         let mut state = self.lock();
         let known = state.known.entry(Arc::clone(incarnation)).or_default();
+        let usable = known.confirmed.record(&report);
         let reports_entries =
             report.entries.is_some() || report.leading.is_some();
         let mut down = None;
@@ -366,6 +370,15 @@
         }
         drop(state);
         self.dispatch_waiting(Some(incarnation));
+        usable
+    }
+
+    /// Forgets what the agents of a replica have confirmed, since this entry
+    /// no longer reads their reports.
+    pub(crate) fn forget_confirmed(&self, incarnation: &Arc<str>) {
+        if let Some(known) = self.lock().known.get_mut(incarnation) {
+            known.confirmed = ConfirmedVersion::default();
+        }
     }
 
     /// Waits until engines stopped answering their agents, and returns them.
--- a/crates/gateway/src/dispatch/known.rs
+++ b/crates/gateway/src/dispatch/known.rs
@@ -12,6 +12,7 @@
 use stairhinge::poison::{Fingerprint, PoisonTable};
 use stairhinge::routing::Health;
 
+use super::confirmed::ConfirmedVersion;
 use crate::report::EngineReport;
 
 /// A replica that takes longer than this to start a request counts as slow.
@@ -89,6 +90,8 @@
     /// When it last failed or was slow to start a request.
     pub slow_at: Option<Instant>,
     pub reported: Option<ReceivedReport>,
+    /// The version that its agent has confirmed.
+    pub confirmed: ConfirmedVersion,
     pub full_until: Option<Instant>,
     /// The remaining cold time in its last list entry, in milliseconds.
     pub cold_ms: u64,
@@ -182,8 +185,14 @@
     }
 
     fn reset(&mut self, replica: &Replica) {
+        // A restarted engine has nothing loaded.
+        let confirmed = match self.confirmed {
+            ConfirmedVersion::Unknown => ConfirmedVersion::Unknown,
+            _ => ConfirmedVersion::Nothing,
+        };
         *self = KnownReplica {
             born: replica.born,
+            confirmed,
             load: self.load,
             offset: self.offset,
             reported: self.reported.take(),
--- a/crates/gateway/src/dispatch/terms.rs
+++ b/crates/gateway/src/dispatch/terms.rs
@@ -78,7 +78,8 @@
 }
 
 /// Returns the version of a model that a replica holds, by its last report if
-/// that is recent, or else by the list.
+/// that is recent, or else by the list. A version that the list has and no
+/// agent has confirmed does not count.
 pub(super) fn held_version(
     known: Option<&KnownReplica>,
     replica: &Replica,
@@ -87,11 +88,14 @@
 ) -> Option<u64> {
     let reported =
         known.and_then(|k| k.reported.as_ref()).filter(|r| r.is_fresh());
-    match reported {
+    let held = match reported {
         Some(r) if r.report.model.as_ref() == Some(model) => r.report.version,
         Some(_) => None,
         None => replica.version(model, layers),
-    }
+    };
+    held.filter(|held| {
+        known.is_none_or(|known| known.confirmed.allows(model, *held))
+    })
 }
 
 impl Dispatcher {
@@ -136,9 +140,6 @@
         if need.version.is_some_and(|v| v != held) {
             return None;
         }
-        let Some(newest) = view.targets.since(model) else {
-            return Some(Terms::default());
-        };
         let slow = known.is_none_or(KnownReplica::is_slow);
         let begin_by = match view.targets.outdated_since(model, held) {
             None => None,
@@ -159,11 +160,9 @@
                 Some(begin_by)
             }
         };
-        // A replica that changes its version now has to decline requests for
-        // the previous one. Long after the last target no replica changes, so
-        // none is required.
-        let insist = now.since(newest) < self.bounds.version * 2;
-        Some(Terms { version: insist.then_some(held), begin_by })
+        // A replica that stands still may have loaded another version, which
+        // its agent has not confirmed, by the time that it reads the request.
+        Some(Terms { version: Some(held), begin_by })
     }
 
     /// Returns whether the request's regions include that of a hall.
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -19,7 +19,7 @@
 use stairhinge::direct::Replica;
 use stairhinge::placing::HallRole;
 use stairhinge_shell::decisions::Decision;
-use stairhinge_shell::http::headers;
+use stairhinge_shell::http::{Client, headers};
 use tokio::task::JoinHandle;
 
 use crate::connect::connect;
@@ -40,6 +40,10 @@
 /// The maximum length of a line of a feed.
 const MAX_LINE_BYTES: usize = 16 << 10;
 
+/// How often an agent is told that its version is not confirmed, and how long
+/// it may take to answer.
+const REJECT_INTERVAL: Duration = Duration::from_millis(500);
+
 /// The interval at which an entry checks whether its role in the hall has
 /// changed.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
@@ -86,6 +90,9 @@
             if !is_desired {
                 feed.task.abort();
             }
+            if !desired.contains_key(incarnation) {
+                dispatcher.forget_confirmed(incarnation);
+            }
             is_desired
         });
         for (incarnation, feed) in desired {
@@ -222,6 +229,7 @@
     let incarnation = &feed.replica.incarnation;
     let mut body = response.into_body();
     let mut buffer = BytesMut::new();
+    let mut rejected_at: Option<Instant> = None;
     loop {
         let frame = tokio::time::timeout(FEED_TIMEOUT, body.frame()).await?;
         let Some(frame) = frame else { return Ok(()) };
@@ -244,7 +252,14 @@
         if let Some(report) = newest {
             on_first();
             dispatcher.learn_targets(&report);
-            dispatcher.record_report(incarnation, report);
+            let version = report.version;
+            let usable = dispatcher.record_report(incarnation, report);
+            let due =
+                rejected_at.is_none_or(|at| at.elapsed() > REJECT_INTERVAL);
+            if let Some(version) = version.filter(|_| !usable && due) {
+                rejected_at = Some(Instant::now());
+                reject(feed, addr, dispatcher, version);
+            }
         }
         if buffer.len() > MAX_LINE_BYTES {
             return Err("a line exceeds the maximum length".into());
@@ -252,6 +267,25 @@
     }
 }
 
+/// Tells an agent that nobody has confirmed the version that it found loaded.
+fn reject(
+    feed: &DesiredFeed,
+    addr: SocketAddr,
+    dispatcher: &Dispatcher,
+    version: u64,
+) {
+    dispatcher.facts().log().write(&Decision::LoadRejected {
+        replica: &feed.replica.incarnation,
+        version,
+    });
+    tokio::spawn(async move {
+        let path = format!("/unconfirmed/{version}");
+        let client = Client::closing();
+        // A lost message is repeated with a later report.
+        let _ = client.get(addr, &path, 0, REJECT_INTERVAL).await;
+    });
+}
+
 struct AbortOnDrop(tokio::task::AbortHandle);
 
 impl Drop for AbortOnDrop {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -51,7 +51,7 @@
 pub use self::entry::run;
 pub use self::news::fetch_routes;
 pub use self::published::{FetchError, fetch_published};
-pub use self::report::EngineReport;
+pub use self::report::{EngineReport, Provenance};
 pub use self::settings::{
     BufferSettings, EntrySettings, HealthSettings, RetryBound,
 };
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -7,6 +7,21 @@
 use stairhinge::direct::HallEntry;
 use stairhinge_shell::directory::News;
 
+/// What an agent knows about the chunks that its engine has loaded.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum Provenance {
+    /// They were intact, or the engine started with them.
+    #[default]
+    Verified,
+    /// The engine had loaded them when the agent started.
+    Inherited,
+    /// One of them may have turned bad before it was loaded.
+    Unverified,
+}
+
 /// One line of an agent's feed.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct EngineReport {
@@ -21,6 +36,9 @@
     /// The version of the loaded weights.
     #[serde(default)]
     pub version: Option<u64>,
+    /// What is known about the chunks that they were loaded from.
+    #[serde(default)]
+    pub provenance: Provenance,
     /// The number of requests that the engine is running.
     pub running: u32,
     /// The number of requests that are queued at the engine.
@@ -58,6 +76,7 @@
             && self.loading == other.loading
             && self.model == other.model
             && self.version == other.version
+            && self.provenance == other.provenance
     }
 
     /// Fills in the fields that are sent only when they change from an earlier
--- a/crates/loader/src/agent.rs
+++ b/crates/loader/src/agent.rs
@@ -3,15 +3,16 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use stairhinge::direct::Engine;
 use stairhinge::weights::LinkShare;
 use stairhinge::{Code, Error, Time};
 use stairhinge_chunks::{
     ChunkServer, ChunkStage, FetchContext, Holdings, WeightOrigin,
 };
-use stairhinge_gateway::EngineReport;
+use stairhinge_gateway::{EngineReport, Provenance};
 use stairhinge_shell::decisions::{Decision, DecisionLog};
 use stairhinge_shell::directory::{
     Collection, CountedDirectory, Directory, Facts, Follow, HallReader, News,
@@ -24,12 +25,12 @@
 
 use crate::engine::{EngineState, StagedEngine};
 use crate::hall_entries::HallEntries;
+use crate::load_history::LoadHistory;
 use crate::read_routes::read_routes;
 use crate::reconcile::reconcile;
 use crate::serve::AgentServer;
 use crate::settings::AgentSettings;
 use crate::subscribers::Subscribers;
-use crate::version_selection::ModelVersion;
 use crate::watch_engine::watch_engine;
 use crate::watch_link::watch_link;
 
@@ -81,9 +82,8 @@
     /// The version that was last chosen among several, if versions in quick
     /// succession are kept.
     pub chosen: Mutex<Option<u64>>,
-    /// The version that the engine was ordered to load, if it may take the
-    /// order so late that a staged chunk has turned bad since its check.
-    doubtful: Mutex<Option<ModelVersion>>,
+    /// What is known about the chunks that the engine has loaded.
+    loads: Mutex<LoadHistory>,
 }
 
 impl Agent {
@@ -137,11 +137,43 @@
     ///
     /// [`Code::EngineLost`] if it does not answer.
     pub(crate) async fn engine_state(&self) -> Result<EngineState, Error> {
-        let state = self.engine.state().await?;
+        let state = self.loaded_state().await?;
         let layers = self.engine_kind().map_or(0, |kind| kind.layers);
         Ok(state.without_partial_model(layers))
     }
 
+    /// Queries the engine's state, which names a version also if only some of
+    /// its layers are loaded.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::EngineLost`] if it does not answer.
+    pub(crate) async fn loaded_state(&self) -> Result<EngineState, Error> {
+        let query = self.loads().begin_query(Instant::now());
+        let state = self.engine.state().await?;
+        self.loads().record_state(&state, query, Instant::now());
+        Ok(state)
+    }
+
+    /// Stages a chunk at the engine.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::EngineLost`] if it does not answer.
+    pub(crate) async fn write_chunk(
+        &self,
+        model: &str,
+        index: u32,
+        bytes: Bytes,
+    ) -> Result<(), Error> {
+        // The write counts as failed if this future is dropped.
+        let mut write = Write { agent: self, succeeded: false };
+        self.loads().begin_write();
+        let result = self.engine.write(model, index, bytes).await;
+        write.succeeded = result.is_ok();
+        result
+    }
+
     /// Returns the published properties of the engine's service.
     pub(crate) fn engine_kind(&self) -> Option<Engine> {
         self.facts.view().engine(&self.settings.service)
@@ -172,30 +204,67 @@
         // Notifies entries immediately instead of with the engine's next
         // report.
         let state = self.state.borrow().clone();
-        let doubtful = state.is_some_and(|state| self.is_doubtful(&state));
-        self.report.send_modify(|report| report.loading = paused || doubtful);
+        let unverified = state.is_some_and(|state| self.is_unverified(&state));
+        self.report
+            .send_modify(|report| report.loading = paused || unverified);
     }
 
-    /// Sets the version whose order to load is not known to be taken in time,
-    /// and returns the previous one.
-    pub(crate) fn set_doubtful(
-        &self,
-        version: Option<ModelVersion>,
-    ) -> Option<ModelVersion> {
-        std::mem::replace(&mut *self.doubtful(), version)
+    /// Returns what is known about the chunks that the engine has loaded.
+    pub(crate) fn provenance(&self, state: &EngineState) -> Provenance {
+        self.loads().provenance(state)
     }
 
     /// Returns whether the engine has loaded a version that may include a
     /// chunk that had turned bad.
-    pub(crate) fn is_doubtful(&self, state: &EngineState) -> bool {
-        self.doubtful().as_ref().is_some_and(|doubtful| {
-            state.version == Some(doubtful.version)
-                && state.model.as_ref() == Some(&doubtful.model)
-        })
+    pub(crate) fn is_unverified(&self, state: &EngineState) -> bool {
+        state.version.is_some()
+            && self.provenance(state) == Provenance::Unverified
     }
 
-    fn doubtful(&self) -> MutexGuard<'_, Option<ModelVersion>> {
-        self.doubtful.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Records that nobody has confirmed a version that this process found
+    /// loaded.
+    pub(crate) fn reject_inherited(&self, version: u64) {
+        let state = self.state.borrow().clone();
+        let Some(state) = state.filter(|s| s.version == Some(version)) else {
+            return;
+        };
+        if self.provenance(&state) == Provenance::Inherited
+            && self.loads().reject_inherited()
+        {
+            self.log_load(&state, "rejected by an entry", None);
+            // Wakes the reconciliation.
+            self.state.send_modify(|_| {});
+        }
+    }
+
+    /// Records that the engine has loaded intact chunks.
+    pub(crate) fn record_verified(
+        &self,
+        state: &EngineState,
+        evidence: &'static str,
+        check_age: Option<Duration>,
+    ) {
+        self.loads().record_verified(state.sequence);
+        self.log_load(state, evidence, check_age);
+    }
+
+    /// Logs what is known about the chunks that the engine has loaded.
+    pub(crate) fn log_load(
+        &self,
+        state: &EngineState,
+        evidence: &'static str,
+        check_age: Option<Duration>,
+    ) {
+        self.facts.log().write(&Decision::LoadJudged {
+            version: state.version.unwrap_or_default(),
+            sequence: state.sequence,
+            evidence,
+            check_ms: check_age.map(|age| age.as_millis() as u64),
+        });
+    }
+
+    pub(crate) fn loads(&self) -> MutexGuard<'_, LoadHistory> {
+        self.loads.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns whether the replica must not receive new requests.
@@ -204,6 +273,18 @@
     }
 }
 
+/// A write of a chunk in progress.
+struct Write<'a> {
+    agent: &'a Agent,
+    succeeded: bool,
+}
+
+impl Drop for Write<'_> {
+    fn drop(&mut self) {
+        self.agent.loads().end_write(self.succeeded);
+    }
+}
+
 /// Runs an agent until shutdown. With a `watch` it applies changed settings
 /// while it runs.
 ///
@@ -302,7 +383,7 @@
         report: watch::Sender::new(EngineReport::default()),
         paused: AtomicBool::new(false),
         chosen: Mutex::default(),
-        doubtful: Mutex::default(),
+        loads: Mutex::default(),
     });
     tokio::spawn(watch_engine(Arc::clone(&agent)));
     tokio::spawn(read_routes(Arc::clone(&agent)));
--- a/crates/loader/src/lib.rs
+++ b/crates/loader/src/lib.rs
@@ -16,6 +16,7 @@
 mod first_report;
 mod hall_entries;
 mod load;
+mod load_history;
 mod peer_list;
 mod read_routes;
 mod reconcile;
--- a/crates/loader/src/load.rs
+++ b/crates/loader/src/load.rs
@@ -1,10 +1,11 @@
 //! Ordering the engine to load staged chunks.
 //!
-//! An engine takes what is staged at the moment at which it takes the order,
-//! and a staged chunk may turn bad at any time. So the chunks are verified
+//! An engine takes what is staged when it carries out the order, which may be
+//! long after it was sent: the engine stands still, or first finishes what it
+//! runs. A staged chunk may turn bad at any time. So the chunks are verified
 //! directly before the order, once nothing delays it any more. If the engine
-//! may have taken the order later than that, the chunks are verified again
-//! before the engine serves: one that is intact afterwards was intact before.
+//! may have taken them too long after that, they are verified again before it
+//! serves: a chunk that is intact afterwards was intact before.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -16,8 +17,7 @@
 
 use crate::agent::Agent;
 use crate::engine::{EngineState, LoadOrder, LoadOutcome};
-use crate::staging::{staged_intact, verify_staged};
-use crate::version_selection::ModelVersion;
+use crate::staging::{is_loaded_intact, verify_staged};
 
 /// How often the state of an engine that carries out an order is queried.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -30,9 +30,9 @@
 /// take the order.
 const MAX_CHECK_AGE: Duration = Duration::from_millis(1_000);
 
-/// The maximum age of the check when the engine takes the order. A chunk that
-/// has been bad for less than 3 s may be loaded.
-const MAX_TAKEN_AGE: Duration = Duration::from_millis(2_500);
+/// The maximum age of the check when the engine has loaded the chunks. A chunk
+/// that has been bad for less than 3 s may be loaded.
+const MAX_LOADED_AGE: Duration = Duration::from_millis(2_500);
 
 /// The maximum number of checks before an order. If all of them take too long,
 /// the chunks are verified again after the load.
@@ -45,9 +45,15 @@
     manifest: &VersionManifest,
     turn: usize,
 ) -> Result<(), Error> {
-    let state = idle_engine(agent).await?;
-    if loaded(&state, manifest) && agent.is_doubtful(&state) {
-        unload(agent, manifest, &state).await?;
+    idle_engine(agent).await?;
+    let state = agent.loaded_state().await?;
+    let layers = agent.engine_kind().map_or(0, |kind| kind.layers);
+    let whole = state.clone().without_partial_model(layers);
+    // The engine keeps the layers that it has of the same version.
+    if loaded(&state, manifest)
+        && (whole.version.is_none() || agent.is_unverified(&state))
+    {
+        unload(agent, &manifest.model, manifest.version, &state).await?;
     }
     let (state, checked) = checked_engine(agent, manifest).await?;
     let order = LoadOrder {
@@ -56,33 +62,17 @@
         sequence: state.sequence,
         layers: None,
     };
-    // This future may be dropped before the engine answers.
-    let previous = agent.set_doubtful(Some(ModelVersion {
-        model: Arc::clone(&manifest.model),
-        version: manifest.version,
-    }));
     let check_age = checked.elapsed();
     let outcome = agent.engine.load(&order).await;
     log_order(agent, &order, turn, Some(check_age), &outcome);
-    match outcome {
-        Ok(LoadOutcome::Started) => confirm_if_recent(agent, checked),
-        // Only an earlier order was taken, if any.
-        Ok(LoadOutcome::AlreadyLoaded | LoadOutcome::Conflict) => {
-            agent.set_doubtful(previous);
-        }
-        // The engine may have accepted the order, or accept it later.
-        Err(_) => {}
-    }
     if matches!(outcome, Ok(LoadOutcome::Conflict)) {
         return Err(Error::new(
             Code::EngineRefused,
             "the engine refused the load order: its state does not match",
         ));
     }
-    let state = await_loaded(agent, manifest, &order, checked).await?;
-    if agent.is_doubtful(&state) {
-        confirm_if_intact(agent, manifest).await?;
-    }
+    let state = await_loaded(agent, manifest).await?;
+    confirm(agent, manifest, &order, &state, checked).await?;
     agent.state.send_replace(Some(state));
     agent.facts.log().write(&Decision::Serving {
         model: &manifest.model,
@@ -109,27 +99,51 @@
     }
 }
 
-/// Confirms the last order, which the engine has taken by now, if its chunks
-/// were verified recently enough.
-fn confirm_if_recent(agent: &Agent, checked: Instant) {
-    if checked.elapsed() <= MAX_TAKEN_AGE {
-        agent.set_doubtful(None);
+/// Confirms the load that `order` has started, by the age of the check or else
+/// by the staged chunks.
+async fn confirm(
+    agent: &Agent,
+    manifest: &VersionManifest,
+    order: &LoadOrder,
+    state: &EngineState,
+    checked: Instant,
+) -> Result<(), Error> {
+    let check_age = checked.elapsed();
+    // Another order may have come between.
+    let is_own = state.sequence == order.sequence + 1;
+    if is_own && check_age <= MAX_LOADED_AGE {
+        agent.record_verified(state, "age of the check", Some(check_age));
+        return Ok(());
     }
+    if agent.is_unverified(state)
+        && !is_loaded_intact(agent, manifest, state).await
+    {
+        agent.log_load(state, "none", Some(check_age));
+        return Err(Error::new(
+            Code::CorruptChunk,
+            "a staged chunk may have been bad when the engine loaded it",
+        ));
+    }
+    Ok(())
 }
 
-/// Confirms the last order if the staged chunks are still intact.
-async fn confirm_if_intact(
+/// Confirms a load whose chunks may have been bad by the staged chunks, or
+/// unloads it.
+pub(crate) async fn confirm_or_unload(
     agent: &Agent,
-    manifest: &VersionManifest,
+    manifest: Option<&VersionManifest>,
+    state: &EngineState,
 ) -> Result<(), Error> {
-    if staged_intact(agent, manifest).await {
-        agent.set_doubtful(None);
+    if let Some(manifest) = manifest
+        && is_loaded_intact(agent, manifest, state).await
+    {
         return Ok(());
     }
-    Err(Error::new(
-        Code::CorruptChunk,
-        "a staged chunk was bad when the engine may have loaded it",
-    ))
+    let Some((model, version)) = state.model.as_ref().zip(state.version)
+    else {
+        return Ok(());
+    };
+    unload(agent, model, version, state).await
 }
 
 /// Orders the engine to keep one layer of another version, and waits until it
@@ -137,19 +151,17 @@
 /// it again.
 async fn unload(
     agent: &Agent,
-    manifest: &VersionManifest,
+    model: &Arc<str>,
+    version: u64,
     state: &EngineState,
 ) -> Result<(), Error> {
-    let other = match manifest.version {
-        0 | 1 => manifest.version + 1,
-        version => version - 1,
-    };
-    let order = one_layer(&manifest.model, other, state.sequence);
+    let other = if version > 1 { version - 1 } else { version + 1 };
+    let order = one_layer(model, other, state.sequence);
     let outcome = agent.engine.load(&order).await;
     log_order(agent, &order, 0, None, &outcome);
     outcome?;
     let state = idle_engine(agent).await?;
-    if loaded(&state, manifest) {
+    if state.version == Some(version) {
         return Err(Error::new(
             Code::EngineRefused,
             "the engine did not unload the version",
@@ -159,7 +171,8 @@
 }
 
 /// Returns the order to keep a single layer of a version. It cannot serve
-/// requests, whichever chunks are staged.
+/// requests, whichever chunks are staged, and is unloaded before the rest of
+/// that version is loaded.
 pub(crate) fn one_layer(
     model: &Arc<str>,
     version: u64,
@@ -220,17 +233,12 @@
 async fn await_loaded(
     agent: &Agent,
     manifest: &VersionManifest,
-    order: &LoadOrder,
-    checked: Instant,
 ) -> Result<EngineState, Error> {
     let deadline = tokio::time::Instant::now() + LOAD_TIMEOUT;
     loop {
         tokio::time::sleep(POLL_INTERVAL).await;
         let state = agent.engine_state().await;
         if let Ok(state) = state {
-            if state.sequence > order.sequence {
-                confirm_if_recent(agent, checked);
-            }
             if loaded(&state, manifest) {
                 return Ok(state);
             }
--- a/crates/loader/src/reconcile.rs
+++ b/crates/loader/src/reconcile.rs
@@ -14,7 +14,7 @@
 use crate::engine::EngineState;
 use crate::fetch_owner::FetchOwner;
 use crate::first_report::first_report;
-use crate::load::{load, log_order, one_layer};
+use crate::load::{confirm_or_unload, load, log_order, one_layer};
 use crate::peer_list::{list_peers, peers};
 use crate::staging::{Sharing, reuse_staged};
 use crate::turn::Turn;
@@ -36,6 +36,9 @@
 /// are several candidates.
 const CHOICE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// How long the manifest of a loaded version is looked for to verify it.
+const MANIFEST_TIMEOUT: Duration = Duration::from_millis(1_000);
+
 /// How long chunks stay in memory for peers after a load.
 const SHARE_AFTER_LOAD: Duration = Duration::from_secs(6);
 
@@ -71,8 +74,16 @@
             }
             continue;
         };
+        if agent.is_unverified(&engine) && !engine.busy {
+            sharing = None;
+            if let Err(error) = verify_loaded(&agent, &engine).await {
+                log_failure(&agent.facts, "verify", &error);
+                tokio::time::sleep(RETRY_DELAY).await;
+            }
+            continue;
+        }
         let wanted = select_version(&agent, newest).await;
-        if serves(&engine, &wanted) && !agent.is_doubtful(&engine) {
+        if serves(&engine, &wanted) {
             if sharing.as_ref().is_none_or(|s| *s.version() != wanted) {
                 sharing = Some(Sharing::start(&agent, wanted));
             }
@@ -95,6 +106,26 @@
     }
 }
 
+/// Verifies what the engine has loaded, or unloads it. Chunks may be staged
+/// only after that, since they would hide what the engine has taken.
+async fn verify_loaded(
+    agent: &Arc<Agent>,
+    engine: &EngineState,
+) -> Result<(), Error> {
+    let Some((model, version)) = engine.model.as_ref().zip(engine.version)
+    else {
+        return Ok(());
+    };
+    let owner = FetchOwner::new(Arc::clone(agent));
+    let found = find_manifest(&agent.fetch_context, &owner, model, version);
+    let found = tokio::time::timeout(MANIFEST_TIMEOUT, found).await;
+    let manifest = found.ok().and_then(Result::ok);
+    confirm_or_unload(agent, manifest.as_deref(), engine).await?;
+    let state = agent.engine_state().await?;
+    agent.state.send_replace(Some(state));
+    Ok(())
+}
+
 /// Waits until the target versions are known, up to [`TARGETS_TIMEOUT`].
 /// Without them the engine would load the previous version.
 async fn await_targets(agent: &Agent) {
--- a/crates/loader/src/serve.rs
+++ b/crates/loader/src/serve.rs
@@ -55,6 +55,13 @@
         if path == "/ping" {
             return Ok(Response::new(empty()));
         }
+        if let Some(version) = path.strip_prefix("/unconfirmed/") {
+            let version = version
+                .parse()
+                .map_err(|e| Error::new(Code::UnknownPath, e))?;
+            self.agent.reject_inherited(version);
+            return Ok(Response::new(empty()));
+        }
         if path == "/weights/any" && post {
             return self.any(request).await;
         }
--- a/crates/loader/src/staging.rs
+++ b/crates/loader/src/staging.rs
@@ -12,9 +12,11 @@
 use stairhinge_chunks::{
     ChunkLocation, VersionManifest, find_manifest, log_failure,
 };
+use stairhinge_gateway::Provenance;
 use tokio::task::JoinHandle;
 
 use crate::agent::Agent;
+use crate::engine::EngineState;
 use crate::fetch_owner::FetchOwner;
 use crate::version_selection::ModelVersion;
 
@@ -64,6 +66,7 @@
         Ok(manifest) => manifest,
         Err(error) => return log_failure(&agent.facts, "share", &error),
     };
+    verify_inherited(agent, &manifest).await;
     let Ok(staged) = agent.engine.staged(&wanted.model).await else {
         return;
     };
@@ -82,6 +85,39 @@
     }
 }
 
+/// Confirms the load that this process found if the staged chunks are intact.
+/// If they are not, one may have turned bad after the load.
+async fn verify_inherited(agent: &Agent, manifest: &VersionManifest) {
+    let Ok(state) = agent.engine_state().await else { return };
+    if agent.provenance(&state) == Provenance::Inherited
+        && !is_loaded_intact(agent, manifest, &state).await
+    {
+        agent.log_load(&state, "none: found at the start", None);
+    }
+}
+
+/// Returns whether the engine has loaded intact chunks, which is so if those
+/// that are staged are intact and none was written since.
+pub(crate) async fn is_loaded_intact(
+    agent: &Agent,
+    manifest: &VersionManifest,
+    state: &EngineState,
+) -> bool {
+    let loaded = state.version == Some(manifest.version)
+        && state.model.as_ref() == Some(&manifest.model);
+    if !loaded || !staged_intact(agent, manifest).await {
+        return false;
+    }
+    // No other load came between.
+    let now = agent.engine_state().await;
+    let same = now.is_ok_and(|now| now.sequence == state.sequence);
+    if !same || !agent.loads().is_staging_unchanged() {
+        return false;
+    }
+    agent.record_verified(state, "staged chunks", None);
+    true
+}
+
 /// Reuses intact chunks that were staged before a restart.
 pub(crate) async fn reuse_staged(agent: &Agent, manifest: &VersionManifest) {
     agent.holdings.remove_staged(manifest);
@@ -127,7 +163,7 @@
     }
     // A chunk that cannot be staged now is staged by the verification before
     // the load.
-    let _ = agent.engine.write(model, index, bytes).await;
+    let _ = agent.write_chunk(model, index, bytes).await;
 }
 
 /// Copies a staged chunk into memory, or drops it if it is not intact.
@@ -182,14 +218,11 @@
         let why = format!("staged chunk {index} is missing or corrupt");
         return Err(Error::new(Code::CorruptChunk, why));
     };
-    agent.engine.write(model, index, bytes).await
+    agent.write_chunk(model, index, bytes).await
 }
 
 /// Reads every staged chunk back, and returns whether all are intact.
-pub(crate) async fn staged_intact(
-    agent: &Agent,
-    manifest: &VersionManifest,
-) -> bool {
+async fn staged_intact(agent: &Agent, manifest: &VersionManifest) -> bool {
     for (i, digest) in manifest.digests.iter().enumerate() {
         if !is_intact(agent, &manifest.model, i as u32, digest).await {
             return false;
--- a/crates/loader/src/watch_engine.rs
+++ b/crates/loader/src/watch_engine.rs
@@ -108,7 +108,8 @@
     let Some(state) = state else { return EngineReport::default() };
     EngineReport {
         up: true,
-        loading: agent.is_paused() || state.busy || agent.is_doubtful(state),
+        loading: agent.is_paused() || state.busy || agent.is_unverified(state),
+        provenance: agent.provenance(state),
         model: state.model.clone(),
         version: state.version,
         running: state.running,
--- a/crates/shell/src/decisions/decision.rs
+++ b/crates/shell/src/decisions/decision.rs
@@ -746,6 +746,28 @@
         /// The engine's response.
         outcome: &'a str,
     },
+    /// The engine has loaded a version, and this is known about the chunks
+    /// that it was loaded from.
+    LoadJudged {
+        /// The version.
+        version: u64,
+        /// The number of orders that the engine has accepted.
+        sequence: u64,
+        /// What shows that the chunks were intact (the age of their check, or
+        /// the chunks themselves), or that they may not have been.
+        evidence: &'a str,
+        /// The time since the last check of the chunks began, in milliseconds;
+        /// `None` if this process made none.
+        check_ms: Option<u64>,
+    },
+    /// An agent has found a version loaded that no agent has confirmed to this
+    /// entry.
+    LoadRejected {
+        /// The incarnation of the replica.
+        replica: &'a str,
+        /// The version.
+        version: u64,
+    },
     /// The engine started to serve a version.
     Serving {
         /// The model.
