--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -34,7 +34,8 @@
 use tokio::sync::Notify;
 
 use self::admit::Arrived;
-use self::confirmed::ConfirmedVersion;
+use self::confirmed::ConfirmedLoad;
+pub(crate) use self::confirmed::Verdict;
 use self::find::layer_count;
 pub(crate) use self::health::HealthBounds;
 use self::health::HealthState;
@@ -334,15 +335,15 @@
     }
 
     /// Records an agent's report about the engine on its instance. Returns
-    /// whether its version may be used; if not, no agent has confirmed it.
+    /// what the agent should know of the load that it has found.
     pub(crate) fn record_report(
         &self,
         incarnation: &Arc<str>,
         mut report: EngineReport,
-    ) -> bool {
+    ) -> Option<Verdict> {
         let mut state = self.lock();
         let known = state.known.entry(Arc::clone(incarnation)).or_default();
-        let usable = known.confirmed.record(&report);
+        let verdict = known.confirmed.record(&report, Instant::now());
         let reports_entries =
             report.entries.is_some() || report.leading.is_some();
         let mut down = None;
@@ -370,14 +371,14 @@
         }
         drop(state);
         self.dispatch_waiting(Some(incarnation));
-        usable
+        verdict
     }
 
     /// Forgets what the agents of a replica have confirmed, since this entry
     /// no longer reads their reports.
     pub(crate) fn forget_confirmed(&self, incarnation: &Arc<str>) {
         if let Some(known) = self.lock().known.get_mut(incarnation) {
-            known.confirmed = ConfirmedVersion::default();
+            known.confirmed = ConfirmedLoad::default();
         }
     }
 
--- a/crates/gateway/src/dispatch/confirmed.rs
+++ b/crates/gateway/src/dispatch/confirmed.rs
@@ -1,4 +1,4 @@
-//! The version of a replica's weights that its agent has confirmed.
+//! The load of a replica's weights that its agent has confirmed.
 //!
 //! The platform's list tells which version a replica has loaded, and not
 //! whether its agent knows the chunks to have been intact. An entry remembers
@@ -6,54 +6,117 @@
 //! has ended gets no requests until an agent has confirmed it.
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use crate::report::{EngineReport, Provenance};
 
+/// How long an entry that knows nothing of a replica waits until the agent, or
+/// an entry that remembers, has confirmed or rejected the load that the agent
+/// has found. If nobody can, the replica is used: after a loss of all processes
+/// nobody may be able to for as long as the origin is away.
+const UNKNOWN_PERIOD: Duration = Duration::from_millis(1_500);
+
+/// One load of a version.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) struct LoadedVersion {
+    model: Arc<str>,
+    version: u64,
+    /// The number of orders that the engine had accepted.
+    sequence: u64,
+}
+
+impl LoadedVersion {
+    fn of(report: &EngineReport) -> Option<LoadedVersion> {
+        Some(LoadedVersion {
+            model: Arc::clone(report.model.as_ref()?),
+            version: report.version?,
+            sequence: report.sequence,
+        })
+    }
+}
+
+/// What an entry tells an agent that has found a version loaded at its start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Verdict {
+    /// An agent had confirmed this load.
+    Confirmed,
+    /// No agent has confirmed this load.
+    Rejected,
+}
+
 /// What the agents of one replica have confirmed.
 #[derive(Debug, Default, Eq, PartialEq)]
-pub(super) enum ConfirmedVersion {
+pub(super) enum ConfirmedLoad {
     /// No agent has reported to this entry, so the list decides.
     #[default]
     Unknown,
-    /// No version is confirmed.
+    /// An agent has found this version at that time, and nothing else is
+    /// known.
+    Found(LoadedVersion, Instant),
+    /// No load is confirmed.
     Nothing,
-    /// This version of a model is confirmed.
-    Version(Arc<str>, u64),
+    /// This one is confirmed.
+    Version(LoadedVersion),
 }
 
-impl ConfirmedVersion {
-    /// Records an agent's report. Returns whether its version may be used; if
-    /// not, nobody has confirmed the load that the agent found at its start.
-    pub(super) fn record(&mut self, report: &EngineReport) -> bool {
+impl ConfirmedLoad {
+    /// Records an agent's report. Returns what the agent should know of the
+    /// load that it has found.
+    pub(super) fn record(
+        &mut self,
+        report: &EngineReport,
+        now: Instant,
+    ) -> Option<Verdict> {
         if !report.up {
-            return true;
+            return None;
         }
-        let Some((model, version)) = report.model.as_ref().zip(report.version)
-        else {
-            *self = ConfirmedVersion::Nothing;
-            return true;
+        let Some(loaded) = LoadedVersion::of(report) else {
+            *self = ConfirmedLoad::Nothing;
+            return None;
         };
         match report.provenance {
-            Provenance::Unverified => *self = ConfirmedVersion::Nothing,
-            Provenance::Inherited if *self != ConfirmedVersion::Unknown => {
-                return self.allows(model, version);
+            Provenance::Unverified => *self = ConfirmedLoad::Nothing,
+            Provenance::Verified => *self = ConfirmedLoad::Version(loaded),
+            Provenance::Inherited => return self.record_found(loaded, now),
+        }
+        None
+    }
+
+    fn record_found(
+        &mut self,
+        loaded: LoadedVersion,
+        now: Instant,
+    ) -> Option<Verdict> {
+        match self {
+            ConfirmedLoad::Unknown => {
+                *self = ConfirmedLoad::Found(loaded, now);
+                None
             }
-            Provenance::Inherited | Provenance::Verified => {
-                let model = Arc::clone(model);
-                *self = ConfirmedVersion::Version(model, version);
+            ConfirmedLoad::Found(known, _) if *known == loaded => None,
+            ConfirmedLoad::Version(known) if *known == loaded => {
+                Some(Verdict::Confirmed)
             }
+            _ => Some(Verdict::Rejected),
         }
-        true
     }
 
     /// Returns whether a version that the replica has loaded may be used.
-    pub(super) fn allows(&self, model: &str, version: u64) -> bool {
+    pub(super) fn allows(
+        &self,
+        model: &str,
+        version: u64,
+        now: Instant,
+    ) -> bool {
+        let is_it = |known: &LoadedVersion| {
+            *known.model == *model && known.version == version
+        };
         match self {
-            ConfirmedVersion::Unknown => true,
-            ConfirmedVersion::Nothing => false,
-            ConfirmedVersion::Version(known, confirmed) => {
-                **known == *model && *confirmed == version
+            ConfirmedLoad::Unknown => true,
+            ConfirmedLoad::Nothing => false,
+            ConfirmedLoad::Found(known, at) => {
+                is_it(known) && now.duration_since(*at) >= UNKNOWN_PERIOD
             }
+            ConfirmedLoad::Version(known) => is_it(known),
         }
     }
 }
--- a/crates/gateway/src/dispatch/known.rs
+++ b/crates/gateway/src/dispatch/known.rs
@@ -12,7 +12,7 @@
 use stairhinge::poison::{Fingerprint, PoisonTable};
 use stairhinge::routing::Health;
 
-use super::confirmed::ConfirmedVersion;
+use super::confirmed::ConfirmedLoad;
 use crate::report::EngineReport;
 
 /// A replica that takes longer than this to start a request counts as slow.
@@ -90,8 +90,8 @@
     /// When it last failed or was slow to start a request.
     pub slow_at: Option<Instant>,
     pub reported: Option<ReceivedReport>,
-    /// The version that its agent has confirmed.
-    pub confirmed: ConfirmedVersion,
+    /// The load that its agent has confirmed.
+    pub confirmed: ConfirmedLoad,
     pub full_until: Option<Instant>,
     /// The remaining cold time in its last list entry, in milliseconds.
     pub cold_ms: u64,
@@ -187,8 +187,8 @@
     fn reset(&mut self, replica: &Replica) {
         // A restarted engine has nothing loaded.
         let confirmed = match self.confirmed {
-            ConfirmedVersion::Unknown => ConfirmedVersion::Unknown,
-            _ => ConfirmedVersion::Nothing,
+            ConfirmedLoad::Unknown => ConfirmedLoad::Unknown,
+            _ => ConfirmedLoad::Nothing,
         };
         *self = KnownReplica {
             born: replica.born,
--- a/crates/gateway/src/dispatch/terms.rs
+++ b/crates/gateway/src/dispatch/terms.rs
@@ -1,7 +1,7 @@
 //! Whether a replica may take a request, and under which conditions.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use stairhinge::Time;
 use stairhinge::direct::balance::{LatencyModel, Load};
@@ -94,7 +94,8 @@
         None => replica.version(model, layers),
     };
     held.filter(|held| {
-        known.is_none_or(|known| known.confirmed.allows(model, *held))
+        let now = Instant::now();
+        known.is_none_or(|known| known.confirmed.allows(model, *held, now))
     })
 }
 
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -23,7 +23,7 @@
 use tokio::task::JoinHandle;
 
 use crate::connect::connect;
-use crate::dispatch::Dispatcher;
+use crate::dispatch::{Dispatcher, Verdict};
 use crate::report::EngineReport;
 
 /// The time without data after which a feed counts as lost.
@@ -40,9 +40,9 @@
 /// The maximum length of a line of a feed.
 const MAX_LINE_BYTES: usize = 16 << 10;
 
-/// How often an agent is told that its version is not confirmed, and how long
-/// it may take to answer.
-const REJECT_INTERVAL: Duration = Duration::from_millis(500);
+/// How often an agent is told what is known of the load that it has found, and
+/// how long it may take to answer.
+const VERDICT_INTERVAL: Duration = Duration::from_millis(500);
 
 /// The interval at which an entry checks whether its role in the hall has
 /// changed.
@@ -229,7 +229,7 @@
     let incarnation = &feed.replica.incarnation;
     let mut body = response.into_body();
     let mut buffer = BytesMut::new();
-    let mut rejected_at: Option<Instant> = None;
+    let mut told_at: Option<Instant> = None;
     loop {
         let frame = tokio::time::timeout(FEED_TIMEOUT, body.frame()).await?;
         let Some(frame) = frame else { return Ok(()) };
@@ -252,13 +252,12 @@
         if let Some(report) = newest {
             on_first();
             dispatcher.learn_targets(&report);
-            let version = report.version;
-            let usable = dispatcher.record_report(incarnation, report);
-            let due =
-                rejected_at.is_none_or(|at| at.elapsed() > REJECT_INTERVAL);
-            if let Some(version) = version.filter(|_| !usable && due) {
-                rejected_at = Some(Instant::now());
-                reject(feed, addr, dispatcher, version);
+            let sequence = report.sequence;
+            let verdict = dispatcher.record_report(incarnation, report);
+            let due = told_at.is_none_or(|at| at.elapsed() > VERDICT_INTERVAL);
+            if let Some(verdict) = verdict.filter(|_| due) {
+                told_at = Some(Instant::now());
+                tell_verdict(feed, addr, dispatcher, sequence, verdict);
             }
         }
         if buffer.len() > MAX_LINE_BYTES {
@@ -267,22 +266,28 @@
     }
 }
 
-/// Tells an agent that nobody has confirmed the version that it found loaded.
-fn reject(
+/// Tells an agent whether an agent has confirmed the load that it has found.
+fn tell_verdict(
     feed: &DesiredFeed,
     addr: SocketAddr,
     dispatcher: &Dispatcher,
-    version: u64,
+    sequence: u64,
+    verdict: Verdict,
 ) {
-    dispatcher.facts().log().write(&Decision::LoadRejected {
+    let confirmed = verdict == Verdict::Confirmed;
+    dispatcher.facts().log().write(&Decision::LoadRemembered {
         replica: &feed.replica.incarnation,
-        version,
+        sequence,
+        confirmed,
     });
+    let path = match verdict {
+        Verdict::Confirmed => format!("/loads/{sequence}/confirmed"),
+        Verdict::Rejected => format!("/loads/{sequence}/rejected"),
+    };
     tokio::spawn(async move {
-        let path = format!("/unconfirmed/{version}");
         let client = Client::closing();
         // A lost message is repeated with a later report.
-        let _ = client.get(addr, &path, 0, REJECT_INTERVAL).await;
+        let _ = client.get(addr, &path, 0, VERDICT_INTERVAL).await;
     });
 }
 
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -39,6 +39,9 @@
     /// What is known about the chunks that they were loaded from.
     #[serde(default)]
     pub provenance: Provenance,
+    /// The number of orders that the engine has accepted since its start.
+    #[serde(default)]
+    pub sequence: u64,
     /// The number of requests that the engine is running.
     pub running: u32,
     /// The number of requests that are queued at the engine.
@@ -77,6 +80,7 @@
             && self.model == other.model
             && self.version == other.version
             && self.provenance == other.provenance
+            && self.sequence == other.sequence
     }
 
     /// Fills in the fields that are sent only when they change from an earlier
--- a/crates/loader/src/agent.rs
+++ b/crates/loader/src/agent.rs
@@ -221,20 +221,24 @@
             && self.provenance(state) == Provenance::Unverified
     }
 
-    /// Records that nobody has confirmed a version that this process found
-    /// loaded.
-    pub(crate) fn reject_inherited(&self, version: u64) {
+    /// Records whether an entry remembers that the load which this process has
+    /// found was confirmed.
+    pub(crate) fn record_verdict(&self, sequence: u64, confirmed: bool) {
         let state = self.state.borrow().clone();
-        let Some(state) = state.filter(|s| s.version == Some(version)) else {
+        let Some(state) = state.filter(|s| s.sequence == sequence) else {
             return;
         };
-        if self.provenance(&state) == Provenance::Inherited
-            && self.loads().reject_inherited()
-        {
+        if self.provenance(&state) != Provenance::Inherited {
+            return;
+        }
+        if confirmed {
+            self.record_verified(&state, "an entry remembers", None);
+        } else {
+            self.loads().reject_inherited();
             self.log_load(&state, "rejected by an entry", None);
-            // Wakes the reconciliation.
-            self.state.send_modify(|_| {});
         }
+        // Wakes the reconciliation.
+        self.state.send_modify(|_| {});
     }
 
     /// Records that the engine has loaded intact chunks.
--- a/crates/loader/src/load_history.rs
+++ b/crates/loader/src/load_history.rs
@@ -108,9 +108,8 @@
     }
 
     /// Records that nobody has confirmed the load that this process found.
-    /// Returns whether there was one.
-    pub(crate) fn reject_inherited(&mut self) -> bool {
-        self.inherited.take().is_some()
+    pub(crate) fn reject_inherited(&mut self) {
+        self.inherited = None;
     }
 
     /// Returns what is known about the engine's layers.
--- a/crates/loader/src/serve.rs
+++ b/crates/loader/src/serve.rs
@@ -55,11 +55,8 @@
         if path == "/ping" {
             return Ok(Response::new(empty()));
         }
-        if let Some(version) = path.strip_prefix("/unconfirmed/") {
-            let version = version
-                .parse()
-                .map_err(|e| Error::new(Code::UnknownPath, e))?;
-            self.agent.reject_inherited(version);
+        if let Some((sequence, confirmed)) = verdict_path(&path) {
+            self.agent.record_verdict(sequence, confirmed);
             return Ok(Response::new(empty()));
         }
         if path == "/weights/any" && post {
@@ -101,3 +98,15 @@
         Ok(response)
     }
 }
+
+/// Parses the path by which an entry tells whether an agent had confirmed the
+/// load with a sequence number.
+fn verdict_path(path: &str) -> Option<(u64, bool)> {
+    let (sequence, verdict) = path.strip_prefix("/loads/")?.split_once('/')?;
+    let confirmed = match verdict {
+        "confirmed" => true,
+        "rejected" => false,
+        _ => return None,
+    };
+    Some((sequence.parse().ok()?, confirmed))
+}
--- a/crates/loader/src/watch_engine.rs
+++ b/crates/loader/src/watch_engine.rs
@@ -110,6 +110,7 @@
         up: true,
         loading: agent.is_paused() || state.busy || agent.is_unverified(state),
         provenance: agent.provenance(state),
+        sequence: state.sequence,
         model: state.model.clone(),
         version: state.version,
         running: state.running,
--- a/crates/shell/src/decisions/decision.rs
+++ b/crates/shell/src/decisions/decision.rs
@@ -760,13 +760,15 @@
         /// `None` if this process made none.
         check_ms: Option<u64>,
     },
-    /// An agent has found a version loaded that no agent has confirmed to this
-    /// entry.
-    LoadRejected {
+    /// An agent that has found a version loaded was told whether an agent had
+    /// confirmed that load.
+    LoadRemembered {
         /// The incarnation of the replica.
         replica: &'a str,
-        /// The version.
-        version: u64,
+        /// The number of orders that the engine had accepted.
+        sequence: u64,
+        /// Whether an agent had confirmed it.
+        confirmed: bool,
     },
     /// The engine started to serve a version.
     Serving {
