Leave room in the time of a repeat for a replica that reads it late

What the rule counts: replicas that are given more time than their callers have left (BUDGET).

Change: a repeat that is no stream is given 1.5 s less than is left, but at least 0.5 s and twice the latency objective. The entry waits as long as before.

--- a/crates/gateway/src/forward/log.rs
+++ b/crates/gateway/src/forward/log.rs
@@ -95,6 +95,7 @@
         place: &Place,
         attempt: u32,
         left: Duration,
+        given: Duration,
     ) {
         self.metrics.attempts.inc();
         let own_choice = place.chooser.own_choice();
@@ -113,6 +114,7 @@
             revision: context.revision,
             version: place.version,
             left_ms: left.as_millis() as u64,
+            given_ms: (given < left).then_some(given.as_millis() as u64),
             waited_ms: context.elapsed_ms(),
             expected_ms: place.expected_ms(),
             begin_in_ms: self.left_to_begin(place),
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -16,7 +16,7 @@
 use hyper::http::response;
 use hyper::{Request, Response};
 use stairhinge::Time;
-use stairhinge::direct::{AttemptResult, Repeat, Replica};
+use stairhinge::direct::{AttemptResult, Repeat, Replica, repeat_time};
 use stairhinge::placing::Outcome;
 use stairhinge::poison::Suspicion;
 use tokio::time::error::Elapsed;
@@ -109,10 +109,15 @@
             let why = "too late to begin on the replica's version";
             return Err(AttemptError::new(AttemptResult::Unsent, why));
         }
-        self.log_sent(context, &place, attempt, left);
+        let given = match attempt {
+            1 => left,
+            _ if context.route.streaming => left,
+            _ => repeat_time(left, context.route.objective()),
+        };
+        self.log_sent(context, &place, attempt, left, given);
         let sent = Instant::now();
         let sent_at = self.facts.now();
-        let request = self.request(context, &place, left, after_event);
+        let request = self.request(context, &place, given, after_event);
         let limit = match place.begin_by {
             Some(begin_by) => left.min(begin_by.since(sent_at)),
             None => left,
@@ -205,7 +210,7 @@
         &self,
         context: &RequestContext,
         place: &Place,
-        left: Duration,
+        given: Duration,
         after_event: Option<u64>,
     ) -> Request<Full<Bytes>> {
         let mut headers = context.head.headers.clone();
@@ -215,7 +220,7 @@
             &mut headers,
             &Attempt {
                 incarnation: &place.replica.incarnation,
-                left,
+                left: given,
                 workspace: context.workspace.as_deref(),
                 priority: context.priority,
                 version: place.version,
--- a/crates/shell/src/decisions/decision.rs
+++ b/crates/shell/src/decisions/decision.rs
@@ -324,6 +324,9 @@
         version: Option<u64>,
         /// The time left until the request's deadline, in milliseconds.
         left_ms: u64,
+        /// The time that the replica was given, in milliseconds, if less.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        given_ms: Option<u64>,
         /// How long the request waited at this entry, in milliseconds.
         waited_ms: u64,
         /// How long the replica is expected to take until the first token,
--- a/crates/shell/src/decisions_tests.rs
+++ b/crates/shell/src/decisions_tests.rs
@@ -80,6 +80,7 @@
             revision: 1,
             version: Some(2),
             left_ms: 900,
+            given_ms: None,
             waited_ms: 40,
             expected_ms: None,
             begin_in_ms: None,
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -11,7 +11,8 @@
 //! * [`balance`] chooses the replica, with [`Contention`] as an estimate of
 //!   how many entries choose among the same replicas.
 //! * [`next_step`] decides what follows a failed attempt, [`RetryShare`]
-//!   whether a retry is allowed, and [`Shortage`] when a refused caller may
+//!   whether a retry is allowed, [`repeat_time`] how long it may take, and
+//!   [`Shortage`] when a refused caller may
 //!   retry.
 //! * [`EventSplitter`] finds the points at which a stream can be resumed.
 //! * [`RolloutTurn`] schedules when a replica switches to new weights.
@@ -29,6 +30,7 @@
 mod published_replicas;
 mod reader_choice;
 mod regions;
+mod repeat_time;
 mod replica;
 mod retry_after;
 mod retry_share;
@@ -46,6 +48,7 @@
 pub use self::published_replicas::{PublishedReplicas, ReplicaChanges};
 pub use self::reader_choice::{HallEntry, ReaderChoice};
 pub use self::regions::{AllowedRegions, HallRegions};
+pub use self::repeat_time::repeat_time;
 pub use self::replica::{Replica, ReplicaState, ReplicaVersion};
 pub use self::retry_after::Shortage;
 pub use self::retry_share::RetryShare;
@@ -65,6 +68,8 @@
 #[cfg(test)]
 mod region_tests;
 #[cfg(test)]
+mod repeat_time_tests;
+#[cfg(test)]
 mod retry_after_tests;
 #[cfg(test)]
 mod sharing_tests;
