Keep loads of agents that are gone from entries that never heard them

Cause: an entry without any report of a replica went by the list at once, and an agent that found bad staged chunks at its start went on as before if no entry remembered the load.

Change: an entry that follows an agent, and has heard others, waits up to 10 s for its first report. A load that an agent finds, that no entry remembers and whose staged chunks are bad is repeated once these are fetched; entries that know nothing wait up to 3 s for that. Nothing is staged while an order is under way.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -50,6 +50,8 @@
 #[derive(Debug, Default)]
 struct State {
     known: HashMap<Arc<str>, KnownReplica>,
+    /// Whether any agent has reported to this entry.
+    has_agents: bool,
     waiting: Queue,
     /// Admission control under overload, if the settings enable it.
     admission: Option<Admission>,
@@ -180,7 +182,7 @@
     }
 
     /// Returns the entry's data hall.
-    pub(crate) fn hall(&self) -> &str {
+    pub(crate) fn hall(&self) -> &Arc<str> {
         &self.hall
     }
 
@@ -344,6 +346,8 @@
         let mut state = self.lock();
         let known = state.known.entry(Arc::clone(incarnation)).or_default();
         let verdict = known.confirmed.record(&report, Instant::now());
+        state.has_agents = true;
+        let known = state.known.entry(Arc::clone(incarnation)).or_default();
         let reports_entries =
             report.entries.is_some() || report.leading.is_some();
         let mut down = None;
@@ -374,6 +378,13 @@
         verdict
     }
 
+    /// Records that this entry follows a replica's agent from now on.
+    pub(crate) fn expect_report(&self, incarnation: &Arc<str>) {
+        let mut state = self.lock();
+        let known = state.known.entry(Arc::clone(incarnation)).or_default();
+        known.confirmed.expect(Instant::now());
+    }
+
     /// Forgets what the agents of a replica have confirmed, since this entry
     /// no longer reads their reports.
     pub(crate) fn forget_confirmed(&self, incarnation: &Arc<str>) {
--- a/crates/gateway/src/dispatch/confirmed.rs
+++ b/crates/gateway/src/dispatch/confirmed.rs
@@ -14,7 +14,12 @@
 /// an entry that remembers, has confirmed or rejected the load that the agent
 /// has found. If nobody can, the replica is used: after a loss of all processes
 /// nobody may be able to for as long as the origin is away.
-const UNKNOWN_PERIOD: Duration = Duration::from_millis(1_500);
+const UNKNOWN_PERIOD: Duration = Duration::from_secs(3);
+
+/// How long an entry that has heard other agents waits for the first report of
+/// a replica's agent before it goes by the list. An agent that was killed or
+/// whose instance has lost power is back by then.
+const FIRST_REPORT_PERIOD: Duration = Duration::from_secs(10);
 
 /// One load of a version.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -47,9 +52,11 @@
 /// What the agents of one replica have confirmed.
 #[derive(Debug, Default, Eq, PartialEq)]
 pub(super) enum ConfirmedLoad {
-    /// No agent has reported to this entry, so the list decides.
+    /// This entry does not follow the replica's agent, so the list decides.
     #[default]
     Unknown,
+    /// The entry has followed the agent since this time, without a report.
+    Expected(Instant),
     /// An agent has found this version at that time, and nothing else is
     /// known.
     Found(LoadedVersion, Instant),
@@ -60,6 +67,13 @@
 }
 
 impl ConfirmedLoad {
+    /// Records that this entry follows the replica's agent from now on.
+    pub(super) fn expect(&mut self, now: Instant) {
+        if *self == ConfirmedLoad::Unknown {
+            *self = ConfirmedLoad::Expected(now);
+        }
+    }
+
     /// Records an agent's report. Returns what the agent should know of the
     /// load that it has found.
     pub(super) fn record(
@@ -88,7 +102,7 @@
         now: Instant,
     ) -> Option<Verdict> {
         match self {
-            ConfirmedLoad::Unknown => {
+            ConfirmedLoad::Unknown | ConfirmedLoad::Expected(_) => {
                 *self = ConfirmedLoad::Found(loaded, now);
                 None
             }
@@ -101,10 +115,12 @@
     }
 
     /// Returns whether a version that the replica has loaded may be used.
+    /// `has_agents` tells whether any agent has reported to this entry.
     pub(super) fn allows(
         &self,
         model: &str,
         version: u64,
+        has_agents: bool,
         now: Instant,
     ) -> bool {
         let is_it = |known: &LoadedVersion| {
@@ -112,6 +128,10 @@
         };
         match self {
             ConfirmedLoad::Unknown => true,
+            ConfirmedLoad::Expected(since) => {
+                !has_agents
+                    || now.duration_since(*since) >= FIRST_REPORT_PERIOD
+            }
             ConfirmedLoad::Nothing => false,
             ConfirmedLoad::Found(known, at) => {
                 is_it(known) && now.duration_since(*at) >= UNKNOWN_PERIOD
--- a/crates/gateway/src/dispatch/hall.rs
+++ b/crates/gateway/src/dispatch/hall.rs
@@ -219,7 +219,7 @@
         let layers = layer_count(&view, need);
         let state = self.lock();
         let known = state.known.get(&replica.incarnation);
-        let held = held_version(known, replica, model, layers);
+        let held = held_version(&state, known, replica, model, layers);
         held.filter(|v| view.targets.outdated_since(model, *v).is_some())
     }
 }
--- a/crates/gateway/src/dispatch/known.rs
+++ b/crates/gateway/src/dispatch/known.rs
@@ -188,6 +188,7 @@
         // A restarted engine has nothing loaded.
         let confirmed = match self.confirmed {
             ConfirmedLoad::Unknown => ConfirmedLoad::Unknown,
+            ConfirmedLoad::Expected(since) => ConfirmedLoad::Expected(since),
             _ => ConfirmedLoad::Nothing,
         };
         *self = KnownReplica {
--- a/crates/gateway/src/dispatch/terms.rs
+++ b/crates/gateway/src/dispatch/terms.rs
@@ -81,6 +81,7 @@
 /// that is recent, or else by the list. A version that the list has and no
 /// agent has confirmed does not count.
 pub(super) fn held_version(
+    state: &State,
     known: Option<&KnownReplica>,
     replica: &Replica,
     model: &Arc<str>,
@@ -95,7 +96,9 @@
     };
     held.filter(|held| {
         let now = Instant::now();
-        known.is_none_or(|known| known.confirmed.allows(model, *held, now))
+        known.is_none_or(|known| {
+            known.confirmed.allows(model, *held, state.has_agents, now)
+        })
     })
 }
 
@@ -137,7 +140,7 @@
         if reported.is_some_and(|r| !r.report.up || r.report.loading) {
             return None;
         }
-        let held = held_version(known, replica, model, layers)?;
+        let held = held_version(state, known, replica, model, layers)?;
         if need.version.is_some_and(|v| v != held) {
             return None;
         }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -139,7 +139,7 @@
         if without_engine {
             continue;
         }
-        let is_near = &*replica.hall == dispatcher.hall();
+        let is_near = replica.hall == *dispatcher.hall();
         let feeds = if is_near { &mut near } else { &mut far };
         let all_changes = is_near && role == HallRole::Placer;
         let incarnation = Arc::clone(&replica.incarnation);
@@ -160,6 +160,7 @@
     let ip = feed.replica.addr.ip();
     let addr = SocketAddr::new(ip, config.agent_port);
     let name = format!("agent {addr}");
+    dispatcher.expect_report(&feed.replica.incarnation);
     let mut lost_since: Option<Instant> = None;
     let mut delay = RECONNECT_DELAY;
     loop {
@@ -212,7 +213,7 @@
     let _guard = AbortOnDrop(task.abort_handle());
     let mut request = Request::get("/feed")
         .header(hyper::header::HOST, addr.to_string())
-        .header(headers::HALL, dispatcher.hall());
+        .header(headers::HALL, &**dispatcher.hall());
     if !feed.all_changes {
         request = request.header(headers::SELDOM, "1");
     }
--- a/crates/gateway/src/hall_reader.rs
+++ b/crates/gateway/src/hall_reader.rs
@@ -51,7 +51,7 @@
         dispatcher: Arc<Dispatcher>,
         own: SocketAddr,
     ) -> HallReaders {
-        let hall = Arc::from(dispatcher.hall());
+        let hall = Arc::clone(dispatcher.hall());
         let entry = HallEntry { addr: own, hall };
         HallReaders {
             own,
@@ -74,7 +74,7 @@
     /// leading ones of its own.
     fn entries(&self) -> Vec<HallEntry> {
         let mut entries = Vec::clone(&self.dispatcher.entries());
-        let hall: Arc<str> = Arc::from(self.dispatcher.hall());
+        let hall = Arc::clone(self.dispatcher.hall());
         for addr in self.dispatcher.leading_entries().iter() {
             entries.push(HallEntry { addr: *addr, hall: Arc::clone(&hall) });
         }
--- a/crates/loader/src/agent.rs
+++ b/crates/loader/src/agent.rs
@@ -84,6 +84,9 @@
     pub chosen: Mutex<Option<u64>>,
     /// What is known about the chunks that the engine has loaded.
     loads: Mutex<LoadHistory>,
+    /// Whether the load that this process has found is to be repeated, since
+    /// nobody can confirm it.
+    reload: AtomicBool,
 }
 
 impl Agent {
@@ -241,6 +244,20 @@
         self.state.send_modify(|_| {});
     }
 
+    /// Requests that the load which this process has found is repeated once
+    /// its chunks are available.
+    pub(crate) fn request_reload(&self) {
+        self.reload.store(true, Ordering::Relaxed);
+        // Wakes the reconciliation.
+        self.state.send_modify(|_| {});
+    }
+
+    /// Returns whether the load that this process has found is to be repeated.
+    pub(crate) fn needs_reload(&self, state: &EngineState) -> bool {
+        self.reload.load(Ordering::Relaxed)
+            && self.provenance(state) == Provenance::Inherited
+    }
+
     /// Records that the engine has loaded intact chunks.
     pub(crate) fn record_verified(
         &self,
@@ -388,6 +405,7 @@
         paused: AtomicBool::new(false),
         chosen: Mutex::default(),
         loads: Mutex::default(),
+        reload: AtomicBool::new(false),
     });
     tokio::spawn(watch_engine(Arc::clone(&agent)));
     tokio::spawn(read_routes(Arc::clone(&agent)));
--- a/crates/loader/src/reconcile.rs
+++ b/crates/loader/src/reconcile.rs
@@ -83,7 +83,7 @@
             continue;
         }
         let wanted = select_version(&agent, newest).await;
-        if serves(&engine, &wanted) {
+        if serves(&engine, &wanted) && !agent.needs_reload(&engine) {
             if sharing.as_ref().is_none_or(|s| *s.version() != wanted) {
                 sharing = Some(Sharing::start(&agent, wanted));
             }
@@ -245,6 +245,8 @@
     if !agent.is_paused() {
         turn.after_fetch(agent, &manifest).wait(agent).await;
     }
+    // From here on a load that was found gets no requests.
+    agent.loads().reject_inherited();
     load(agent, &manifest, turn.number()).await?;
     let agent_after_load = Arc::clone(agent);
     tokio::spawn(async move {
--- a/crates/loader/src/staging.rs
+++ b/crates/loader/src/staging.rs
@@ -5,6 +5,7 @@
 //! each load.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::future::try_join_all;
@@ -14,6 +15,7 @@
 };
 use stairhinge_gateway::Provenance;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 use crate::agent::Agent;
 use crate::engine::EngineState;
@@ -24,6 +26,10 @@
 /// version is not outdated when it ends.
 const CONCURRENT_READS: usize = 4;
 
+/// How long an entry may take to tell what it remembers of a load: to connect
+/// to a new process of the agent, and to call it.
+const VERDICT_PERIOD: Duration = Duration::from_millis(800);
+
 /// A task that offers the chunks staged at the engine to peers. It ends when
 /// this is dropped: the manifest may be unavailable for as long as the origin
 /// is.
@@ -54,6 +60,7 @@
 }
 
 async fn share_staged(agent: &Arc<Agent>, wanted: &ModelVersion) {
+    let started = Instant::now();
     let owner = FetchOwner::new(Arc::clone(agent));
     let found = find_manifest(
         &agent.fetch_context,
@@ -66,7 +73,19 @@
         Ok(manifest) => manifest,
         Err(error) => return log_failure(&agent.facts, "share", &error),
     };
-    verify_inherited(agent, &manifest).await;
+    let verifying = {
+        let (agent, manifest) = (Arc::clone(agent), Arc::clone(&manifest));
+        async move { verify_inherited(&agent, &manifest, started).await }
+    };
+    tokio::join!(verifying, offer_staged(agent, wanted, &manifest));
+}
+
+/// Offers the chunks staged at the engine to peers.
+async fn offer_staged(
+    agent: &Agent,
+    wanted: &ModelVersion,
+    manifest: &VersionManifest,
+) {
     let Ok(staged) = agent.engine.staged(&wanted.model).await else {
         return;
     };
@@ -86,13 +105,24 @@
 }
 
 /// Confirms the load that this process found if the staged chunks are intact.
-/// If they are not, one may have turned bad after the load.
-async fn verify_inherited(agent: &Agent, manifest: &VersionManifest) {
+/// If they are not, one may have turned bad before or after the load. Then the
+/// version is loaded again, unless an entry remembers that the load was
+/// confirmed.
+async fn verify_inherited(
+    agent: &Agent,
+    manifest: &VersionManifest,
+    started: Instant,
+) {
     let Ok(state) = agent.engine_state().await else { return };
-    if agent.provenance(&state) == Provenance::Inherited
-        && !is_loaded_intact(agent, manifest, &state).await
+    if agent.provenance(&state) != Provenance::Inherited
+        || is_loaded_intact(agent, manifest, &state).await
     {
+        return;
+    }
+    tokio::time::sleep_until(started + VERDICT_PERIOD).await;
+    if agent.provenance(&state) == Provenance::Inherited {
         agent.log_load(&state, "none: found at the start", None);
+        agent.request_reload();
     }
 }
 
@@ -154,6 +184,10 @@
     index: u32,
     bytes: Bytes,
 ) {
+    // The order in progress may take what is staged at any time.
+    if agent.state.borrow().as_ref().is_some_and(|state| state.busy) {
+        return;
+    }
     let model = &manifest.model;
     let previous = agent.holdings.staged_at(model, index);
     let expected = manifest.digests.get(index as usize);
