--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod dispatch;
 mod entry;
 mod event_timing;
+mod far_budget;
 mod feed;
 mod forward;
 mod hall_reader;
--- a/crates/gateway/src/peer_socket.rs
+++ b/crates/gateway/src/peer_socket.rs
@@ -43,8 +43,14 @@
     /// no request waits for the socket. Messages may be lost in transit
     /// anyway.
     pub(crate) fn send(&self, to: SocketAddr, message: &Message) {
-        let Ok(json) = serde_json::to_vec(message) else { return };
-        let _ = self.socket.try_send_to(&json, to);
+        if let Some(datagram) = encode(message) {
+            self.send_datagram(to, &datagram);
+        }
+    }
+
+    /// Sends an encoded message, like [`Self::send`].
+    pub(crate) fn send_datagram(&self, to: SocketAddr, datagram: &[u8]) {
+        let _ = self.socket.try_send_to(datagram, to);
     }
 
     /// Waits for the next message.
@@ -79,6 +85,11 @@
     }
 }
 
+/// Encodes a message as one datagram.
+pub(crate) fn encode(message: &Message) -> Option<Vec<u8>> {
+    serde_json::to_vec(message).ok()
+}
+
 fn parse(bytes: &[u8]) -> Result<Message, Error> {
     serde_json::from_slice(bytes)
         .map_err(|e| Error::new(Code::MalformedJson, e))
--- a/crates/gateway/src/poison/gossip.rs
+++ b/crates/gateway/src/poison/gossip.rs
@@ -1,17 +1,16 @@
 //! Gossip about poisoned requests between entries.
 //!
-//! A change is sent at once to the entries that agents report, which are the
-//! first-ranked ones of each hall, and to those that sent a message recently.
-//! A receiver forwards new records to the other entries of its hall. To repair
-//! losses, each entry periodically sends a digest of its table to one other
-//! entry in turn, which answers with records if its table differs. An entry
-//! that has just started thus gets the whole table from the first one that it
-//! reaches.
+//! A change is sent at once to the known entries of the hall, and to one entry
+//! of each other hall, which forwards it there ([`PeerList`]). What goes to
+//! other halls is bounded in bytes ([`FarBudget`]). To repair losses, each
+//! entry periodically sends a digest of its table to one other entry in turn,
+//! which answers with records if its table differs. An entry that has just
+//! started thus gets the whole table from the first one that it reaches.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use stairhinge::placing::Message;
 use stairhinge::poison::{
@@ -21,8 +20,9 @@
 use super::PoisonWatch;
 use crate::connect::has_ended;
 use crate::dispatch::{Dispatcher, DownEngine};
+use crate::far_budget::FarBudget;
 use crate::peer_list::PeerList;
-use crate::peer_socket::PeerSocket;
+use crate::peer_socket::{PeerSocket, encode};
 
 /// The interval at which an entry compares its table with that of another one.
 /// With seven entries each is compared four times a second, so that a lost
@@ -52,6 +52,7 @@
     wire: Arc<PeerSocket>,
     own: SocketAddr,
     peers: Arc<PeerList>,
+    budget: FarBudget,
 }
 
 impl PoisonGossip {
@@ -63,7 +64,8 @@
         own: SocketAddr,
         peers: Arc<PeerList>,
     ) -> PoisonGossip {
-        PoisonGossip { watch, dispatcher, wire, own, peers }
+        let budget = FarBudget::default();
+        PoisonGossip { watch, dispatcher, wire, own, peers, budget }
     }
 
     /// Sends changes and digests until the process ends.
@@ -119,29 +121,43 @@
 
     /// Sends the table's digest to the next peer in turn.
     fn send_digest(&self, tick: u32) {
-        let others = self.digest_peers();
         let idle = tick > STARTUP_TICKS && self.watch.is_empty();
-        if others.is_empty() || (idle && !tick.is_multiple_of(IDLE_TICKS)) {
+        if idle && !tick.is_multiple_of(IDLE_TICKS) {
             return;
         }
-        let turn = if idle { tick / IDLE_TICKS } else { tick } as usize;
-        let digest = PoisonMessage::Digest(self.watch.lock().digest());
-        self.send(others[turn % others.len()], digest);
+        let turn = if idle { tick / IDLE_TICKS } else { tick / 2 } as usize;
+        let far = !tick.is_multiple_of(2) && self.peers.compares_halls();
+        let others: Vec<SocketAddr> = if far {
+            // Each turn goes to one hall, and each round to other entries.
+            let halls = self.peers.relays(0).len().max(1);
+            let relays = self.peers.relays(turn / halls);
+            relays.into_iter().map(|entry| entry.addr).collect()
+        } else {
+            self.digest_peers().into_iter().collect()
+        };
+        if others.is_empty() {
+            return;
+        }
+        let digest = self.watch.lock().digest();
+        let hall = Arc::clone(self.peers.hall());
+        let compare = PoisonMessage::Compare { digest, hall };
+        self.send(others[turn % others.len()], compare);
     }
 
-    /// Returns the entries to compare tables with: for a leading entry of the
-    /// hall all known entries, for any other the leading ones.
-    fn digest_peers(&self) -> Vec<SocketAddr> {
+    /// Returns the entries of the hall to compare tables with: for a leading
+    /// entry all known ones, for any other the leading ones.
+    fn digest_peers(&self) -> BTreeSet<SocketAddr> {
         let leading = self.dispatcher.leading_entries();
         let is_leading = leading.is_empty() || leading.contains(&self.own);
-        let mut others = self.peers.all();
+        let mut others = self.peers.near();
         if !is_leading {
             others.retain(|addr| leading.contains(addr));
         }
-        others.into_iter().collect()
+        others
     }
 
-    /// Sends local changes to all known entries.
+    /// Sends local changes to the known entries of the hall and to a relay in
+    /// each other one.
     fn send_changes(&self) {
         let now = self.watch.facts.now();
         let (records, crashes) = {
@@ -151,7 +167,9 @@
         if records.is_empty() && crashes.is_empty() {
             return;
         }
-        let peers = self.peers.all();
+        let mut peers = self.peers.near();
+        let relays = self.peers.relays(0);
+        peers.extend(relays.into_iter().map(|entry| entry.addr));
         self.send_records(&peers, &records);
         self.send_crashes(&peers, crashes);
     }
@@ -162,9 +180,7 @@
         records: &[PoisonRecord],
     ) {
         for part in records.chunks(PoisonMessage::MAX_RECORDS) {
-            for addr in to {
-                self.send(*addr, PoisonMessage::Changed(part.to_vec()));
-            }
+            self.send_to_all(to, PoisonMessage::Changed(part.to_vec()));
         }
     }
 
@@ -174,21 +190,22 @@
         reports: Vec<CrashReport>,
     ) {
         for part in CrashReport::split(reports) {
-            for addr in to {
-                self.send(*addr, PoisonMessage::Crashes(part.clone()));
-            }
+            self.send_to_all(to, PoisonMessage::Crashes(part));
         }
     }
 
     /// Handles a message.
     pub(crate) fn handle(&self, from: SocketAddr, news: PoisonMessage) {
-        self.peers.record_seen(from);
         match news {
             PoisonMessage::Changed(records) => self.merge(from, records),
             PoisonMessage::Crashes(reports) => {
                 self.merge_crashes(from, &reports);
             }
             PoisonMessage::Digest(theirs) => self.answer_digest(from, theirs),
+            PoisonMessage::Compare { digest, hall } => {
+                self.peers.record_seen(from, &hall);
+                self.answer_digest(from, digest);
+            }
             PoisonMessage::Differs { digest, records } => {
                 self.merge(from, records);
                 self.send_missing(from, digest);
@@ -196,7 +213,7 @@
         }
     }
 
-    /// Merges records and forwards the new ones to the entries of this hall.
+    /// Merges records and forwards the new ones in this hall.
     fn merge(&self, from: SocketAddr, records: Vec<PoisonRecord>) {
         let news = self.watch.merge(from, records);
         if news.is_empty() {
@@ -205,8 +222,7 @@
         self.send_records(&self.peers.to_forward(from), &news);
     }
 
-    /// Merges reports of crashes and forwards what is new to the entries of
-    /// this hall.
+    /// Merges reports of crashes and forwards what is new in this hall.
     fn merge_crashes(&self, from: SocketAddr, reports: &[CrashReport]) {
         let news = self.watch.merge_crashes(from, reports);
         if !news.is_empty() {
@@ -260,6 +276,23 @@
     }
 
     fn send(&self, to: SocketAddr, news: PoisonMessage) {
-        self.wire.send(to, &Message::Poison(news));
+        self.send_to_all(&BTreeSet::from([to]), news);
+    }
+
+    /// Sends a message to several entries, to those of other halls only within
+    /// the budget.
+    fn send_to_all(&self, to: &BTreeSet<SocketAddr>, news: PoisonMessage) {
+        if to.is_empty() {
+            return;
+        }
+        let Some(datagram) = encode(&Message::Poison(news)) else { return };
+        let now = Instant::now();
+        for addr in to {
+            let far = self.peers.far_hall(*addr);
+            let fits = |hall| self.budget.spend(&hall, datagram.len(), now);
+            if far.is_none_or(fits) {
+                self.wire.send_datagram(*addr, &datagram);
+            }
+        }
     }
 }
--- a/src/poison/message.rs
+++ b/src/poison/message.rs
@@ -1,5 +1,7 @@
 //! Messages between entries about poisoned requests.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
 use super::{CrashReport, PoisonRecord};
@@ -15,6 +17,13 @@
     /// The digest of the sender's table; asks for records that the sender does
     /// not have.
     Digest(u64),
+    /// The same from an entry of this hall.
+    Compare {
+        /// The digest of the sender's table.
+        digest: u64,
+        /// The hall of the sender.
+        hall: Arc<str>,
+    },
     /// The answer to a digest that differs from that of the sender's table.
     /// The receiver answers with records of its own as
     /// [`PoisonMessage::Changed`] and [`PoisonMessage::Crashes`].
