Add failing tests of requests that go on crashing replicas

What callers see: a request that crashes replicas goes on reaching them after its third crash, since entries that start learn of its quarantine late, runs that should be exclusive begin at all entries at once, and crashes under the same request withdraw one another.

--- a/src/poison.rs
+++ b/src/poison.rs
@@ -64,6 +64,8 @@
 #[cfg(test)]
 mod fingerprint_tests;
 #[cfg(test)]
+mod fleet_tests;
+#[cfg(test)]
 mod parts_tests;
 #[cfg(test)]
 mod table_tests;
