Read the table of another entry page by page, quarantined requests first

Callers saw a request that had been quarantined at all entries crash replicas again after the entries had been restarted in series, and by entries that had been in touch for up to a second.

Cause: an entry that starts learns of quarantined requests by comparing tables. The answer to a digest held the next 32 records in turn for whoever asked, and after some crashes hundreds of requests that had run beside them have records.

Now the one that asks says where the page begins, each page begins with the records with the most crashes, and as long as a page brings news the next one is asked for at once. Processes that exchange reports send the records with the most crashes first too.

--- a/crates/gateway/src/poison/gossip.rs
+++ b/crates/gateway/src/poison/gossip.rs
@@ -4,17 +4,19 @@
 //! of each other hall, which forwards it there ([`PeerList`]). What goes to
 //! other halls is bounded in bytes ([`NewsSender`]). To repair losses, each
 //! entry periodically sends a digest of its table to one other entry in turn,
-//! which answers with records if its table differs. An entry that has just
-//! started thus gets the whole table from the first one that it reaches.
+//! which answers with a page of its table if that differs. As long as pages
+//! bring news, the next one is asked for at once, so that an entry that has
+//! just started gets the whole table from the first one that it reaches.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use stairhinge::placing::Message;
 use stairhinge::poison::{
-    CrashReport, PoisonMessage, PoisonRecord, PoisonTable,
+    CrashReport, PagePosition, PoisonMessage, PoisonRecord, PoisonTable,
+    TablePage,
 };
 
 use super::PoisonWatch;
@@ -42,9 +44,22 @@
 /// replica that crashes are interrupted within this time.
 const BATCH_DELAY: Duration = Duration::from_millis(5);
 
-/// The maximum number of messages that answer one digest.
+/// The maximum number of messages with reports of crashes that answer a page
+/// of another entry.
 const MAX_REPLY_PARTS: usize = 4;
 
+/// The maximum number of entries whose tables are read page by page.
+const MAX_READINGS: usize = 1_024;
+
+/// The reading of another entry's table.
+#[derive(Clone, Copy, Debug, Default)]
+struct Reading {
+    /// Where the next page begins.
+    next: PagePosition,
+    /// Whether the current page has brought news.
+    has_news: bool,
+}
+
 /// Exchanges records of poisoned requests with other entries.
 pub(crate) struct PoisonGossip {
     watch: Arc<PoisonWatch>,
@@ -52,6 +67,7 @@
     sender: NewsSender,
     own: SocketAddr,
     peers: Arc<PeerList>,
+    readings: Mutex<HashMap<SocketAddr, Reading>>,
 }
 
 impl PoisonGossip {
@@ -64,7 +80,8 @@
         peers: Arc<PeerList>,
     ) -> PoisonGossip {
         let sender = NewsSender::new(wire, Arc::clone(&peers));
-        PoisonGossip { watch, dispatcher, sender, own, peers }
+        let readings = Mutex::default();
+        PoisonGossip { watch, dispatcher, sender, own, peers, readings }
     }
 
     /// Sends changes and digests until the process ends.
@@ -137,10 +154,50 @@
         if others.is_empty() {
             return;
         }
+        self.ask(others[turn % others.len()]);
+    }
+
+    /// Asks an entry for the next page of its table, unless this one has the
+    /// same.
+    fn ask(&self, other: SocketAddr) {
+        let from = {
+            let mut readings = self.readings();
+            if readings.len() >= MAX_READINGS {
+                readings.clear();
+            }
+            let reading = readings.entry(other).or_default();
+            reading.has_news = false;
+            reading.next
+        };
         let digest = self.watch.lock().digest();
         let hall = Arc::clone(self.peers.hall());
-        let compare = PoisonMessage::Compare { digest, hall };
-        self.send(others[turn % others.len()], compare);
+        self.send(other, PoisonMessage::Compare { digest, hall, from });
+    }
+
+    /// Records that an entry has told news.
+    fn note_news(&self, from: SocketAddr) {
+        if let Some(reading) = self.readings().get_mut(&from) {
+            reading.has_news = true;
+        }
+    }
+
+    /// Goes on reading an entry's table, whose next page begins at `next`: at
+    /// once if the last page has brought news, else with the next comparison.
+    fn read_on(&self, from: SocketAddr, theirs: u64, next: PagePosition) {
+        let has_news = {
+            let mut readings = self.readings();
+            let Some(reading) = readings.get_mut(&from) else { return };
+            reading.next = next;
+            reading.has_news
+        };
+        if has_news && !next.is_start() && self.watch.lock().digest() != theirs
+        {
+            self.ask(from);
+        }
+    }
+
+    fn readings(&self) -> MutexGuard<'_, HashMap<SocketAddr, Reading>> {
+        self.readings.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns the entries of the hall to compare tables with: for a leading
@@ -181,14 +238,19 @@
             PoisonMessage::Crashes(reports) => {
                 self.merge_crashes(from, &reports);
             }
-            PoisonMessage::Digest(theirs) => self.answer_digest(from, theirs),
-            PoisonMessage::Compare { digest, hall } => {
+            PoisonMessage::Digest(theirs) => {
+                self.answer_digest(from, theirs, PagePosition::default());
+            }
+            PoisonMessage::Compare { digest, hall, from: position } => {
                 self.peers.record_seen(from, &hall);
-                self.answer_digest(from, digest);
+                self.answer_digest(from, digest, position);
             }
-            PoisonMessage::Differs { digest, records } => {
+            PoisonMessage::Differs { digest, records, next } => {
                 self.merge(from, records);
                 self.send_missing(from, digest);
+                if let Some(next) = next {
+                    self.read_on(from, digest, next);
+                }
             }
         }
     }
@@ -199,6 +261,7 @@
         if news.is_empty() {
             return;
         }
+        self.note_news(from);
         let to = self.peers.to_forward(from);
         for message in record_messages(&news) {
             self.sender.send(&to, &message);
@@ -209,34 +272,37 @@
     fn merge_crashes(&self, from: SocketAddr, reports: &[CrashReport]) {
         let news = self.watch.merge_crashes(from, reports);
         if !news.is_empty() {
+            self.note_news(from);
             self.send_crashes(&self.peers.to_forward(from), news);
         }
     }
 
-    fn answer_digest(&self, from: SocketAddr, theirs: u64) {
+    fn answer_digest(
+        &self,
+        from: SocketAddr,
+        theirs: u64,
+        position: PagePosition,
+    ) {
         let now = self.watch.facts.now();
-        let (digest, records, crashes) = {
-            let mut table = self.watch.lock();
+        let (digest, page) = {
+            let table = self.watch.lock();
             let digest = table.digest();
             if digest == theirs {
                 return;
             }
-            let most = PoisonMessage::MAX_RECORDS * MAX_REPLY_PARTS;
-            let records = table.next_batch(most, now);
-            let most = CrashReport::MAX_FEATURES * MAX_REPLY_PARTS;
-            (digest, records, table.next_crashes(most, now))
+            (digest, table.page(position, now))
         };
+        let TablePage { records, crashes, next } = page;
         self.send_crashes(&BTreeSet::from([from]), crashes);
-        if records.is_empty() {
-            // The other table has records that this one lacks; the peer sends
-            // some in answer to this.
-            let records = Vec::new();
-            self.send(from, PoisonMessage::Differs { digest, records });
-            return;
-        }
-        for part in records.chunks(PoisonMessage::MAX_RECORDS) {
-            let records = part.to_vec();
-            self.send(from, PoisonMessage::Differs { digest, records });
+        let mut parts = records.chunks(PoisonMessage::MAX_RECORDS);
+        // Without records, the other table may still have some that this one
+        // lacks, which the peer sends in answer to this.
+        let mut part = Some(parts.next().unwrap_or_default());
+        while let Some(records) = part {
+            part = parts.next();
+            let next = part.is_none().then_some(next);
+            let records = records.to_vec();
+            self.send(from, PoisonMessage::Differs { digest, records, next });
         }
     }
 
--- a/crates/shell/src/node/poison.rs
+++ b/crates/shell/src/node/poison.rs
@@ -11,8 +11,8 @@
 
 use stairhinge::Time;
 use stairhinge::poison::{
-    CrashReport, Fingerprint, Judgement, PoisonMessage, PoisonRecord,
-    PoisonTable, RequestFeatures, Suspicion,
+    CrashReport, Fingerprint, Judgement, PagePosition, PoisonMessage,
+    PoisonRecord, PoisonTable, RequestFeatures, Suspicion,
 };
 
 use super::gossip::{near_peers, one_peer_per_hall};
@@ -189,7 +189,7 @@
         let mut records = table.records(&about, now);
         let mut crashes = Vec::new();
         if digest != update.digest {
-            records.extend(table.next_batch(PoisonMessage::MAX_RECORDS, now));
+            records.extend(differing_records(&mut table, now));
             crashes = table.next_crashes(CrashReport::MAX_FEATURES, now);
         }
         PoisonUpdate { digest, records, about: None, crashes }
@@ -261,7 +261,7 @@
         let digest = table.digest();
         let records = match about {
             Some(request) => table.records(&[request], now),
-            None => table.next_batch(PoisonMessage::MAX_RECORDS, now),
+            None => differing_records(&mut table, now),
         };
         let crashes = match about {
             Some(_) => Vec::new(),
@@ -271,6 +271,14 @@
     }
 }
 
+/// Returns records for a peer whose table differs: those with the most
+/// crashes, and the next ones in turn.
+fn differing_records(table: &mut PoisonTable, now: Time) -> Vec<PoisonRecord> {
+    let mut records = table.page(PagePosition::default(), now).records;
+    records.extend(table.next_batch(PoisonMessage::MAX_RECORDS, now));
+    records
+}
+
 /// Sends changes in the table to peers until the process shuts down.
 pub(super) async fn run(node: Arc<Node>) {
     let mut sweep = tokio::time::interval(SWEEP_INTERVAL);
--- a/src/poison/evidence.rs
+++ b/src/poison/evidence.rs
@@ -393,6 +393,26 @@
         batch
     }
 
+    /// Returns reports of whole crashes in the order of names, without the
+    /// first `from`, with at most `max` features unless the first has more.
+    pub fn reports_from(
+        &self,
+        from: usize,
+        max: usize,
+        now: Time,
+    ) -> Vec<CrashReport> {
+        let mut reports = Vec::new();
+        let mut features = 0;
+        for (name, crash) in self.crashes.iter().skip(from) {
+            features += crash.charges.len();
+            if features > max && !reports.is_empty() {
+                break;
+            }
+            reports.push(report(name, crash, now, |_| true));
+        }
+        reports
+    }
+
     /// Returns a digest of all charges.
     pub const fn digest(&self) -> u64 {
         self.digest
--- a/src/poison/fleet_tests.rs
+++ b/src/poison/fleet_tests.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 
 use super::{
-    CrashReport, Fingerprint, Identity, PoisonRecord, PoisonTable, Suspicion,
+    CrashReport, Fingerprint, Identity, PagePosition, PoisonRecord,
+    PoisonTable, Suspicion,
 };
 use crate::Time;
 
@@ -70,3 +71,30 @@
     assert_eq!(table.review(at(700)), []);
     assert_eq!(table.suspicion(bad).ended, 2);
 }
+
+/// Guards against a quarantined request that follows hundreds of others, and
+/// against pages that leave out records.
+#[test]
+fn pages_begin_with_quarantined_requests_and_end_with_the_whole_table() {
+    let mut full = PoisonTable::default();
+    for index in 0..300 {
+        let name = request(&format!("r{index}"));
+        full.merge(vec![record(name, 1, &[0])], at(100));
+        full.merge_crashes(&[report(index, &[name])], at(100));
+    }
+    let bad = request("bad");
+    full.merge(vec![record(bad, 3, &[1])], at(50));
+    let mut empty = PoisonTable::default();
+    let mut from = PagePosition::default();
+    loop {
+        let page = full.page(from, at(200));
+        assert_eq!(page.records[0].request, bad);
+        empty.merge(page.records, at(200));
+        empty.merge_crashes(&page.crashes, at(200));
+        from = page.next;
+        if from.is_start() {
+            break;
+        }
+    }
+    assert_eq!(empty.digest(), full.digest());
+}
--- a/src/poison/message.rs
+++ b/src/poison/message.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{CrashReport, PoisonRecord};
+use super::{CrashReport, PagePosition, PoisonRecord};
 
 /// A message, which fits into one datagram.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -23,6 +23,9 @@
         digest: u64,
         /// The hall of the sender.
         hall: Arc<str>,
+        /// Where the page begins that the sender asks for.
+        #[serde(default)]
+        from: PagePosition,
     },
     /// The answer to a digest that differs from that of the sender's table.
     /// The receiver answers with records of its own as
@@ -32,6 +35,9 @@
         digest: u64,
         /// Some of the records in that table.
         records: Vec<PoisonRecord>,
+        /// Where the next page begins, in the last message of a page.
+        #[serde(default)]
+        next: Option<PagePosition>,
     },
 }
 
--- a/src/poison/table.rs
+++ b/src/poison/table.rs
@@ -7,9 +7,11 @@
 
 use super::evidence::CrashEvidence;
 use super::exits::RecentExits;
+use super::page::{PagePosition, TablePage};
 use super::request_state::{LastCrash, RequestState};
 use super::{
-    Admission, Fingerprint, PoisonRecord, Refusal, RefusalReason, Suspicion,
+    Admission, CrashReport, Fingerprint, PoisonRecord, Refusal, RefusalReason,
+    Suspicion,
 };
 use crate::{Digest, Time};
 
@@ -20,7 +22,7 @@
     pub(super) requests: HashMap<Fingerprint, RequestState>,
     /// The requests whose changes have yet to be sent to other entries.
     unsent: BTreeSet<Fingerprint>,
-    /// The start of the next batch that [`PoisonTable::next_batch`] returns.
+    /// The position of [`PoisonTable::next_batch`].
     cursor: usize,
     pub(super) exits: RecentExits,
     pub(super) evidence: CrashEvidence,
@@ -425,24 +427,52 @@
         records
     }
 
-    /// Returns the next batch of at most `max` records for an entry that does
+    /// Returns the next batch of at most `max` records for a process that does
     /// not have all of them. Successive calls cycle through all shared records
     /// in descending order of crashes, and of these the newest first.
     pub fn next_batch(&mut self, max: usize, now: Time) -> Vec<PoisonRecord> {
+        let shared = self.shared_in_order(now);
+        let from = if self.cursor < shared.len() { self.cursor } else { 0 };
+        let batch = records_of(shared.into_iter().skip(from).take(max), now);
+        self.cursor = from + batch.len();
+        batch
+    }
+
+    /// Returns a page of the table for a process that compares its own with
+    /// it, from the position that the last page ended with; zero is the
+    /// beginning. The records with the most crashes are in each page.
+    pub fn page(&self, from: PagePosition, now: Time) -> TablePage {
+        let shared = self.shared_in_order(now);
+        let first = TablePage::FIRST_RECORDS.min(shared.len());
+        let from_record = (from.record as usize).max(first);
+        let size = TablePage::MAX_RECORDS - first;
+        let rest = shared.iter().skip(from_record).take(size);
+        let chosen = shared.iter().take(first).chain(rest).copied();
+        let records = records_of(chosen, now);
+        let to_record = from_record + records.len() - first;
+        let most = CrashReport::MAX_FEATURES * TablePage::CRASH_MESSAGES;
+        let from_crash = from.crash as usize;
+        let crashes = self.evidence.reports_from(from_crash, most, now);
+        let to_crash = from_crash + crashes.len();
+        let ended =
+            to_record >= shared.len() && to_crash >= self.evidence.len();
+        let next =
+            PagePosition { record: to_record as u32, crash: to_crash as u32 };
+        let next = if ended { PagePosition::default() } else { next };
+        TablePage { records, crashes, next }
+    }
+
+    /// Returns all shared records in descending order of crashes, and of these
+    /// the newest first.
+    fn shared_in_order(&self, now: Time) -> Vec<(Fingerprint, &RequestState)> {
         let shared = self.requests.iter().filter(|(_, state)| state.shared);
-        let mut shared: Vec<(&Fingerprint, &RequestState)> = shared.collect();
+        let mut shared: Vec<(Fingerprint, &RequestState)> =
+            shared.map(|(request, state)| (*request, state)).collect();
         shared.sort_unstable_by_key(|(request, state)| {
             let ended = Reverse(state.suspicion.ended);
-            (ended, state.age(now), **request)
+            (ended, state.age(now), *request)
         });
-        if self.cursor >= shared.len() {
-            self.cursor = 0;
-        }
-        let batch = shared.into_iter().skip(self.cursor).take(max);
-        let batch: Vec<PoisonRecord> =
-            batch.map(|(r, state)| record(*r, state, now)).collect();
-        self.cursor += batch.len();
-        batch
+        shared
     }
 
     /// Returns a digest of all shared records.
@@ -484,6 +514,13 @@
     }
 }
 
+fn records_of<'a>(
+    states: impl Iterator<Item = (Fingerprint, &'a RequestState)>,
+    now: Time,
+) -> Vec<PoisonRecord> {
+    states.map(|(request, state)| record(request, state, now)).collect()
+}
+
 fn record(
     request: Fingerprint,
     state: &RequestState,
--- a/src/poison/table_tests.rs
+++ b/src/poison/table_tests.rs
@@ -9,8 +9,8 @@
 use rand::rngs::StdRng;
 
 use super::{
-    Admission, Fingerprint, Identity, PoisonMessage, PoisonRecord,
-    PoisonTable, RefusalReason, Suspicion,
+    Admission, Fingerprint, Identity, PagePosition, PoisonMessage,
+    PoisonRecord, PoisonTable, RefusalReason, Suspicion,
 };
 use crate::Time;
 use crate::placing::Message;
@@ -262,7 +262,8 @@
     }
     let records = table.next_batch(PoisonMessage::MAX_RECORDS, at(0));
     assert_eq!(records.len(), PoisonMessage::MAX_RECORDS);
-    let news = PoisonMessage::Differs { digest: u64::MAX, records };
+    let next = Some(PagePosition { record: u32::MAX, crash: u32::MAX });
+    let news = PoisonMessage::Differs { digest: u64::MAX, records, next };
     let json = serde_json::to_vec(&Message::Poison(news)).unwrap();
     assert!(json.len() <= 4_096, "{} bytes", json.len());
 }
