Excuse no crash by exits of replicas that are known to have run the request

Cause: a crash is withdrawn if several other replicas exited at that time that did not run the request. An entry that learned of crashes took that from the last replica of each record, but an entry that adds a crash to a suspicion that others have reached before it writes its replica in front. So crashes under one request at several entries excused one another, and all entries took that over.

All replicas of a record have run its request, and so have those whose report of a crash accuses it. crashes_under_the_same_request_at_other_entries_excuse_none_of_them failed before and passes.

--- a/src/poison/evidence.rs
+++ b/src/poison/evidence.rs
@@ -316,6 +316,13 @@
         accused.map(|(name, _)| Arc::clone(name)).collect()
     }
 
+    /// Returns whether a request is known to have run on a replica that
+    /// crashed.
+    pub fn ran_on(&self, request: Fingerprint, replica: &str) -> bool {
+        let crash = self.crashes.get(replica);
+        crash.is_some_and(|crash| crash.charges.contains_key(&request))
+    }
+
     /// Returns whether a crash is known.
     pub fn contains(&self, replica: &Arc<str>) -> bool {
         self.crashes.contains_key(replica)
--- a/src/poison/exits.rs
+++ b/src/poison/exits.rs
@@ -67,6 +67,17 @@
         }
     }
 
+    /// Records that a request ran on a replica whose exit is known.
+    pub fn add_run(&mut self, replica: &str, request: Fingerprint) {
+        for exit in &mut self.exits {
+            if *exit.replica == *replica
+                && exit.requests.len() < RecentExits::MAX_REQUESTS
+            {
+                exit.requests.insert(request);
+            }
+        }
+    }
+
     /// Records that a replica exited between `after` and `by`; `idle` tells
     /// whether it ran no request.
     pub fn record(
@@ -116,19 +127,21 @@
     /// request in common. A request that all of them ran may have crashed them,
     /// and then there is no common cause.
     ///
-    /// `replica` is the name of the replica in records.
+    /// `replica` is the name of the replica in records, and `ran_on` tells
+    /// what else is known of replicas that ran the request.
     pub fn coincided(
         &self,
         request: Fingerprint,
         replica: &str,
         at: Time,
+        ran_on: impl Fn(&str) -> bool,
     ) -> bool {
         let mut others = Vec::new();
         for exit in &self.exits {
             if *exit.replica == *replica || !exit.is_near(at, at) {
                 continue;
             }
-            if exit.requests.contains(&request) {
+            if exit.requests.contains(&request) || ran_on(&exit.replica) {
                 continue;
             }
             if exit.idle && exit.requests.is_empty() {
--- a/src/poison/table.rs
+++ b/src/poison/table.rs
@@ -198,10 +198,12 @@
         let state = self.requests.get_mut(&request)?;
         let Suspicion { ended, trials, .. } = state.suspicion;
         let LastCrash { replica, at } = state.last_crash.as_ref()?;
+        let evidence = &self.evidence;
+        let ran_on = |name: &str| evidence.ran_on(request, name);
         if ended < 2
             || trials > 0
             || now.since(*at) < PoisonTable::SETTLE_PERIOD
-            || !self.exits.coincided(request, replica, *at)
+            || !self.exits.coincided(request, replica, *at, ran_on)
         {
             return None;
         }
@@ -330,6 +332,9 @@
         if let Some(LastCrash { replica, at }) = &last_crash {
             self.exits.record_run(replica, record.request, *at);
         }
+        for replica in &record.replicas {
+            self.exits.add_run(replica, record.request);
+        }
         if let Some(state) = self.requests.get_mut(&record.request) {
             let same = state.suspicion == record.suspicion;
             state.shared |= same;
