Doubt a request under which three replicas crashed while others are answered

Cause: the count of crashes in succession may be taken back without end. Crashes that come together count once, those that coincide with other exits are withdrawn, and a part of the prompt that explains them excuses the request. Each is right for a harmless request, but nothing bounds them together.

The crashes of single replicas are known as sets that only grow. A request under which three of them crashed, and that has got no complete answer 2 s after the third although its service gave 16 others, is in doubt: one run at a time, whose crash quarantines it and is not withdrawn. Two crashes in doubt prove it, whatever has cleared its count. A complete answer ends it. A harmless request of many callers is answered as soon as replicas are back, and nothing is in doubt while its service answers nothing else.

withdrawn_crashes_do_not_excuse_a_request_for_good and crashes_on_trial_prove_a_request_whatever_clears_its_count failed before.

--- a/src/poison/evidence.rs
+++ b/src/poison/evidence.rs
@@ -17,6 +17,7 @@
 use super::exits::RecentExits;
 use super::{
     CrashReport, Fingerprint, PoisonRecord, PoisonTable, RequestFeatures,
+    Suspicion,
 };
 use crate::{Digest, Time};
 
@@ -71,6 +72,20 @@
     }
 }
 
+/// What the crashes under one request prove, however they coincided with
+/// others. Only a complete answer to the request takes it back.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Doubt {
+    /// Nothing.
+    None,
+    /// It crashed replicas and got no answer while others did, so that only
+    /// one run of it may be in progress.
+    OnTrial,
+    /// It also crashed replicas when it was on trial, the last one at this
+    /// time.
+    Proven(Time),
+}
+
 /// The crashes of the last minutes, as known to one entry.
 #[derive(Clone, Debug, Default)]
 pub(super) struct CrashEvidence {
@@ -108,6 +123,14 @@
     /// requests have as well are cleared, as far as they are common.
     const MIN_ANSWERS: u32 = 16;
 
+    /// How long after its third crash a request is in doubt that has not been
+    /// answered since. Halls that fail again and again are back within that
+    /// time, and answer what ran there.
+    const DOUBT_PERIOD: Duration = Duration::from_secs(2);
+
+    /// The number of crashes in doubt that prove a request to be at fault.
+    const DOUBT_CRASHES: usize = 2;
+
     /// Sets the number by which others know the answers of this entry.
     pub const fn set_entry(&mut self, entry: u32) {
         self.entry = entry;
@@ -323,6 +346,33 @@
         crash.is_some_and(|crash| crash.charges.contains_key(&request))
     }
 
+    /// Returns what the crashes under a request prove.
+    ///
+    /// Each crash of a replica counts once, whatever else exited at that time.
+    /// A harmless request under which as many replicas crashed is answered
+    /// sooner or later, like others of its service.
+    pub fn doubt(&self, request: Fingerprint, now: Time) -> Doubt {
+        let open =
+            |crash: &&Crash| crash.charges.get(&request) == Some(&false);
+        let mut open: Vec<&Crash> =
+            self.crashes.values().filter(open).collect();
+        open.sort_by_key(|crash| crash.at);
+        let threshold = usize::from(Suspicion::QUARANTINE_THRESHOLD);
+        let Some(last) = open.get(threshold - 1) else { return Doubt::None };
+        let begins = last.at.after(CrashEvidence::DOUBT_PERIOD);
+        if now < begins || last.answered() < CrashEvidence::MIN_ANSWERS {
+            return Doubt::None;
+        }
+        let on_trial: Vec<&&Crash> =
+            open.iter().filter(|crash| crash.at >= begins).collect();
+        match on_trial.last() {
+            Some(crash) if on_trial.len() >= CrashEvidence::DOUBT_CRASHES => {
+                Doubt::Proven(crash.at)
+            }
+            _ => Doubt::OnTrial,
+        }
+    }
+
     /// Returns whether a crash is known.
     pub fn contains(&self, replica: &Arc<str>) -> bool {
         self.crashes.contains_key(replica)
--- a/src/poison/fleet_tests.rs
+++ b/src/poison/fleet_tests.rs
@@ -2,10 +2,11 @@
 //! one another, and how many runs of it there are in all.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::{
-    CrashReport, Fingerprint, Identity, PagePosition, PoisonRecord,
-    PoisonTable, Suspicion,
+    Admission, CrashReport, Fingerprint, Identity, PagePosition, PoisonRecord,
+    PoisonTable, RefusalReason, RequestFeatures, Suspicion,
 };
 use crate::Time;
 
@@ -98,3 +99,113 @@
     }
     assert_eq!(empty.digest(), full.digest());
 }
+
+/// Has a request crash a replica in the table of an entry.
+fn crash(
+    table: &mut PoisonTable,
+    request: Fingerprint,
+    index: usize,
+    now: Time,
+) {
+    let sent = table.suspicion(request);
+    let features = RequestFeatures::from(request);
+    let service = Arc::from("pool");
+    table.accuse(&features, sent, &replica(index), &service, now);
+}
+
+/// Has other requests of the service get complete answers.
+fn answer_others(table: &mut PoisonTable, now: Time) {
+    for index in 0..16 {
+        let other = request(&format!("other{index}"));
+        let features = RequestFeatures::from(other);
+        table.clear_features(&features, Some("pool"), now);
+    }
+}
+
+fn refusal(
+    table: &mut PoisonTable,
+    request: Fingerprint,
+    now: Time,
+) -> Option<RefusalReason> {
+    match table.admit(request, now) {
+        Admission::Admitted(_) => None,
+        Admission::Refused(refusal) => Some(refusal.reason),
+    }
+}
+
+/// Returns a table in which each crash of the request coincided with exits of
+/// idle replicas, and was withdrawn if it was not the first.
+fn withdrawn(bad: Fingerprint, crashes: usize, gap_ms: u64) -> PoisonTable {
+    let mut table = PoisonTable::default();
+    for index in 0..crashes {
+        let now = at(1_000 + index as u64 * gap_ms);
+        crash(&mut table, bad, index, now);
+        let idle = replica(100 + index);
+        table.record_exit(&idle, now, now, true);
+        table.review(now.after(PoisonTable::SETTLE_PERIOD));
+        assert!(table.suspicion(bad).ended <= 1);
+    }
+    table
+}
+
+/// Guards against a request whose crashes all coincide with exits of others,
+/// so that it goes on crashing replicas while others are answered.
+#[test]
+fn withdrawn_crashes_do_not_excuse_a_request_for_good() {
+    let bad = request("bad");
+    let mut table = withdrawn(bad, 3, 100);
+    answer_others(&mut table, at(1_300));
+    assert_eq!(refusal(&mut table, bad, at(3_100)), None);
+    assert_eq!(refusal(&mut table, bad, at(3_100)), None);
+    // One run at a time from 2 s after the third crash on.
+    assert_eq!(refusal(&mut table, bad, at(3_200)), None);
+    let on_trial = Some(RefusalReason::OnTrial);
+    assert_eq!(refusal(&mut table, bad, at(3_200)), on_trial);
+    crash(&mut table, bad, 3, at(3_300));
+    table.record_exit(&replica(103), at(3_300), at(3_300), true);
+    let settled = at(3_300).after(PoisonTable::SETTLE_PERIOD);
+    assert_eq!(table.review(settled), []);
+    let quarantined = Some(RefusalReason::Quarantined);
+    assert_eq!(refusal(&mut table, bad, settled), quarantined);
+}
+
+/// Guards against evidence that is lost as a part of the prompt explains the
+/// crashes and is released later.
+#[test]
+fn crashes_on_trial_prove_a_request_whatever_clears_its_count() {
+    let bad = request("bad");
+    let mut table = withdrawn(bad, 3, 100);
+    answer_others(&mut table, at(1_300));
+    for (index, ms) in [(3, 4_000), (4, 6_000)] {
+        assert_eq!(refusal(&mut table, bad, at(ms)), None);
+        crash(&mut table, bad, index, at(ms + 100));
+        // As others do that have excused it.
+        let cleared = table.suspicion(bad).cleared + 1;
+        let suspicion = Suspicion { cleared, ..Suspicion::default() };
+        let excused = PoisonRecord { suspicion, ..record(bad, 0, &[]) };
+        table.merge(vec![excused], at(ms + 200));
+    }
+    let quarantined = Some(RefusalReason::Quarantined);
+    assert_eq!(refusal(&mut table, bad, at(8_000)), quarantined);
+    let later = at(6_100).after(Duration::from_secs(600));
+    assert_eq!(refusal(&mut table, bad, later), None);
+}
+
+/// Guards against doubt of a harmless request: while nothing else is answered,
+/// and once it is answered itself.
+#[test]
+fn a_request_is_not_in_doubt_while_none_is_answered_or_once_it_is() {
+    let hot = request("hot");
+    let admitted_twice = |table: &mut PoisonTable| {
+        for _ in 0..2 {
+            assert_eq!(refusal(table, hot, at(9_000)), None);
+        }
+    };
+    let mut table = withdrawn(hot, 8, 600);
+    admitted_twice(&mut table);
+    let mut table = withdrawn(hot, 8, 600);
+    answer_others(&mut table, at(6_000));
+    table.record_answer(hot, at(6_100));
+    table.clear_features(&hot.into(), Some("pool"), at(6_100));
+    admitted_twice(&mut table);
+}
--- a/src/poison/table.rs
+++ b/src/poison/table.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::evidence::CrashEvidence;
+use super::evidence::{CrashEvidence, Doubt};
 use super::exits::RecentExits;
 use super::page::{PagePosition, TablePage};
 use super::request_state::{LastCrash, RequestState};
@@ -107,6 +107,12 @@
         if let Some(refusal) = self.refusal(request, now) {
             return Admission::Refused(refusal);
         }
+        let doubt = self.doubt(request, now);
+        if doubt != Doubt::None {
+            self.make_room(now);
+            let state = self.requests.entry(request);
+            state.or_insert_with(|| RequestState::new(now));
+        }
         let Some(state) = self.requests.get_mut(&request) else {
             return Admission::Admitted(Suspicion::default());
         };
@@ -116,12 +122,40 @@
             state.mark_changed(now);
             self.unsent.insert(request);
         }
-        if state.requires_exclusive_run(now) {
+        if state.requires_exclusive_run(now) || doubt != Doubt::None {
             state.exclusive_until = Some(now.after(PoisonTable::TRIAL_PERIOD));
         }
         Admission::Admitted(state.suspicion)
     }
 
+    /// Returns what the crashes under a request prove. Parts of prompts are
+    /// judged by all crashes ([`PoisonTable::judge`]).
+    fn doubt(&self, request: Fingerprint, now: Time) -> Doubt {
+        if request.is_part() {
+            return Doubt::None;
+        }
+        self.evidence.doubt(request, now)
+    }
+
+    /// Returns the refusal of a request that the crashes prove to be at fault,
+    /// whatever has withdrawn some of them.
+    fn refuse_proven(
+        &mut self,
+        request: Fingerprint,
+        now: Time,
+    ) -> Option<Refusal> {
+        let Doubt::Proven(since) = self.doubt(request, now) else {
+            return None;
+        };
+        let delay = PoisonTable::TRIAL_DELAYS[0];
+        let left = delay.saturating_sub(now.since(since));
+        let unknown = || RequestState::new(since);
+        let state = self.requests.get(&request).cloned();
+        let state = state.unwrap_or_else(unknown);
+        let reason = RefusalReason::Quarantined;
+        (!left.is_zero()).then(|| state.refusal(request, reason, left, now))
+    }
+
     /// Returns why a request, or one with this part in its prompt, may not be
     /// sent to a replica at `now`, if so. It has arrived.
     pub(super) fn refusal(
@@ -129,6 +163,9 @@
         request: Fingerprint,
         now: Time,
     ) -> Option<Refusal> {
+        if let Some(refusal) = self.refuse_proven(request, now) {
+            return Some(refusal);
+        }
         let state = self.requests.get_mut(&request)?;
         state.last_seen = Some(now);
         if let Some(until) = state.exclusive_until.filter(|until| now < *until)
@@ -204,6 +241,7 @@
             || trials > 0
             || now.since(*at) < PoisonTable::SETTLE_PERIOD
             || !self.exits.coincided(request, replica, *at, ran_on)
+            || evidence.doubt(request, now) != Doubt::None
         {
             return None;
         }
@@ -245,14 +283,20 @@
     ) -> Suspicion {
         self.make_room(now);
         self.exits.record_run(replica, request, now);
+        let doubtful = self.doubt(request, now) != Doubt::None;
         let entry = self.requests.entry(request);
         let state = entry.or_insert_with(|| RequestState::new(now));
         let current = state.suspicion;
-        if current.cleared > sent.cleared {
+        if current.cleared > sent.cleared && !doubtful {
             return current;
         }
-        let ended = (sent.ended + 1).min(Suspicion::QUARANTINE_THRESHOLD);
-        let next = Suspicion { ended, ..sent };
+        let ended = if doubtful {
+            Suspicion::QUARANTINE_THRESHOLD
+        } else {
+            (sent.ended + 1).min(Suspicion::QUARANTINE_THRESHOLD)
+        };
+        let cleared = current.cleared.max(sent.cleared);
+        let next = Suspicion { cleared, ended, ..sent };
         if next < current {
             return current;
         }
