Claim the only run of a request among all entries before it begins

Callers saw five entries at once let a request run that was one crash short of quarantine, and five more replicas crash.

Cause: the last run before a quarantine, and the trial of a quarantined request or part, excluded other runs at its own entry only, and refused callers come back to all entries together.

An entry that is about to begin such a run tells all others, by the way of other news on crashes, and waits for 100 ms for a better claim; of the claims of a moment that with the lowest number runs, and a run in progress precedes all. It tells them when the run is over and proved nothing. A run is no longer taken for over while its entry checks whether the replica has ended, and a claim ends only with its own run. No consent is needed: claims that are lost cost a run more. This holds for entries that send to replicas themselves, not behind agents.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -262,6 +262,7 @@
             body,
             _charges: charges,
             features: OnceLock::new(),
+            claim: Mutex::default(),
         });
         self.share(&context.service, |s| s.record_request(self.facts.now()));
         let answered =
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -191,13 +191,16 @@
         need: &mut Need,
         ran: bool,
     ) -> Result<Place, Failed> {
-        let admitted = self.poison.admit(context);
+        let admitted = self.poison.admit(context).await;
         need.suspicion = admitted.map_err(|r| quarantined(&r, ran))?;
         need.shared_run = self.poison.shared_run(context);
         let place = self.place(context, need, ran).await;
         let place = place.inspect_err(|_| self.poison.finish_run(context))?;
         let admitted = self.poison.recheck(context, need.suspicion);
-        admitted.map_err(|r| quarantined(&r, ran))?;
+        admitted.map_err(|r| {
+            self.poison.finish_run(context);
+            quarantined(&r, ran)
+        })?;
         Ok(place)
     }
 
@@ -264,14 +267,17 @@
         sent: Suspicion,
         written: Duration,
     ) -> (Option<bool>, Suspicion) {
-        self.poison.finish_run(context);
         if !connection_lost {
+            self.poison.finish_run(context);
             return (None, sent);
         }
         if !has_ended(replica.addr).await {
+            self.poison.finish_run(context);
             return (Some(false), sent);
         }
+        // The crash is known to others before they learn that the run is over.
         let known = self.poison.record_crash(context, replica, sent, written);
+        self.poison.finish_run(context);
         (Some(true), known)
     }
 }
--- a/crates/gateway/src/forward/further.rs
+++ b/crates/gateway/src/forward/further.rs
@@ -55,7 +55,7 @@
         further: Further,
     ) -> Result<OpenAttempt, FurtherError> {
         let Further { mut need, attempt, after_event, beside } = further;
-        need.suspicion = self.admit_further(&context, beside)?;
+        need.suspicion = self.admit_further(&context, beside).await?;
         need.shared_run = self.poison.shared_run(&context);
         need.repeatable = false;
         need.silent = self.silence.silent(MAX_SILENT_NAMED);
@@ -94,13 +94,13 @@
     /// Admits a further attempt, and returns the suspicion against the
     /// request. While one attempt of a suspected request is in progress, no
     /// other one begins.
-    fn admit_further(
+    async fn admit_further(
         &self,
         context: &RequestContext,
         beside: bool,
     ) -> Result<Suspicion, FurtherError> {
         if !beside {
-            let admitted = self.poison.admit(context);
+            let admitted = self.poison.admit(context).await;
             return admitted.map_err(FurtherError::without_attempt);
         }
         let known = self.poison.suspicion(context);
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -16,8 +16,8 @@
 use stairhinge::Time;
 use stairhinge::direct::{Replica, ReplicaState};
 use stairhinge::poison::{
-    Admission, CrashReport, Fingerprint, Judgement, PoisonRecord, PoisonTable,
-    Refusal, RequestFeatures, Suspicion,
+    Admission, ClaimStage, CrashReport, Fingerprint, HeardClaim, Judgement,
+    PoisonRecord, PoisonTable, Refusal, RequestFeatures, RunClaim, Suspicion,
 };
 use stairhinge_shell::decisions::Decision;
 use stairhinge_shell::directory::Facts;
@@ -26,6 +26,10 @@
 pub(crate) use self::gossip::PoisonGossip;
 use crate::request_context::RequestContext;
 
+/// How long a run that must be the only one waits for better claims of other
+/// entries, which arrive within 20 ms from other halls.
+const CLAIM_PERIOD: Duration = Duration::from_millis(100);
+
 /// The maximum number of names of parts that are remembered for the log.
 const MAX_PART_NAMES: usize = 4_096;
 
@@ -51,6 +55,8 @@
     part_names: Mutex<HashMap<Fingerprint, Arc<str>>>,
     /// The number of crashes withdrawn since the start.
     withdrawn: AtomicU64,
+    /// Claims that other entries have yet to be told of.
+    claims: Mutex<Vec<RunClaim>>,
     facts: Arc<Facts>,
     changed: Notify,
 }
@@ -65,23 +71,47 @@
             known_count: AtomicUsize::new(0),
             part_names: Mutex::default(),
             withdrawn: AtomicU64::new(0),
+            claims: Mutex::default(),
             facts,
             changed: Notify::new(),
         }
     }
 
-    /// Admits a request and returns the suspicion against it.
+    /// Admits a request and returns the suspicion against it. If only one run
+    /// of it may be in progress, it is claimed first.
     ///
     /// # Errors
     ///
     /// The refusal, if the request may not be sent now.
-    pub(crate) fn admit(
+    pub(crate) async fn admit(
         &self,
         context: &RequestContext,
     ) -> Result<Suspicion, Refusal> {
         if self.is_empty() {
             return Ok(Suspicion::default());
         }
+        loop {
+            let (suspicion, claim) = self.begin(context)?;
+            let Some(claim) = claim else { return Ok(suspicion) };
+            self.tell(claim.clone());
+            tokio::time::sleep(CLAIM_PERIOD).await;
+            if self.lock().begin_claimed_run(&claim) {
+                let stage = ClaimStage::Running;
+                self.tell(RunClaim { stage, ..claim.clone() });
+                *lock(&context.claim) = Some(claim);
+                return Ok(suspicion);
+            }
+            // The better claim may be over by now.
+            self.lock().end_claims(&claim);
+        }
+    }
+
+    /// Admits a request, and returns the suspicion against it and the claim to
+    /// its only run.
+    fn begin(
+        &self,
+        context: &RequestContext,
+    ) -> Result<(Suspicion, Option<RunClaim>), Refusal> {
         let request = context.fingerprint();
         let now = self.facts.now();
         let withdrawn = self.lock().review_request(request, now);
@@ -89,7 +119,17 @@
             self.log_withdrawn(request, &exits);
         }
         self.judge();
-        let admission = self.lock().admit_features(context.features(), now);
+        let features = context.features();
+        let (admission, claim) = {
+            let mut table = self.lock();
+            let admission = table.admit_features(features, now);
+            let is_admitted = matches!(admission, Admission::Admitted(_));
+            let number = rand::rng().random();
+            let claim = is_admitted
+                .then(|| table.begin_claim(features, number, now))
+                .flatten();
+            (admission, claim)
+        };
         if let Admission::Admitted(suspicion) = &admission
             && suspicion.trials > 0
         {
@@ -100,7 +140,8 @@
             });
             self.changed.notify_one();
         }
-        self.decide(context, admission)
+        let suspicion = self.decide(context, admission)?;
+        Ok((suspicion, claim))
     }
 
     /// Checks an admitted request again after it has waited for a place.
@@ -319,6 +360,7 @@
             let cleared = table.clear_features(features, Some(service), now);
             (before, cleared)
         };
+        self.finish_run(context);
         self.log_cleared(context, &cleared);
         let Some(before) = before else { return };
         self.log(&Decision::PoisonCleared {
@@ -351,11 +393,28 @@
         self.changed.notify_one();
     }
 
-    /// Records that a run of a request is over.
+    /// Records that a run of a request is over, or was not begun, and proved
+    /// nothing.
     pub(crate) fn finish_run(&self, context: &RequestContext) {
-        if !self.is_empty() {
-            self.lock().finish_features(context.features());
-        }
+        let Some(claim) = lock(&context.claim).take() else { return };
+        self.lock().end_claims(&claim);
+        self.tell(RunClaim { stage: ClaimStage::Over, ..claim });
+    }
+
+    /// Tells other entries of a claim.
+    fn tell(&self, claim: RunClaim) {
+        lock(&self.claims).push(claim);
+        self.changed.notify_one();
+    }
+
+    /// Takes note of the claim of another entry. Returns how it compares with
+    /// those known.
+    fn hear_claim(&self, claim: &RunClaim) -> HeardClaim {
+        let now = self.facts.now();
+        let mut table = self.lock();
+        let heard = table.hear_claim(claim, now);
+        self.update_count(&table);
+        heard
     }
 
     /// Records that a request will not be retried.
@@ -363,6 +422,7 @@
         if self.is_empty() {
             return;
         }
+        self.finish_run(context);
         self.lock().record_give_up(context.fingerprint());
         self.changed.notify_one();
     }
--- a/crates/gateway/src/poison/gossip.rs
+++ b/crates/gateway/src/poison/gossip.rs
@@ -15,11 +15,11 @@
 
 use stairhinge::placing::Message;
 use stairhinge::poison::{
-    CrashReport, PagePosition, PoisonMessage, PoisonRecord, PoisonTable,
-    TablePage,
+    ClaimStage, CrashReport, PagePosition, PoisonMessage, PoisonRecord,
+    PoisonTable, RunClaim, TablePage,
 };
 
-use super::PoisonWatch;
+use super::{PoisonWatch, lock};
 use crate::connect::has_ended;
 use crate::dispatch::{Dispatcher, DownEngine};
 use crate::news_sender::NewsSender;
@@ -215,26 +215,37 @@
     /// Sends local changes to the known entries of the hall and to a relay in
     /// each other one.
     fn send_changes(&self) {
+        let claims = std::mem::take(&mut *lock(&self.watch.claims));
+        let (over, open): (Vec<RunClaim>, Vec<RunClaim>) =
+            claims.into_iter().partition(|c| c.stage == ClaimStage::Over);
+        self.send_claims(open);
         let now = self.watch.facts.now();
         let (records, crashes) = {
             let mut table = self.watch.lock();
             (table.take_unsent(now), table.take_unsent_crashes(now))
         };
-        if records.is_empty() && crashes.is_empty() {
-            return;
-        }
         for message in record_messages(&records) {
             self.sender.broadcast(&message);
         }
         for message in crash_messages(crashes) {
             self.sender.broadcast(&message);
         }
+        // Others learn what a run proved before they may begin another one.
+        self.send_claims(over);
+    }
+
+    fn send_claims(&self, claims: Vec<RunClaim>) {
+        for claim in claims {
+            let claim = PoisonMessage::Claim(claim);
+            self.sender.broadcast(&Message::Poison(claim));
+        }
     }
 
     /// Handles a message.
     pub(crate) fn handle(&self, from: SocketAddr, news: PoisonMessage) {
         match news {
             PoisonMessage::Changed(records) => self.merge(from, records),
+            PoisonMessage::Claim(claim) => self.hear_claim(from, claim),
             PoisonMessage::Crashes(reports) => {
                 self.merge_crashes(from, &reports);
             }
@@ -255,6 +266,19 @@
         }
     }
 
+    /// Forwards a claim in this hall if it is new, and answers it if another
+    /// run is in progress here.
+    fn hear_claim(&self, from: SocketAddr, claim: RunClaim) {
+        let heard = self.watch.hear_claim(&claim);
+        if let Some(running) = heard.running {
+            self.send(from, PoisonMessage::Claim(running));
+        }
+        if heard.is_new {
+            let claim = Message::Poison(PoisonMessage::Claim(claim));
+            self.sender.send(&self.peers.to_forward(from), &claim);
+        }
+    }
+
     /// Merges records and forwards the new ones in this hall.
     fn merge(&self, from: SocketAddr, records: Vec<PoisonRecord>) {
         let news = self.watch.merge(from, records);
--- a/crates/gateway/src/request_context.rs
+++ b/crates/gateway/src/request_context.rs
@@ -1,6 +1,6 @@
 //! The context of a request, shared by all its attempts.
 
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -8,7 +8,7 @@
 use hyper::http::request::Parts;
 use stairhinge::direct::{AllowedRegions, Route};
 use stairhinge::health::Source;
-use stairhinge::poison::{Fingerprint, Identity, RequestFeatures};
+use stairhinge::poison::{Fingerprint, Identity, RequestFeatures, RunClaim};
 
 use crate::buffers::Charge;
 use crate::dialect::CallerRequest;
@@ -32,6 +32,8 @@
     pub _charges: Vec<Charge>,
     /// Computed on first use, because few requests need it.
     pub features: OnceLock<RequestFeatures>,
+    /// The claim to the only run of the request, while it is in progress.
+    pub claim: Mutex<Option<RunClaim>>,
 }
 
 impl RequestContext {
--- a/src/poison.rs
+++ b/src/poison.rs
@@ -36,6 +36,7 @@
 //! can only underestimate the count.
 
 mod admission;
+mod claim;
 mod culprits;
 mod evidence;
 mod exits;
@@ -50,6 +51,7 @@
 mod table_parts;
 
 pub use self::admission::{Admission, Refusal, RefusalReason};
+pub use self::claim::{ClaimStage, HeardClaim, RunClaim};
 pub use self::features::RequestFeatures;
 pub use self::fingerprint::{Fingerprint, Identity};
 pub use self::message::PoisonMessage;
--- a/src/poison/features.rs
+++ b/src/poison/features.rs
@@ -44,6 +44,11 @@
         &self.parts
     }
 
+    /// Returns the fingerprints of the request and of its parts.
+    pub(super) fn all(&self) -> impl Iterator<Item = Fingerprint> + '_ {
+        [self.request].into_iter().chain(self.parts.iter().copied())
+    }
+
     /// Returns whether a feature is one of the request.
     pub(super) fn contains(&self, feature: Fingerprint) -> bool {
         feature == self.request || self.parts.binary_search(&feature).is_ok()
--- a/src/poison/fleet_tests.rs
+++ b/src/poison/fleet_tests.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use super::{
-    Admission, CrashReport, Fingerprint, Identity, PagePosition, PoisonRecord,
-    PoisonTable, RefusalReason, RequestFeatures, Suspicion,
+    Admission, ClaimStage, CrashReport, Fingerprint, Identity, PagePosition,
+    PoisonRecord, PoisonTable, RefusalReason, RequestFeatures, RunClaim,
+    Suspicion,
 };
 use crate::Time;
 
@@ -209,3 +210,67 @@
     table.clear_features(&hot.into(), Some("pool"), at(6_100));
     admitted_twice(&mut table);
 }
+
+/// Returns two tables, each with a claim to the run of a request that is one
+/// crash short of quarantine.
+fn two_claims(bad: Fingerprint) -> ([PoisonTable; 2], [RunClaim; 2]) {
+    let claim = |number| {
+        let mut table = PoisonTable::default();
+        table.merge(vec![record(bad, 2, &[0, 1])], at(500));
+        assert_eq!(refusal(&mut table, bad, at(1_000)), None);
+        let claim = table.begin_claim(&bad.into(), number, at(1_000));
+        (table, claim.unwrap())
+    };
+    let ((first, one), (second, two)) = (claim(1), claim(2));
+    ([first, second], [one, two])
+}
+
+/// Guards against runs of a request at two entries that both must be the only
+/// one.
+#[test]
+fn one_of_two_claims_to_the_only_run_begins() {
+    let bad = request("bad");
+    let ([mut first, mut second], [one, two]) = two_claims(bad);
+    assert!(!first.hear_claim(&two, at(1_020)).is_new);
+    assert!(second.hear_claim(&one, at(1_020)).is_new);
+    assert!(first.begin_claimed_run(&one));
+    assert!(!second.begin_claimed_run(&two));
+    second.end_claims(&two);
+    let on_trial = Some(RefusalReason::OnTrial);
+    assert_eq!(refusal(&mut second, bad, at(1_100)), on_trial);
+    // A crash under another run is reported meanwhile.
+    second.merge(vec![record(bad, 2, &[2, 0, 1])], at(1_150));
+    assert_eq!(refusal(&mut second, bad, at(1_200)), on_trial);
+    let over = RunClaim { stage: ClaimStage::Over, ..one };
+    assert!(second.hear_claim(&over, at(1_300)).is_new);
+    assert_eq!(refusal(&mut second, bad, at(1_300)), None);
+}
+
+/// Guards against a better claim that is made when a run has begun of which its
+/// entry had not heard.
+#[test]
+fn a_run_in_progress_precedes_later_claims() {
+    let bad = request("bad");
+    let ([mut first, mut second], [one, two]) = two_claims(bad);
+    assert!(second.begin_claimed_run(&two));
+    let heard = second.hear_claim(&one, at(1_200));
+    assert!(!heard.is_new);
+    let running = heard.running.unwrap();
+    assert_eq!((running.number, running.stage), (2, ClaimStage::Running));
+    assert!(first.hear_claim(&running, at(1_210)).is_new);
+    assert!(!first.begin_claimed_run(&one));
+}
+
+/// Guards against trials of a quarantined part at all entries at once.
+#[test]
+fn the_trial_of_a_part_is_claimed() {
+    let part = Fingerprint::of_part("bad part");
+    let features = RequestFeatures::from_parts(request("any"), vec![part]);
+    let mut table = PoisonTable::default();
+    table.merge(vec![record(part, 3, &[0, 1, 2])], at(500));
+    let later = at(500).after(PoisonTable::PART_TRIAL_DELAYS[0]);
+    let admission = table.admit_features(&features, later);
+    assert!(matches!(admission, Admission::Admitted(_)));
+    let claim = table.begin_claim(&features, 1, later).unwrap();
+    assert_eq!(claim.features, [part]);
+}
--- a/src/poison/message.rs
+++ b/src/poison/message.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{CrashReport, PagePosition, PoisonRecord};
+use super::{CrashReport, PagePosition, PoisonRecord, RunClaim};
 
 /// A message, which fits into one datagram.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -12,6 +12,9 @@
 pub enum PoisonMessage {
     /// Records that have just changed. There is no answer.
     Changed(Vec<PoisonRecord>),
+    /// A claim to the only run of a request. The answer is that of a run in
+    /// progress, if there is one.
+    Claim(RunClaim),
     /// What has just become known of crashes. There is no answer.
     Crashes(Vec<CrashReport>),
     /// The digest of the sender's table; asks for records that the sender does
--- a/src/poison/request_state.rs
+++ b/src/poison/request_state.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::claim::Holder;
 use super::{
     Fingerprint, PoisonRecord, PoisonTable, Refusal, RefusalReason, Suspicion,
 };
@@ -36,6 +37,8 @@
     pub shared: bool,
     /// The time before which no other run of the request may begin.
     pub exclusive_until: Option<Time>,
+    /// Whose run that is, if it was claimed.
+    pub holder: Option<Holder>,
 }
 
 impl RequestState {
@@ -49,9 +52,27 @@
             last_seen: None,
             shared: false,
             exclusive_until: None,
+            holder: None,
         }
     }
 
+    /// Returns whether no other run of the request may begin.
+    pub fn is_exclusive(&self, now: Time) -> bool {
+        self.exclusive_until.is_some_and(|until| now < until)
+    }
+
+    /// Records that an entry claims the only run of the request.
+    pub fn hold(&mut self, holder: Holder, now: Time) {
+        self.holder = Some(holder);
+        self.exclusive_until = Some(now.after(PoisonTable::TRIAL_PERIOD));
+    }
+
+    /// Lets another run of the request begin.
+    pub fn end_run(&mut self) {
+        self.exclusive_until = None;
+        self.holder = None;
+    }
+
     /// Returns the age of the suspicion.
     pub fn age(&self, now: Time) -> Duration {
         self.age_at_change.saturating_add(now.since(self.changed_at))
@@ -79,7 +100,7 @@
         self.suspicion = Suspicion { cleared, ..Suspicion::default() };
         self.replicas.clear();
         self.last_crash = None;
-        self.exclusive_until = None;
+        self.end_run();
         self.mark_changed(now);
     }
 
@@ -142,7 +163,7 @@
         };
         self.replicas.pop();
         self.last_crash = None;
-        self.exclusive_until = None;
+        self.end_run();
         self.mark_changed(now);
     }
 
--- a/src/poison/table.rs
+++ b/src/poison/table.rs
@@ -124,6 +124,7 @@
         }
         if state.requires_exclusive_run(now) || doubt != Doubt::None {
             state.exclusive_until = Some(now.after(PoisonTable::TRIAL_PERIOD));
+            state.holder = None;
         }
         Admission::Admitted(state.suspicion)
     }
@@ -303,7 +304,7 @@
         let mut together = false;
         if next > current {
             state.push_crash(replica, now);
-            state.exclusive_until = None;
+            state.end_run();
         } else {
             together = state.add_together(replica);
         }
@@ -338,7 +339,7 @@
     /// begin.
     pub fn finish_run(&mut self, request: Fingerprint) {
         if let Some(state) = self.requests.get_mut(&request) {
-            state.exclusive_until = None;
+            state.end_run();
         }
     }
 
@@ -392,6 +393,13 @@
         if record.suspicion == Suspicion::default() {
             return false;
         }
+        // A run in progress is still the only one, unless the request has been
+        // cleared.
+        let run = self.requests.get(&record.request);
+        let run = run
+            .filter(|s| s.suspicion.cleared == record.suspicion.cleared)
+            .map(|s| (s.exclusive_until, s.holder));
+        let (exclusive_until, holder) = run.unwrap_or_default();
         let age_at_change = record.age();
         let reported = record.replicas.iter().take(PoisonRecord::MAX_REPLICAS);
         let replicas = reported.map(PoisonRecord::truncated_name).collect();
@@ -401,6 +409,8 @@
             last_crash,
             age_at_change,
             shared: true,
+            exclusive_until,
+            holder,
             ..RequestState::new(now)
         };
         if state.retention_left(now).is_zero() {
