Cut answers without a known end at the deadline, and heads without end

A body in chunks that went on for ever was passed on for ever, since after the deadline each part only had to follow within 250 ms: the caller's request never ended, and the replica's place was never free again. A stream of events that are always ready had the same fault by reading, and a stream without bounded buffers held an event without end whole. An answer that does not tell its length may now go on for 0.4 s after the deadline, beside the time for which its caller has kept it waiting, and 10 s at most. Heads are read up to 64 KB (417 KB before), and a connection is closed after 32 interim responses (the deadline ended them before).

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -393,6 +393,11 @@
         others && context.route.attempts > 1
     }
 
+    /// Returns the maximum size of a body that is held whole, in bytes.
+    pub(crate) fn max_body_bytes(&self) -> u64 {
+        self.settings.get().body_bytes as u64
+    }
+
     /// Takes a retry from this entry's share of the service's retry budget;
     /// returns whether there was one.
     pub(crate) fn spend_retry(&self, service: &Arc<str>) -> bool {
--- a/crates/gateway/src/forward/buffered.rs
+++ b/crates/gateway/src/forward/buffered.rs
@@ -269,6 +269,6 @@
 }
 
 /// Returns the length that an answer announces.
-fn content_length(headers: &HeaderMap) -> Option<u64> {
+pub(super) fn content_length(headers: &HeaderMap) -> Option<u64> {
     headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
--- a/crates/gateway/src/forward/pass_on.rs
+++ b/crates/gateway/src/forward/pass_on.rs
@@ -13,7 +13,7 @@
 use stairhinge::poison::Suspicion;
 use stairhinge_shell::http::BodyError;
 
-use super::buffered::left_unread_reason;
+use super::buffered::{content_length, left_unread_reason};
 use super::{Ending, FailedAttempt, Forwarder};
 use crate::buffers::{Collected, Deliverer};
 use crate::dispatch::Place;
@@ -87,8 +87,21 @@
         self.fail(broken).await;
     }
 
+    /// Returns an error if an answer without a length, which may never end,
+    /// has gone on for too long after the deadline.
+    fn check_overtime(&self) -> Result<(), BrokenAnswer> {
+        let is_bounded = content_length(&self.headers).is_some();
+        let waited = self.deliverer.waited();
+        if is_bounded || !self.context.is_overtime(waited) {
+            return Ok(());
+        }
+        let reason = "the answer does not end".into();
+        Err(BrokenAnswer { code: Code::TimedOut, reason })
+    }
+
     async fn next(&mut self) -> Result<Option<Bytes>, BrokenAnswer> {
         loop {
+            self.check_overtime()?;
             let wait = self.context.remaining().max(LATE_READ_TIMEOUT);
             let frame = tokio::time::timeout(wait, self.body.frame()).await;
             let frame = frame.map_err(|_| BrokenAnswer {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -6,6 +6,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -30,6 +31,14 @@
 /// repeated; the peer may be closing one that has been idle for longer.
 const MAX_FRESH_IDLE: Duration = Duration::from_millis(500);
 
+/// The maximum size of the head of an answer, in bytes. Of a head that never
+/// ends no more is read.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// The number of interim responses to one request after which its connection
+/// is closed.
+const MAX_INTERIM: usize = 32;
+
 /// The maximum number of idle connections to one replica.
 const MAX_IDLE_PER_REPLICA: usize = 24;
 
@@ -51,8 +60,14 @@
     /// Sends a request and returns the answer once its head has arrived.
     pub(crate) fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> impl Future<Output = hyper::Result<Response<Incoming>>> + use<> {
+        let (task, count) = (self.task.clone(), AtomicUsize::new(0));
+        hyper::ext::on_informational(&mut request, move |_| {
+            if count.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM {
+                task.abort();
+            }
+        });
         self.sender.send_request(request)
     }
 }
@@ -92,6 +107,7 @@
         }
         let io = connect(addr).await?;
         let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
             .handshake(io)
             .await
             .map_err(std::io::Error::other)?;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -174,6 +174,11 @@
     }
 
     async fn step(&mut self) -> Step {
+        // Without buffers it is not known how long the caller takes.
+        let waited = self.held.as_ref().map_or(Duration::MAX, |_| self.waited);
+        if self.context.is_overtime(waited) {
+            return Step::Check;
+        }
         let left = self.context.remaining();
         let resumable = self.context.route.repeat == Repeat::Resume;
         let wait =
@@ -201,7 +206,8 @@
     }
 
     fn max_event_bytes(&self) -> u64 {
-        self.held.as_ref().map_or(u64::MAX, |held| held.max_bytes())
+        let body = self.forwarder.max_body_bytes();
+        self.held.as_ref().map_or(body, |held| held.max_bytes())
     }
 
     /// Ends the stream at its deadline, and begins to look for another replica
