Limit the allowance of restarted entries only as far as the fleet is large

A few entries use a small part of the minimum, whatever their former lives have spent. The margin now follows from the known number of entries: a fifth from 40 on, or if it is not known.

--- a/src/direct/retry_share.rs
+++ b/src/direct/retry_share.rs
@@ -22,6 +22,8 @@
     ratio: f64,
     /// The entry's part of the fixed allowance, without margins.
     allowance: f64,
+    /// The fraction of it that is used within a window of a restart.
+    restart_margin: f64,
     /// When the entry started, if another life of it may have ended before.
     restarted: Option<Time>,
     requests: VecDeque<Time>,
@@ -37,10 +39,6 @@
     /// run for a whole window.
     const ALLOWANCE_MARGIN: f64 = 0.8;
 
-    /// The fraction that is used by one that has started within the window,
-    /// which is what earlier lives in that window leave.
-    const YOUNG_ALLOWANCE: f64 = 1.0 - RetryShare::ALLOWANCE_MARGIN;
-
     /// The minimum number of entries that the allowance is divided by, also
     /// while their number is unknown. A newly started entry has seen few
     /// requests, and with a larger allowance it would retry one request on
@@ -70,7 +68,12 @@
         minimum: f64,
         entries: Option<usize>,
     ) {
-        let entries = entries.unwrap_or(0).max(RetryShare::MIN_ENTRIES);
+        let known = entries.unwrap_or(RetryShare::MIN_ENTRIES).max(1);
+        let entries = known.max(RetryShare::MIN_ENTRIES);
+        let part = known as f64 / entries as f64;
+        // What earlier lives of all entries in the window leave.
+        let left = (1.0 - part * RetryShare::ALLOWANCE_MARGIN) / part;
+        self.restart_margin = left.min(RetryShare::ALLOWANCE_MARGIN);
         self.window = window;
         self.ratio = ratio * RetryShare::RATIO_MARGIN;
         self.allowance = minimum / entries as f64;
@@ -94,7 +97,7 @@
         let is_young =
             self.restarted.is_some_and(|at| now.since(at) < self.window);
         let margin = if is_young {
-            RetryShare::YOUNG_ALLOWANCE
+            self.restart_margin
         } else {
             RetryShare::ALLOWANCE_MARGIN
         };
--- a/src/direct/tests.rs
+++ b/src/direct/tests.rs
@@ -189,7 +189,7 @@
 #[test]
 fn retry_allowances_of_restarted_entries_stay_within_the_fleet_budget() {
     let window = Duration::from_secs(10);
-    for entries in [40_u64, 350] {
+    for entries in [4_u64, 30, 40, 350] {
         let minimum = 20.0 * entries as f64;
         let mut spent = 0;
         for entry in 0..entries {
