--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -40,6 +40,9 @@
 /// The maximum length of a line of a feed.
 const MAX_LINE_BYTES: usize = 16 << 10;
 
+/// The maximum size of the head of an agent's answer, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
 /// How often an agent is told what is known of the load that it has found, and
 /// how long it may take to answer.
 const VERDICT_INTERVAL: Duration = Duration::from_millis(500);
@@ -208,7 +211,10 @@
     on_first: &mut (dyn FnMut() + Send),
 ) -> ReadResult {
     let io = connect(addr).await?;
-    let (mut sender, connection) = http1::Builder::new().handshake(io).await?;
+    let (mut sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(io)
+        .await?;
     let task = tokio::spawn(connection);
     let _guard = AbortOnDrop(task.abort_handle());
     let mut request = Request::get("/feed")
--- a/crates/shell/src/http/client.rs
+++ b/crates/shell/src/http/client.rs
@@ -45,6 +45,10 @@
     /// How long an idle connection stays in the pool.
     const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+    /// The maximum size of the head of a response, in bytes. Of a head that
+    /// never ends no more is read.
+    const MAX_HEAD_BYTES: usize = 64 * 1024;
+
     /// Returns a client that keeps idle connections for reuse.
     pub fn new() -> Client {
         Client::with_max_idle(usize::MAX)
@@ -65,6 +69,7 @@
         let pool = Pool::builder(TokioExecutor::new())
             .pool_idle_timeout(Client::IDLE_TIMEOUT)
             .pool_max_idle_per_host(max_idle_per_host)
+            .http1_max_buf_size(Client::MAX_HEAD_BYTES)
             // The pool must not resend a request on its own: it cannot know
             // whether the request may be repeated.
             .retry_canceled_requests(false)
