Log why a request is refused as poisoned, and claims to its only run

A refusal for parts that are not told apart (5 s) looked in the log like one for a run in progress (1.5 s), which misled the first reading of the incident.

--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -95,7 +95,13 @@
             let Some(claim) = claim else { return Ok(suspicion) };
             self.tell(claim.clone());
             tokio::time::sleep(CLAIM_PERIOD).await;
-            if self.lock().begin_claimed_run(&claim) {
+            let begins = self.lock().begin_claimed_run(&claim);
+            self.log(&Decision::PoisonClaimed {
+                request: &context.caller.id,
+                fingerprint: &context.fingerprint().to_string(),
+                begins,
+            });
+            if begins {
                 let stage = ClaimStage::Running;
                 self.tell(RunClaim { stage, ..claim.clone() });
                 *lock(&context.claim) = Some(claim);
@@ -236,6 +242,7 @@
             request: &context.caller.id,
             fingerprint: &fingerprint.unwrap_or_default(),
             parts: &context.part_names(&refusal.features),
+            reason: refusal.reason.name(),
             replicas: &refusal.replicas,
             age_ms: refusal.age.as_millis() as u64,
             back_ms: refusal.retry_after.as_millis() as u64,
--- a/crates/shell/src/decisions/decision.rs
+++ b/crates/shell/src/decisions/decision.rs
@@ -497,6 +497,9 @@
         fingerprint: &'a str,
         /// The parts of its prompt of which one or more are at fault.
         parts: &'a [Arc<str>],
+        /// Why: `quarantined`, `on_trial`, `quarantined_part` or
+        /// `part_on_trial`.
+        reason: &'a str,
         /// The replicas that ended while they ran it.
         replicas: &'a [Arc<str>],
         /// How long this entry has known that, in milliseconds.
@@ -504,6 +507,16 @@
         /// The time until it may be sent again, in milliseconds.
         back_ms: u64,
     },
+    /// The only run of a request that may be in progress was claimed, and
+    /// begins unless another entry has a better claim.
+    PoisonClaimed {
+        /// The request's id.
+        request: &'a str,
+        /// The fingerprint of the request's content.
+        fingerprint: &'a str,
+        /// Whether the run begins.
+        begins: bool,
+    },
     /// A quarantined request is tried again.
     PoisonTried {
         /// The request's id.
--- a/crates/shell/src/decisions_tests.rs
+++ b/crates/shell/src/decisions_tests.rs
@@ -140,6 +140,7 @@
             request: "r1",
             fingerprint: "0123456789abcdef0123456789abcdef",
             parts: &["5c1e07a2".into()],
+            reason: "quarantined_part",
             replicas: &["i-a".into()],
             age_ms: 40,
             back_ms: 599_960,
--- a/src/poison/admission.rs
+++ b/src/poison/admission.rs
@@ -46,6 +46,18 @@
     PartOnTrial,
 }
 
+impl RefusalReason {
+    /// Returns the name of the reason in logs.
+    pub const fn name(self) -> &'static str {
+        match self {
+            RefusalReason::Quarantined => "quarantined",
+            RefusalReason::OnTrial => "on_trial",
+            RefusalReason::QuarantinedPart => "quarantined_part",
+            RefusalReason::PartOnTrial => "part_on_trial",
+        }
+    }
+}
+
 impl fmt::Display for RefusalReason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
