--- a/src/direct/retry_share.rs
+++ b/src/direct/retry_share.rs
@@ -68,7 +68,8 @@
         minimum: f64,
         entries: Option<usize>,
     ) {
-        let known = entries.unwrap_or(RetryShare::MIN_ENTRIES).max(1);
+        // Where agents report no entries, there are few.
+        let known = entries.unwrap_or(1).max(1);
         let entries = known.max(RetryShare::MIN_ENTRIES);
         let part = known as f64 / entries as f64;
         // What earlier lives of all entries in the window leave.
