--- a/crates/gateway/src/forward/further.rs
+++ b/crates/gateway/src/forward/further.rs
@@ -104,7 +104,7 @@
             return admitted.map_err(FurtherError::without_attempt);
         }
         let known = self.poison.suspicion(context);
-        if known.ended > 0 {
+        if known.ended > 0 || context.is_claimed() {
             let why = "the request is suspected to crash replicas";
             return Err(FurtherError::without_attempt(why));
         }
--- a/crates/gateway/src/request_context.rs
+++ b/crates/gateway/src/request_context.rs
@@ -1,6 +1,6 @@
 //! The context of a request, shared by all its attempts.
 
-use std::sync::{Arc, Mutex, OnceLock};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -57,6 +57,12 @@
         late > MAX_OVERTIME.saturating_add(waited).min(MAX_LATE)
     }
 
+    /// Returns whether the run in progress must be the only one.
+    pub(crate) fn is_claimed(&self) -> bool {
+        let claim = self.claim.lock();
+        claim.unwrap_or_else(PoisonError::into_inner).is_some()
+    }
+
     /// Returns the fingerprint of the request's content, which is the same
     /// when the caller sends it again.
     pub(crate) fn fingerprint(&self) -> Fingerprint {
