--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -400,8 +400,8 @@
         self.changed.notify_one();
     }
 
-    /// Records that a run of a request is over, or was not begun, and proved
-    /// nothing.
+    /// Records that a run of a request is over, or was not begun, and tells
+    /// other entries if it was claimed.
     pub(crate) fn finish_run(&self, context: &RequestContext) {
         let Some(claim) = lock(&context.claim).take() else { return };
         self.lock().end_claims(&claim);
--- a/src/poison/claim.rs
+++ b/src/poison/claim.rs
@@ -19,7 +19,7 @@
     Asked,
     /// The run has begun.
     Running,
-    /// The run is over, or was not begun, and proved nothing.
+    /// The run is over, or was not begun.
     Over,
 }
 
