--- a/crates/gateway/src/poison/gossip.rs
+++ b/crates/gateway/src/poison/gossip.rs
@@ -4,9 +4,10 @@
 //! of each other hall, which forwards it there ([`PeerList`]). What goes to
 //! other halls is bounded in bytes ([`NewsSender`]). To repair losses, each
 //! entry periodically sends a digest of its table to one other entry in turn,
-//! which answers with a page of its table if that differs. As long as pages
-//! bring news, the next one is asked for at once, so that an entry that has
-//! just started gets the whole table from the first one that it reaches.
+//! which answers with a page of its table if that differs. As long as pages of
+//! an entry of the hall bring news, the next one is asked for at once, so that
+//! an entry that has just started gets the whole table from the first one that
+//! it reaches.
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -182,7 +183,8 @@
     }
 
     /// Goes on reading an entry's table, whose next page begins at `next`: at
-    /// once if the last page has brought news, else with the next comparison.
+    /// once if it is of this hall and the last page has brought news, else with
+    /// the next comparison. Whole tables would fill the links between halls.
     fn read_on(&self, from: SocketAddr, theirs: u64, next: PagePosition) {
         let has_news = {
             let mut readings = self.readings();
