End the claim to a run on the remaining ways out

Found by reading.

Cause: a further attempt that was admitted and then not sent (quarantined meanwhile, no retry budget) kept its claim until the stream was given up, and an answer of unknown completeness kept it until it expired after 1.5 s. While a claim is held, all entries refuse the request.

Change: both end the claim. No test: a further attempt that fails so also ends its stream, and an unknown ending needs a replica that neither accepts nor refuses connections just after its answer.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -364,9 +364,7 @@
         ending: Ending,
         place: &mut Place,
     ) -> WholeAnswer {
-        if ending == Ending::Complete {
-            self.poison.record_answer(context);
-        }
+        self.record_ending(context, ending);
         let repeatable = may_retry_after(context, status);
         let retry = repeatable && self.has_retry_left(context, place);
         if status.is_server_error() && self.dispatcher.tracks_health() {
--- a/crates/gateway/src/forward/ending.rs
+++ b/crates/gateway/src/forward/ending.rs
@@ -9,6 +9,7 @@
 use super::Forwarder;
 use crate::connect::is_running;
 use crate::hop_headers::is_framed;
+use crate::request_context::RequestContext;
 
 /// How an answer has ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -47,6 +48,19 @@
         }
     }
 
+    /// Records that a request has been answered. Only an answer that is known
+    /// to be complete speaks for the request.
+    pub(crate) fn record_ending(
+        &self,
+        context: &RequestContext,
+        ending: Ending,
+    ) {
+        match ending {
+            Ending::Complete => self.poison.record_answer(context),
+            Ending::Unknown | Ending::Cut => self.poison.finish_run(context),
+        }
+    }
+
     /// Returns whether a replica is listed as ready.
     fn is_ready(&self, replica: &Replica) -> bool {
         let view = self.facts.view();
--- a/crates/gateway/src/forward/further.rs
+++ b/crates/gateway/src/forward/further.rs
@@ -9,6 +9,7 @@
 use super::Forwarder;
 use super::attempts::FailedTry;
 use super::send::OpenAttempt;
+use crate::dispatch::Place;
 use crate::request_context::RequestContext;
 
 /// How long a further attempt waits for a replica with capacity.
@@ -56,7 +57,31 @@
     ) -> Result<OpenAttempt, FurtherError> {
         let Further { mut need, attempt, after_event, beside } = further;
         need.suspicion = self.admit_further(&context, beside).await?;
-        need.shared_run = self.poison.shared_run(&context);
+        let suspicion = need.suspicion;
+        let found = self.find_further(&context, need, beside).await;
+        let place = found.inspect_err(|_| {
+            if !beside {
+                self.poison.finish_run(&context);
+            }
+        })?;
+        let replica = Arc::clone(&place.replica);
+        let sent = Instant::now();
+        let open = self.send(&context, place, attempt, after_event, suspicion);
+        open.await.map_err(|error| {
+            let reason = error.reason.clone();
+            let failed = FailedTry { replica, sent, suspicion, error };
+            FurtherError { reason, failed: Some(Box::new(failed)) }
+        })
+    }
+
+    /// Finds a replica for an admitted attempt, and charges the retry budget.
+    async fn find_further(
+        &self,
+        context: &RequestContext,
+        mut need: Need,
+        beside: bool,
+    ) -> Result<Place, FurtherError> {
+        need.shared_run = self.poison.shared_run(context);
         need.repeatable = false;
         need.silent = self.silence.silent(MAX_SILENT_NAMED);
         let suspicion = need.suspicion;
@@ -64,31 +89,22 @@
         let until = Instant::now() + MAX_PLACE_WAIT.min(left);
         let found = self.placing.place(need, until, left).await;
         let place = found.map_err(|lack| {
-            if !beside {
-                self.poison.finish_run(&context);
-            }
             let why = format!("no other replica: {lack}");
             FurtherError::without_attempt(why)
         })?;
         self.poison
-            .recheck(&context, suspicion)
+            .recheck(context, suspicion)
             .map_err(FurtherError::without_attempt)?;
-        let replica = Arc::clone(&place.replica);
-        if beside && self.silence.is_silent(&replica.incarnation) {
-            let why = format!("{} is silent, too", replica.incarnation);
+        let replica = &place.replica.incarnation;
+        if beside && self.silence.is_silent(replica) {
+            let why = format!("{replica} is silent, too");
             return Err(FurtherError::without_attempt(why));
         }
         if !self.spend_retry(&context.service) {
             let why = "the retry budget is spent";
             return Err(FurtherError::without_attempt(why));
         }
-        let sent = Instant::now();
-        let open = self.send(&context, place, attempt, after_event, suspicion);
-        open.await.map_err(|error| {
-            let reason = error.reason.clone();
-            let failed = FailedTry { replica, sent, suspicion, error };
-            FurtherError { reason, failed: Some(Box::new(failed)) }
-        })
+        Ok(place)
     }
 
     /// Admits a further attempt, and returns the suspicion against the
--- a/crates/gateway/src/forward/pass_on.rs
+++ b/crates/gateway/src/forward/pass_on.rs
@@ -121,9 +121,7 @@
 
     fn finish(mut self, ending: Ending) {
         self.ended = true;
-        if ending == Ending::Complete {
-            self.forwarder.poison.record_answer(&self.context);
-        }
+        self.forwarder.record_ending(&self.context, ending);
         if let Some(connection) = self.connection.take() {
             self.forwarder.pool.put(connection, &self.headers);
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -279,9 +279,7 @@
             let Upstream { connection, mut place, body, .. } = upstream;
             place.record_whole();
             drop(body);
-            if ending == Ending::Complete {
-                self.forwarder.poison.record_answer(&self.context);
-            }
+            self.forwarder.record_ending(&self.context, ending);
             self.forwarder.pool.put(connection, &headers);
             drop(place);
         }
