End streams behind agents that do not end by themselves

Callers saw: a stream of an engine that sends events without end went on until they left, and the place at the engine and the entry was taken as long.

Cause: an entry that sends to agents bounded the head and the pauses of a stream, not its length. Of the class of 'bytes without end', mended for entries that send to replicas themselves.

Change: such a stream ends 0.4 s after the deadline, beside the time for which its caller kept it waiting, 10 s after it at most (is_overtime, shared with those entries). The agent follows, since its connection is closed.

--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -7,7 +7,7 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
-use stairhinge::request::Failure;
+use stairhinge::request::{Failure, is_overtime};
 use stairhinge::{Code, Error};
 use stairhinge_shell::http::{
     Body, BodyError, Failed, empty, full, headers, read, stream,
@@ -73,7 +73,16 @@
     head: Response<Body>,
     first: Bytes,
     body: Incoming,
-    idle: Duration,
+    limits: ReadLimits,
+}
+
+/// How long an answer may go on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ReadLimits {
+    /// The longest time between two reads.
+    pub(crate) idle: Duration,
+    /// The deadline of the request.
+    pub(crate) deadline: Instant,
 }
 
 impl StreamedAnswer {
@@ -81,16 +90,17 @@
     /// then, so a repeatable request can still be sent to another agent.
     pub(crate) async fn begin(
         response: Response<Incoming>,
-        idle: Duration,
+        limits: ReadLimits,
     ) -> Result<StreamedAnswer, Failure> {
         let head = public_head(&response);
         let mut body = response.into_body();
-        let first = next_data(&mut body, idle).await.map_err(|err| {
-            log::debug!("cannot read the agent's answer: {err}");
-            Failure::Failed(Code::AnswerBroke)
-        })?;
+        let first =
+            next_data(&mut body, limits.idle).await.map_err(|err| {
+                log::debug!("cannot read the agent's answer: {err}");
+                Failure::Failed(Code::AnswerBroke)
+            })?;
         let first = first.ok_or(Failure::Failed(Code::AnswerBroke))?;
-        Ok(StreamedAnswer { head, first, body, idle })
+        Ok(StreamedAnswer { head, first, body, limits })
     }
 
     /// Returns a response that forwards the answer. If the answer breaks off,
@@ -101,10 +111,10 @@
         tracker: RequestTracker,
         in_flight: InFlight,
     ) -> Response<Body> {
-        let StreamedAnswer { mut head, first, mut body, idle } = self;
+        let StreamedAnswer { mut head, first, mut body, limits } = self;
         let (tx, rx) = mpsc::channel(8);
         tokio::spawn(async move {
-            let ended = relay(&tx, first, &mut body, idle).await;
+            let ended = relay(&tx, first, &mut body, limits).await;
             drop(in_flight);
             match ended {
                 Ok(()) => tracker.finish(0),
@@ -121,23 +131,31 @@
     }
 }
 
-/// Forwards a body until it ends. Fails if the body breaks off or the caller
-/// disconnects.
+/// Forwards a body until it ends. Fails if the body breaks off, goes on for
+/// too long after the deadline, or the caller disconnects.
 async fn relay(
     tx: &mpsc::Sender<Result<Bytes, BodyError>>,
     first: Bytes,
     body: &mut Incoming,
-    idle: Duration,
+    limits: ReadLimits,
 ) -> Result<(), BodyError> {
     let disconnected = || BodyError("the caller disconnected".into());
     tx.send(Ok(first)).await.map_err(|_| disconnected())?;
+    // How long the caller has kept the answer waiting.
+    let mut waited = Duration::ZERO;
     loop {
+        let late = limits.deadline.elapsed();
+        if is_overtime(late, waited) {
+            return Err(BodyError("the answer does not end".into()));
+        }
         let data = tokio::select! {
-            data = next_data(body, idle) => data?,
+            data = next_data(body, limits.idle) => data?,
             () = tx.closed() => return Err(disconnected()),
         };
         let Some(data) = data else { return Ok(()) };
+        let ready = Instant::now();
         tx.send(Ok(data)).await.map_err(|_| disconnected())?;
+        waited += ready.elapsed();
     }
 }
 
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -18,7 +18,7 @@
 };
 
 use crate::Entry;
-use crate::answer::{RequestTracker, StreamedAnswer, read_whole};
+use crate::answer::{ReadLimits, RequestTracker, StreamedAnswer, read_whole};
 use crate::checked_request::CheckedRequest;
 use crate::choose::ChosenAgent;
 use crate::send::{FailedAttempt, InFlight};
@@ -318,7 +318,9 @@
     ) -> Result<ReadAnswer, Failure> {
         let idle = self.entry.millis("idle_ms");
         if self.checked.stream && response.status() == StatusCode::OK {
-            let streamed = StreamedAnswer::begin(response, idle).await?;
+            let deadline = Instant::now() + self.time_left();
+            let limits = ReadLimits { idle, deadline };
+            let streamed = StreamedAnswer::begin(response, limits).await?;
             return Ok(ReadAnswer::Streamed(Box::new(streamed)));
         }
         let limit = self.entry.settings.values.number("answer_kb") * 1024;
--- a/crates/gateway/src/request_context.rs
+++ b/crates/gateway/src/request_context.rs
@@ -9,18 +9,11 @@
 use stairhinge::direct::{AllowedRegions, Route};
 use stairhinge::health::Source;
 use stairhinge::poison::{Fingerprint, Identity, RequestFeatures, RunClaim};
+use stairhinge::request::is_overtime;
 
 use crate::buffers::Charge;
 use crate::dialect::CallerRequest;
 
-/// How long after the deadline an answer without a known end may go on,
-/// beside the time for which its caller has kept it waiting. What is ready by
-/// then is delivered late.
-const MAX_OVERTIME: Duration = Duration::from_millis(400);
-
-/// How long after the deadline such an answer may go on in any case.
-const MAX_LATE: Duration = Duration::from_secs(10);
-
 /// The parts of a request that are the same for all its attempts.
 pub(crate) struct RequestContext {
     pub caller: CallerRequest,
@@ -54,7 +47,7 @@
     /// after the deadline, given how long its caller has kept it waiting.
     pub(crate) fn is_overtime(&self, waited: Duration) -> bool {
         let late = Instant::now().saturating_duration_since(self.deadline);
-        late > MAX_OVERTIME.saturating_add(waited).min(MAX_LATE)
+        is_overtime(late, waited)
     }
 
     /// Returns whether the run in progress must be the only one.
--- a/crates/standins/src/engine/answer.rs
+++ b/crates/standins/src/engine/answer.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
@@ -112,7 +113,9 @@
             }
         }
         tokio::spawn(async move {
-            if streamed {
+            if self.engine.endless.load(Ordering::Relaxed) {
+                self.go_on(tx).await;
+            } else if streamed {
                 self.stream(tx).await;
             } else {
                 self.whole(tx).await;
@@ -139,6 +142,13 @@
         replaced || (after > 0 && i >= after)
     }
 
+    async fn go_on(self, tx: mpsc::Sender<Result<Bytes, BodyError>>) {
+        let event = Bytes::from("data: {}\n\n".repeat(1_000));
+        while tx.send(Ok(event.clone())).await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+
     async fn stream(mut self, tx: mpsc::Sender<Result<Bytes, BodyError>>) {
         let mut sent = 0;
         loop {
--- a/crates/standins/src/engine/state.rs
+++ b/crates/standins/src/engine/state.rs
@@ -76,6 +76,8 @@
     pub(super) life: Life,
     /// Whether answers end with their connection, without a length or chunks.
     pub(super) unframed: AtomicBool,
+    /// Whether answers go on without end.
+    pub(super) endless: AtomicBool,
     gate: Arc<Gate>,
 }
 
@@ -108,6 +110,7 @@
             epoch: AtomicU64::new(0),
             life: Life::new(),
             unframed: AtomicBool::new(false),
+            endless: AtomicBool::new(false),
             gate,
         })
     }
@@ -173,6 +176,11 @@
         self.unframed.store(unframed, Ordering::Relaxed);
     }
 
+    /// Makes answers go on without end, until their connections are closed.
+    pub fn set_endless(&self, endless: bool) {
+        self.endless.store(endless, Ordering::Relaxed);
+    }
+
     /// Has its process end under requests with this prompt.
     pub fn end_under(&self, prompt: &str) {
         self.life.end_under(prompt);
--- a/src/request.rs
+++ b/src/request.rs
@@ -16,6 +16,7 @@
 mod attempt_table;
 mod guards;
 mod key_table;
+mod overtime;
 mod retry;
 mod retry_budget;
 
@@ -26,6 +27,7 @@
 pub use self::attempt_table::AttemptTable;
 pub use self::guards::{GuardHistory, GuardSet};
 pub use self::key_table::{ClaimDecision, KeyTable};
+pub use self::overtime::is_overtime;
 pub use self::retry::{
     Failure, RequestRetry, RetryDecision, revocation_outcome,
 };
