Refuse a quarantined request as quarantined, not as on trial

Callers saw: of a request that had just been quarantined, some entries said for up to 1.5 s that it was being tried, and to come back after that; they did, in vain.

Cause: a run is the only one until its entry tells that it is over. That word may arrive before the word of its beginning, or not at all, and the run then outlived the quarantine in the tables of other entries.

Change: a record that quarantines a request ends the run, and before the first trial of a quarantined request no run in progress is waited for.

Evidence: a_quarantined_request_awaits_no_run failed before (OnTrial) and passes now.

--- a/src/poison/fleet_tests.rs
+++ b/src/poison/fleet_tests.rs
@@ -274,3 +274,20 @@
     let claim = table.begin_claim(&features, 1, later).unwrap();
     assert_eq!(claim.features, [part]);
 }
+
+/// Guards against callers of a quarantined request who are told to come back
+/// after a run that is over.
+#[test]
+fn a_quarantined_request_awaits_no_run() {
+    let bad = request("bad");
+    let ([mut first, mut second], [one, _]) = two_claims(bad);
+    assert!(first.begin_claimed_run(&one));
+    let running = RunClaim { stage: ClaimStage::Running, ..one };
+    assert!(second.hear_claim(&running, at(1_100)).is_new);
+    second.merge(vec![record(bad, 3, &[0, 1, 2])], at(1_150));
+    let quarantined = Some(RefusalReason::Quarantined);
+    assert_eq!(refusal(&mut second, bad, at(1_160)), quarantined);
+    // The news of the run's beginning arrives late.
+    second.hear_claim(&running, at(1_170));
+    assert_eq!(refusal(&mut second, bad, at(1_180)), quarantined);
+}
--- a/src/poison/table.rs
+++ b/src/poison/table.rs
@@ -169,17 +169,24 @@
         }
         let state = self.requests.get_mut(&request)?;
         state.last_seen = Some(now);
-        if let Some(until) = state.exclusive_until.filter(|until| now < *until)
-        {
+        let quarantined = if state.suspicion.is_quarantined() {
+            state.trial_delay_left(request, now)
+        } else {
+            Duration::ZERO
+        };
+        // Until its first trial, a quarantined request has no run in progress
+        // that could be worth waiting for.
+        let untried = state.suspicion.trials == 0;
+        let exclusive = state.exclusive_until.filter(|until| now < *until);
+        let exclusive =
+            exclusive.filter(|_| !untried || quarantined.is_zero());
+        if let Some(until) = exclusive {
             let (reason, left) = (RefusalReason::OnTrial, until.since(now));
             return Some(state.refusal(request, reason, left, now));
         }
-        if !state.suspicion.is_quarantined() {
-            return None;
-        }
-        let left = state.trial_delay_left(request, now);
         let reason = RefusalReason::Quarantined;
-        (!left.is_zero()).then(|| state.refusal(request, reason, left, now))
+        (!quarantined.is_zero())
+            .then(|| state.refusal(request, reason, quarantined, now))
     }
 
     /// Returns whether all runs of a request should use the same replica:
@@ -394,11 +401,14 @@
             return false;
         }
         // A run in progress is still the only one, unless the request has been
-        // cleared.
+        // cleared or quarantined since.
+        let goes_on = |s: &&RequestState| {
+            let (before, after) = (s.suspicion, record.suspicion);
+            before.cleared == after.cleared
+                && before.is_quarantined() == after.is_quarantined()
+        };
         let run = self.requests.get(&record.request);
-        let run = run
-            .filter(|s| s.suspicion.cleared == record.suspicion.cleared)
-            .map(|s| (s.exclusive_until, s.holder));
+        let run = run.filter(goes_on).map(|s| (s.exclusive_until, s.holder));
         let (exclusive_until, holder) = run.unwrap_or_default();
         let age_at_change = record.age();
         let reported = record.replicas.iter().take(PoisonRecord::MAX_REPLICAS);
