Claim the last run before a quarantine behind agents, too

Callers saw: a request that had crashed two backend servers crashed one more for each entry to which its callers came back at the same time.

Change: such a run is claimed among all processes before it begins (Node::admit_run, field 'claims' of Poison in the schema). The claim is over when the run is dropped, and a broken stream asks its agent for the crash first. Peers answer a claim with the one that precedes it. A crash under a claimed run comes 100 ms after the one before it; it counts as one in turn, or the parts of the prompt would be accused only after 16 other answers.

--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -1,5 +1,7 @@
 //! Passes an agent's answer to the caller, complete or marked as broken off.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -7,17 +9,18 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
+use stairhinge::poison::Fingerprint;
 use stairhinge::request::{Failure, is_overtime};
 use stairhinge::{Code, Error};
 use stairhinge_shell::http::{
     Body, BodyError, Failed, empty, full, headers, read, stream,
 };
+use stairhinge_shell::node::{AdmittedRun, Node};
 use tokio::sync::mpsc;
 
 use crate::Entry;
 use crate::admit::AdmittedRequest;
 use crate::send::InFlight;
-use std::sync::Arc;
 
 /// An admitted request until its answer has been sent.
 pub(crate) struct RequestTracker {
@@ -76,6 +79,25 @@
     limits: ReadLimits,
 }
 
+/// A run whose answer is streamed.
+pub(crate) struct StreamRun {
+    pub(crate) in_flight: InFlight,
+    pub(crate) admitted: AdmittedRun,
+    /// Where its agent takes control calls.
+    pub(crate) control: SocketAddr,
+}
+
+impl StreamRun {
+    /// Ends the run. If it was the only one of the request, other runs begin
+    /// only once it is known whether it has crashed the backend server.
+    async fn end(self, node: &Arc<Node>, request: Fingerprint) {
+        drop(self.in_flight);
+        if self.admitted.is_claimed() {
+            node.ask_poison(self.control, request).await;
+        }
+    }
+}
+
 /// How long an answer may go on.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ReadLimits {
@@ -109,18 +131,23 @@
     pub(crate) fn forward(
         self,
         tracker: RequestTracker,
-        in_flight: InFlight,
+        run: StreamRun,
+        request: Fingerprint,
     ) -> Response<Body> {
         let StreamedAnswer { mut head, first, mut body, limits } = self;
         let (tx, rx) = mpsc::channel(8);
         tokio::spawn(async move {
             let ended = relay(&tx, first, &mut body, limits).await;
-            drop(in_flight);
+            let node = Arc::clone(&tracker.entry.node);
             match ended {
-                Ok(()) => tracker.finish(0),
+                Ok(()) => {
+                    drop(run);
+                    tracker.finish(0);
+                }
                 Err(err) => {
                     tracker.finish(Code::AnswerBroke.number());
-                    send_error_event(&tx, err).await;
+                    let ending = run.end(&node, request);
+                    tokio::join!(ending, send_error_event(&tx, err));
                 }
             }
         });
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -8,7 +8,7 @@
 use futures::future::BoxFuture;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use stairhinge::poison::{Admission, Fingerprint, Refusal, Suspicion};
+use stairhinge::poison::{Fingerprint, Refusal};
 use stairhinge::request::{
     Attempt, Failure, RequestRetry, RetryDecision, revocation_outcome,
 };
@@ -16,9 +16,12 @@
 use stairhinge_shell::http::{
     Body, Failed, Handler, Limits, answer, full, read,
 };
+use stairhinge_shell::node::AdmittedRun;
 
 use crate::Entry;
-use crate::answer::{ReadLimits, RequestTracker, StreamedAnswer, read_whole};
+use crate::answer::{
+    ReadLimits, RequestTracker, StreamRun, StreamedAnswer, read_whole,
+};
 use crate::checked_request::CheckedRequest;
 use crate::choose::ChosenAgent;
 use crate::send::{FailedAttempt, InFlight};
@@ -144,8 +147,9 @@
                     tracker.finish(0);
                     return Ok(response);
                 }
-                Ok(Answered::Streamed(streamed, in_flight)) => {
-                    return Ok(streamed.forward(tracker, in_flight));
+                Ok(Answered::Streamed(streamed, run)) => {
+                    let request = self.checked.features.request;
+                    return Ok(streamed.forward(tracker, run, request));
                 }
                 Err(next) => next,
             };
@@ -175,8 +179,8 @@
 
     /// Makes one attempt. An error says how to continue after a failure.
     async fn attempt(&mut self) -> Result<Answered, RetryDecision> {
-        let suspicion = self.check_poison()?;
-        let answered = self.send_once(suspicion).await;
+        let run = self.check_poison().await?;
+        let answered = self.send_once(run).await;
         if answered.is_err() {
             let mut table = self.entry.node.poison();
             table.finish_features(&self.checked.features);
@@ -186,7 +190,7 @@
 
     async fn send_once(
         &mut self,
-        suspicion: Suspicion,
+        run: AdmittedRun,
     ) -> Result<Answered, RetryDecision> {
         let fingerprint = self.checked.features.request;
         let shares_replica =
@@ -230,7 +234,7 @@
                 &chosen,
                 &attempt,
                 incarnation,
-                suspicion,
+                run.suspicion,
                 within,
             )
             .await;
@@ -249,7 +253,9 @@
                 return Ok(Answered::Whole(whole));
             }
             Ok(ReadAnswer::Streamed(streamed)) => {
-                return Ok(Answered::Streamed(streamed, in_flight));
+                let control = chosen.control;
+                let run = StreamRun { in_flight, admitted: run, control };
+                return Ok(Answered::Streamed(streamed, run));
             }
             Err(failure) => failure,
         };
@@ -272,15 +278,11 @@
 
     /// Starts a run of the request, unless the poison table refuses it because
     /// backend servers ended while running it.
-    fn check_poison(&mut self) -> Result<Suspicion, RetryDecision> {
-        let node = &self.entry.node;
-        node.judge_poison();
-        let now = node.now();
+    async fn check_poison(&mut self) -> Result<AdmittedRun, RetryDecision> {
         let features = &self.checked.features;
-        let admission = node.poison().admit_features(features, now);
-        let refusal = match admission {
-            Admission::Admitted(suspicion) => return Ok(suspicion),
-            Admission::Refused(refusal) => refusal,
+        let refusal = match self.entry.node.admit_run(features).await {
+            Ok(run) => return Ok(run),
+            Err(refusal) => refusal,
         };
         self.log_refusal(&refusal);
         self.retry_after = Some(refusal.retry_after);
@@ -463,5 +465,5 @@
 /// progress at its agent.
 enum Answered {
     Whole(Response<Body>),
-    Streamed(Box<StreamedAnswer>, InFlight),
+    Streamed(Box<StreamedAnswer>, StreamRun),
 }
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -26,10 +26,6 @@
 pub(crate) use self::gossip::PoisonGossip;
 use crate::request_context::RequestContext;
 
-/// How long a run that must be the only one waits for better claims of other
-/// entries, which arrive within 20 ms from other halls.
-const CLAIM_PERIOD: Duration = Duration::from_millis(100);
-
 /// The maximum number of names of parts that are remembered for the log.
 const MAX_PART_NAMES: usize = 4_096;
 
@@ -94,7 +90,7 @@
             let (suspicion, claim) = self.begin(context)?;
             let Some(claim) = claim else { return Ok(suspicion) };
             self.tell(claim.clone());
-            tokio::time::sleep(CLAIM_PERIOD).await;
+            tokio::time::sleep(RunClaim::PERIOD).await;
             let begins = self.lock().begin_claimed_run(&claim);
             self.log(&Decision::PoisonClaimed {
                 request: &context.caller.id,
--- a/crates/gateway/src/poison/gossip.rs
+++ b/crates/gateway/src/poison/gossip.rs
@@ -272,7 +272,9 @@
     /// run is in progress here.
     fn hear_claim(&self, from: SocketAddr, claim: RunClaim) {
         let heard = self.watch.hear_claim(&claim);
-        if let Some(running) = heard.running {
+        // Claims that have not begun reach all entries anyway.
+        let running = |claim: &RunClaim| claim.stage == ClaimStage::Running;
+        if let Some(running) = heard.preceding.filter(running) {
             self.send(from, PoisonMessage::Claim(running));
         }
         if heard.is_new {
--- a/crates/local/tests/poison.rs
+++ b/crates/local/tests/poison.rs
@@ -86,6 +86,35 @@
     }
 }
 
+/// Guards against one last run before quarantine at each of the entries to
+/// which callers come back at the same time.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_last_run_before_quarantine_is_one_behind_agents() {
+    let plan = Plan { entries: 4, ..plan() };
+    let trial = Trial::start(plan).await.unwrap();
+    for engine in trial.local.engines() {
+        engine.end_under("bad");
+    }
+    let client = Client::new();
+    let entries = trial.local.entries();
+    let caller = Caller::new("bad").once(None).whole();
+    for (known, addr) in entries.iter().enumerate().take(2) {
+        caller.chat(&client, *addr, "matcher").await;
+        assert_eq!(ends(&trial), known as u32 + 1);
+        assert!(trial.local.await_live("v1", 6, LONG).await);
+    }
+    // Exits of others could still become known.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let calls = entries.iter().map(|addr| {
+        let (caller, client) = (&caller, &client);
+        async move { caller.chat(client, *addr, "matcher").await }
+    });
+    let answers = futures::future::join_all(calls).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(ends(&trial), 3, "{answers:?}");
+    each_entry_refuses(&trial, &caller).await;
+}
+
 /// Guards against entries that recognise requests only whole, and agents that
 /// keep to themselves what crashed their engines.
 #[tokio::test(flavor = "multi_thread")]
@@ -219,8 +248,7 @@
     let told = PoisonUpdate {
         digest: 0,
         records: vec![record],
-        about: None,
-        crashes: Vec::new(),
+        ..PoisonUpdate::default()
     };
     trial.local.wire().poison(control, LONG, told).await.unwrap();
     assert_eq!(at_agent(&mut trial, "a.1.1", "0.0.0").await, 3020);
--- a/crates/schema/src/fleet_capnp.rs
+++ b/crates/schema/src/fleet_capnp.rs
@@ -3600,11 +3600,19 @@
         pub fn has_crashes(&self) -> bool {
             !self.reader.get_pointer_field(2).is_null()
         }
+        #[inline]
+        pub fn get_claims(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::fleet_capnp::run_claim::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_claims(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3710,6 +3718,22 @@
         pub fn has_crashes(&self) -> bool {
             !self.builder.is_pointer_field_null(2)
         }
+        #[inline]
+        pub fn get_claims(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::fleet_capnp::run_claim::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_claims(&mut self, value: ::capnp::struct_list::Reader<'_,crate::fleet_capnp::run_claim::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+        }
+        #[inline]
+        pub fn init_claims(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::fleet_capnp::run_claim::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+        }
+        #[inline]
+        pub fn has_claims(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3721,52 +3745,59 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 85] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 104] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(4, 148, 32, 64, 5, 255, 107, 202),
             ::capnp::word(12, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(18, 70, 233, 183, 195, 160, 245, 209),
-            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 80, 111, 105, 115),
             ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(149, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(100, 105, 103, 101, 115, 116, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3807,6 +3838,18 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 108, 97, 105, 109, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(20, 40, 78, 135, 15, 111, 76, 237),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3814,6 +3857,7 @@
                 1 => <::capnp::struct_list::Owned<crate::fleet_capnp::poison_record::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 3 => <::capnp::struct_list::Owned<crate::fleet_capnp::crash::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::struct_list::Owned<crate::fleet_capnp::run_claim::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3827,13 +3871,351 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,0,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,4,3,0,1];
         pub(crate) const TYPE_ID: u64 = 0xca6b_ff05_4020_9404;
     }
 }
 
+pub mod run_claim {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_features(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_features(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_stage(self) -> ::core::result::Result<crate::fleet_capnp::ClaimStage,::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(4))
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_features(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_features(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_features(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_features(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_number(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_stage(self) -> ::core::result::Result<crate::fleet_capnp::ClaimStage,::capnp::NotInSchema> {
+            ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(4))
+        }
+        #[inline]
+        pub fn set_stage(&mut self, value: crate::fleet_capnp::ClaimStage)  {
+            self.builder.set_data_field::<u16>(4, value as u16);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 67] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(20, 40, 78, 135, 15, 111, 76, 237),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(18, 70, 233, 183, 195, 160, 245, 209),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 82, 117, 110, 67),
+            ::capnp::word(108, 97, 105, 109, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(93, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(88, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(102, 101, 97, 116, 117, 114, 101, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 97, 103, 101, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(178, 215, 163, 66, 218, 84, 121, 181),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <crate::fleet_capnp::ClaimStage as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
+        pub(crate) const TYPE_ID: u64 = 0xed4c_6f0f_874e_2814;
+    }
+}
+
+#[repr(u16)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClaimStage {
+    Asked = 0,
+    Running = 1,
+    Over = 2,
+}
+
+impl ::capnp::introspect::Introspect for ClaimStage {
+    fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Enum(::capnp::introspect::RawEnumSchema::new(&claim_stage::ARENA, claim_stage::get_annotation_types)).into() }
+}
+impl ::core::convert::From<ClaimStage> for ::capnp::dynamic_value::Reader<'_> {
+    fn from(e: ClaimStage) -> Self { ::capnp::dynamic_value::Enum::new(e.into(), ::capnp::introspect::RawEnumSchema::new(&claim_stage::ARENA, claim_stage::get_annotation_types).into()).into() }
+}
+impl ::core::convert::TryFrom<u16> for ClaimStage {
+    type Error = ::capnp::NotInSchema;
+    fn try_from(value: u16) -> ::core::result::Result<Self, <ClaimStage as ::core::convert::TryFrom<u16>>::Error> {
+        match value {
+            0 => ::core::result::Result::Ok(Self::Asked),
+            1 => ::core::result::Result::Ok(Self::Running),
+            2 => ::core::result::Result::Ok(Self::Over),
+            n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
+        }
+    }
+}
+impl From<ClaimStage> for u16 {
+    #[inline]
+    fn from(x: ClaimStage) -> u16 { x as u16 }
+}
+impl ::capnp::traits::HasTypeId for ClaimStage {
+    const TYPE_ID: u64 = 0xb579_54da_42a3_d7b2u64;
+}
+mod claim_stage {
+pub(crate) static ENCODED_NODE: [::capnp::Word; 29] = [
+    ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+    ::capnp::word(178, 215, 163, 66, 218, 84, 121, 181),
+    ::capnp::word(12, 0, 0, 0, 2, 0, 0, 0),
+    ::capnp::word(18, 70, 233, 183, 195, 160, 245, 209),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 79, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(102, 108, 101, 101, 116, 46, 99, 97),
+    ::capnp::word(112, 110, 112, 58, 67, 108, 97, 105),
+    ::capnp::word(109, 83, 116, 97, 103, 101, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+    ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 50, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(97, 115, 107, 101, 100, 0, 0, 0),
+    ::capnp::word(114, 117, 110, 110, 105, 110, 103, 0),
+    ::capnp::word(111, 118, 101, 114, 0, 0, 0, 0),
+];
+pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+    ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+}
+pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+}
+
 pub mod crash {
     #[derive(Copy, Clone)]
     pub struct Owned(());
--- a/crates/shell/src/control/convert.rs
+++ b/crates/shell/src/control/convert.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use stairhinge::document::{Delta, Document, Kind, Seen};
-use stairhinge::poison::{CrashReport, Fingerprint, PoisonRecord, Suspicion};
+use stairhinge::poison::{
+    ClaimStage, CrashReport, Fingerprint, PoisonRecord, RunClaim, Suspicion,
+};
 use stairhinge::{Code, Digest, Ran};
 use stairhinge_schema::fleet_capnp as schema;
 
@@ -168,10 +170,38 @@
     for (i, record) in update.records.iter().enumerate() {
         put_poison_record(record, list.reborrow().get(i as u32));
     }
-    let mut list = to.init_crashes(update.crashes.len() as u32);
+    let crashes = update.crashes.len() as u32;
+    let mut list = to.reborrow().init_crashes(crashes);
     for (i, report) in update.crashes.iter().enumerate() {
         put_crash(report, list.reborrow().get(i as u32));
     }
+    let mut list = to.init_claims(update.claims.len() as u32);
+    for (i, claim) in update.claims.iter().enumerate() {
+        put_claim(claim, list.reborrow().get(i as u32));
+    }
+}
+
+fn put_claim(claim: &RunClaim, mut to: schema::run_claim::Builder<'_>) {
+    to.set_number(claim.number);
+    to.set_stage(match claim.stage {
+        ClaimStage::Asked => schema::ClaimStage::Asked,
+        ClaimStage::Running => schema::ClaimStage::Running,
+        ClaimStage::Over => schema::ClaimStage::Over,
+    });
+    let features = claim.features.len() as u32;
+    put_fingerprints(&claim.features, to.init_features(features));
+}
+
+fn get_claim(from: schema::run_claim::Reader<'_>) -> Read<RunClaim> {
+    Ok(RunClaim {
+        features: get_fingerprints(from.get_features()?)?,
+        number: from.get_number(),
+        stage: match from.get_stage()? {
+            schema::ClaimStage::Asked => ClaimStage::Asked,
+            schema::ClaimStage::Running => ClaimStage::Running,
+            schema::ClaimStage::Over => ClaimStage::Over,
+        },
+    })
 }
 
 fn put_crash(report: &CrashReport, mut to: schema::crash::Builder<'_>) {
@@ -255,7 +285,12 @@
     for report in from.get_crashes()? {
         crashes.push(get_crash(report)?);
     }
-    Ok(PoisonUpdate { digest: from.get_digest(), records, about, crashes })
+    let mut claims = Vec::new();
+    for claim in from.get_claims()? {
+        claims.push(get_claim(claim)?);
+    }
+    let digest = from.get_digest();
+    Ok(PoisonUpdate { digest, records, about, crashes, claims })
 }
 
 fn get_poison_record(
--- a/crates/shell/src/control/service.rs
+++ b/crates/shell/src/control/service.rs
@@ -7,7 +7,7 @@
 use futures::future::BoxFuture;
 use stairhinge::declaration::Fleet;
 use stairhinge::document::{Delta, Document, Kind, Seen};
-use stairhinge::poison::{CrashReport, Fingerprint, PoisonRecord};
+use stairhinge::poison::{CrashReport, Fingerprint, PoisonRecord, RunClaim};
 use stairhinge::request::{Attempt, Key};
 use stairhinge::{Code, Error, Ran};
 
@@ -56,7 +56,7 @@
 }
 
 /// A part of a process's table of poisoned requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct PoisonUpdate {
     /// The digest of the whole table.
     pub digest: u64,
@@ -66,6 +66,8 @@
     pub about: Option<Fingerprint>,
     /// Reports of some of the crashes in the table.
     pub crashes: Vec<CrashReport>,
+    /// Claims to the only runs of requests.
+    pub claims: Vec<RunClaim>,
 }
 
 /// Handles the control calls that a process receives.
--- a/crates/shell/src/node.rs
+++ b/crates/shell/src/node.rs
@@ -10,10 +10,12 @@
 mod identity;
 mod peers;
 mod poison;
+mod run_claim;
 mod state;
 mod view;
 
 pub use self::identity::Identity;
 pub use self::peers::{Peers, ReceivedReport};
+pub use self::run_claim::AdmittedRun;
 pub use self::state::{Node, wall};
 pub use self::view::View;
--- a/crates/shell/src/node/poison.rs
+++ b/crates/shell/src/node/poison.rs
@@ -183,6 +183,7 @@
                 send_news(&node, addrs, &news, crashes).await;
             });
         }
+        let claims = self.hear_claims(update.claims);
         let mut table = self.poison();
         let digest = table.digest();
         let about: Vec<Fingerprint> = update.about.into_iter().collect();
@@ -192,7 +193,7 @@
             records.extend(differing_records(&mut table, now));
             crashes = table.next_crashes(CrashReport::MAX_FEATURES, now);
         }
-        PoisonUpdate { digest, records, about: None, crashes }
+        PoisonUpdate { digest, records, about: None, crashes, claims }
     }
 
     fn merge_crashes(&self, reports: &[CrashReport]) -> Vec<CrashReport> {
@@ -245,11 +246,16 @@
 
     /// Sends records to a peer, and merges its answer. A peer that cannot be
     /// reached gets them with the next exchange of reports.
-    async fn exchange_poison(&self, addr: SocketAddr, update: PoisonUpdate) {
+    async fn exchange_poison(
+        self: &Arc<Node>,
+        addr: SocketAddr,
+        update: PoisonUpdate,
+    ) {
         match self.wire().poison(addr, EXCHANGE_TIMEOUT, update).await {
             Ok(theirs) => {
                 self.merge_poison(theirs.records);
                 self.merge_crashes(&theirs.crashes);
+                self.hear_claims(theirs.claims);
             }
             Err(err) => log::debug!("cannot exchange poison records: {err}"),
         }
@@ -267,7 +273,8 @@
             Some(_) => Vec::new(),
             None => table.next_crashes(CrashReport::MAX_FEATURES, now),
         };
-        PoisonUpdate { digest, records, about, crashes }
+        let claims = Vec::new();
+        PoisonUpdate { digest, records, about, crashes, claims }
     }
 }
 
@@ -327,6 +334,18 @@
     node.exchange_poison(addr, own).await;
 }
 
+/// Sends the same records and claims to several peers.
+pub(super) async fn exchange_with(
+    node: &Arc<Node>,
+    addrs: Vec<SocketAddr>,
+    update: &PoisonUpdate,
+) {
+    let exchanges = addrs
+        .into_iter()
+        .map(|addr| node.exchange_poison(addr, update.clone()));
+    futures::future::join_all(exchanges).await;
+}
+
 async fn send_news(
     node: &Arc<Node>,
     addrs: Vec<SocketAddr>,
@@ -341,6 +360,7 @@
                 records: records.to_vec(),
                 about: None,
                 crashes: crashes.to_vec(),
+                claims: Vec::new(),
             };
         for part in records.chunks(PoisonMessage::MAX_RECORDS) {
             node.exchange_poison(addr, update(part, &[])).await;
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -96,6 +96,20 @@
   records @1 :List(PoisonRecord);
   about @2 :Text;           # a request that the sender wants to hear of
   crashes @3 :List(Crash);
+  claims @4 :List(RunClaim);
+}
+
+# The claim of an entry to the only run of a request.
+struct RunClaim {
+  features @0 :List(Text);  # 32 hex digits each
+  number @1 :UInt64;        # random; the lowest one precedes the others
+  stage @2 :ClaimStage;
+}
+
+enum ClaimStage {
+  asked @0;                 # the run begins unless there is a better claim
+  running @1;
+  over @2;
 }
 
 # What a process knows of the crash of a backend server, in whole or in part.
--- a/src/poison/claim.rs
+++ b/src/poison/claim.rs
@@ -5,6 +5,8 @@
 //! hears of no better claim for a while. The claims of a moment are ordered by
 //! a random number, and one whose run has begun precedes all others.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 use super::request_state::RequestState;
@@ -49,6 +51,16 @@
         }
         !self.is_running && number < self.number
     }
+
+    /// Returns its claim to a feature.
+    fn claim(self, feature: Fingerprint) -> RunClaim {
+        let stage = if self.is_running {
+            ClaimStage::Running
+        } else {
+            ClaimStage::Asked
+        };
+        RunClaim { features: vec![feature], number: self.number, stage }
+    }
 }
 
 /// How a claim of another entry compares with those known.
@@ -56,11 +68,15 @@
 pub struct HeardClaim {
     /// Whether it has changed anything here.
     pub is_new: bool,
-    /// The claim of a run here that precedes it.
-    pub running: Option<RunClaim>,
+    /// The known claim that precedes it.
+    pub preceding: Option<RunClaim>,
 }
 
 impl RunClaim {
+    /// How long a claimed run waits for better claims of other entries, which
+    /// arrive within 20 ms from other halls.
+    pub const PERIOD: Duration = Duration::from_millis(100);
+
     /// The maximum number of features in a claim, which is that of a request.
     pub const MAX_FEATURES: usize = RequestFeatures::MAX_PARTS + 1;
 }
@@ -128,12 +144,8 @@
             if let Some(held) = held
                 && !held.yields_to(claim.number, running)
             {
-                if held.is_running && held.number != claim.number {
-                    heard.running = Some(RunClaim {
-                        features: vec![*feature],
-                        number: held.number,
-                        stage: ClaimStage::Running,
-                    });
+                if held.number != claim.number {
+                    heard.preceding = Some(held.claim(*feature));
                 }
                 continue;
             }
--- a/src/poison/fleet_tests.rs
+++ b/src/poison/fleet_tests.rs
@@ -255,7 +255,7 @@
     assert!(second.begin_claimed_run(&two));
     let heard = second.hear_claim(&one, at(1_200));
     assert!(!heard.is_new);
-    let running = heard.running.unwrap();
+    let running = heard.preceding.unwrap();
     assert_eq!((running.number, running.stage), (2, ClaimStage::Running));
     assert!(first.hear_claim(&running, at(1_210)).is_new);
     assert!(!first.begin_claimed_run(&one));
@@ -291,3 +291,28 @@
     second.hear_claim(&running, at(1_170));
     assert_eq!(refusal(&mut second, bad, at(1_180)), quarantined);
 }
+
+/// Guards against crashes under runs that were claimed first, which accuse no
+/// part until the service has answered others.
+#[test]
+fn a_crash_under_a_claimed_run_counts_for_its_parts_at_once() {
+    let part = Fingerprint::of_part("bad part");
+    let service = Arc::from("pool");
+    let mut table = PoisonTable::default();
+    // The third run of the first request begins once it has been claimed.
+    let crashes = [
+        ("first", 1_000),
+        ("first", 1_010),
+        ("first", 1_125),
+        ("second", 1_300),
+        ("second", 1_310),
+    ];
+    for (index, (name, ms)) in crashes.into_iter().enumerate() {
+        let features = RequestFeatures::from_parts(request(name), vec![part]);
+        let sent = table.suspicion(features.request);
+        table.accuse(&features, sent, &replica(index), &service, at(ms));
+    }
+    let judged = table.judge(at(1_320));
+    let parts: Vec<_> = judged.quarantined.iter().map(|(p, _)| *p).collect();
+    assert_eq!(parts, [part]);
+}
--- a/src/poison/table_parts.rs
+++ b/src/poison/table_parts.rs
@@ -7,7 +7,7 @@
 use super::request_state::RequestState;
 use super::{
     Admission, CrashReport, Fingerprint, PoisonTable, Refusal, RefusalReason,
-    RequestFeatures, Suspicion,
+    RequestFeatures, RunClaim, Suspicion,
 };
 use crate::Time;
 
@@ -148,8 +148,12 @@
         let (ended, age) = before
             .map_or((0, Duration::MAX), |s| (s.suspicion.ended, s.age(now)));
         let known = self.record_crash(request, sent, replica, now);
-        let in_turn =
-            sent.ended > 0 && known.ended > ended && age <= RecentExits::SPAN;
+        let mut most = RecentExits::SPAN;
+        if sent.requires_exclusive_run() {
+            // The run was claimed before it began.
+            most += RunClaim::PERIOD;
+        }
+        let in_turn = sent.ended > 0 && known.ended > ended && age <= most;
         let parts = features.parts().iter().copied();
         let all = parts.chain([request]);
         self.evidence.accuse(replica, all, service, in_turn, now);
