Count coinciding crashes of requests that were sent again once

Callers saw: harmless requests refused for a part of their prompts, after the halls that had served them ended shortly one after the other.

Cause: a crash in turn, under a request that another crash had just sent on, counts at once and by itself, since it can't share the cause of the crash before. But several of them can share one: requests whose hall has ended are sent to another hall, which ends as well. Three such crashes quarantined a part that most requests have.

Change: crashes in turn that coincide are one incident, unless they came one after the other under one request.

Evidence: requests_sent_again_to_a_hall_that_ends_accuse_no_part failed before (quarantined for four replicas of one hall) and passes now. Supposed, not proved, to be the cause of halls_that_end_by_themselves_accuse_no_part (KNOWN-RED).

--- a/src/poison/evidence.rs
+++ b/src/poison/evidence.rs
@@ -36,6 +36,9 @@
     charges: BTreeMap<Fingerprint, bool>,
 }
 
+/// A crash and the name of the replica.
+type NamedCrash<'a> = (&'a Arc<str>, &'a Crash);
+
 impl Crash {
     /// Returns the complete answers of the service that are known since.
     fn answered(&self) -> u32 {
@@ -48,6 +51,12 @@
         open.map(|(feature, _)| *feature).collect()
     }
 
+    /// Returns whether both are accused of the same request.
+    fn shares_request(&self, other: &Crash) -> bool {
+        let mut requests = self.charges.keys().filter(|f| !f.is_part());
+        requests.any(|request| other.charges.contains_key(request))
+    }
+
     /// Returns whether the crashes and exits that coincide with it had the
     /// time to become known, and the service has answered other requests
     /// since. A service that answers none tells nothing of those that crashed.
@@ -388,11 +397,11 @@
     }
 
     /// Returns the crashes that may have been caused by requests, in the order
-    /// of time. Those that coincide have one cause, but for those that came in
-    /// turn.
+    /// of time. Those that coincide have one cause. Those that came in turn have
+    /// another one than the crashes that they followed, but may have one in
+    /// common, such as the end of the hall to which requests were sent again.
     fn incidents(&self, exits: &RecentExits, now: Time) -> Vec<Incident> {
-        let mut crashes: Vec<(&Arc<str>, &Crash)> =
-            self.crashes.iter().collect();
+        let mut crashes: Vec<NamedCrash<'_>> = self.crashes.iter().collect();
         crashes.retain(|(_, crash)| {
             let known = crash.is_settled(now) || crash.in_turn;
             known && !exits.idle_near(crash.at)
@@ -409,8 +418,8 @@
             let (in_turn, at_once): (Vec<_>, Vec<_>) =
                 together.iter().partition(|(_, crash)| crash.in_turn);
             incidents.extend(incident(&at_once));
-            for crash in in_turn {
-                incidents.extend(incident(&[crash]));
+            for group in split_successions(&in_turn) {
+                incidents.extend(incident(&group));
             }
         }
         incidents
@@ -476,8 +485,26 @@
     }
 }
 
+/// Groups crashes that came in turn so that no two of a group occurred under
+/// the same request, one after the other.
+fn split_successions<'a>(
+    in_turn: &[&'a NamedCrash<'a>],
+) -> Vec<Vec<&'a NamedCrash<'a>>> {
+    let mut groups: Vec<Vec<&NamedCrash<'_>>> = Vec::new();
+    for named in in_turn {
+        let follows = |group: &Vec<&NamedCrash<'_>>| {
+            group.iter().any(|other| other.1.shares_request(named.1))
+        };
+        match groups.iter_mut().find(|group| !follows(group)) {
+            Some(group) => group.push(named),
+            None => groups.push(vec![named]),
+        }
+    }
+    groups
+}
+
 /// Returns the incident of crashes that coincide, or `None` if there are none.
-fn incident(together: &[&(&Arc<str>, &Crash)]) -> Option<Incident> {
+fn incident(together: &[&NamedCrash<'_>]) -> Option<Incident> {
     let many = together.len() >= CrashEvidence::MANY;
     let mut crashes = together.iter();
     let mut suspects = crashes.next()?.1.suspects();
--- a/src/poison/parts_tests.rs
+++ b/src/poison/parts_tests.rs
@@ -408,3 +408,21 @@
     }
     assert_eq!(new.digest(), table.digest());
 }
+
+/// Guards against a harmless part that is quarantined because the replicas to
+/// which several requests were sent again after a hall had ended ended with
+/// another hall.
+#[test]
+fn requests_sent_again_to_a_hall_that_ends_accuse_no_part() {
+    let mut table = PoisonTable::default();
+    for index in 0..4 {
+        let own = format!("own{index}");
+        let request = request(&own, &["first", &own]);
+        crash(&mut table, index, &request, at(1_000));
+        crash(&mut table, 4 + index, &request, at(1_020));
+    }
+    let judgement = table.judge(at(1_030));
+    assert_eq!(judgement.quarantined, []);
+    let next = request("next", &["first"]);
+    assert_eq!(refusal(&mut table, &next, at(1_040)), None);
+}
