Group crashes that came in turn in linear time

Crashes are judged again with each request while some are not settled, and the grouping compared each crash in turn with all that coincide. Now it looks up the requests of each crash once.

--- a/src/poison/evidence.rs
+++ b/src/poison/evidence.rs
@@ -51,10 +51,9 @@
         open.map(|(feature, _)| *feature).collect()
     }
 
-    /// Returns whether both are accused of the same request.
-    fn shares_request(&self, other: &Crash) -> bool {
-        let mut requests = self.charges.keys().filter(|f| !f.is_part());
-        requests.any(|request| other.charges.contains_key(request))
+    /// Returns the requests that are accused of it, whole.
+    fn requests(&self) -> impl Iterator<Item = Fingerprint> {
+        self.charges.keys().copied().filter(|feature| !feature.is_part())
     }
 
     /// Returns whether the crashes and exits that coincide with it had the
@@ -485,20 +484,23 @@
     }
 }
 
-/// Groups crashes that came in turn so that no two of a group occurred under
-/// the same request, one after the other.
+/// Groups crashes that came in turn, in the order of time, so that no two of a
+/// group occurred under the same request, one after the other.
 fn split_successions<'a>(
     in_turn: &[&'a NamedCrash<'a>],
 ) -> Vec<Vec<&'a NamedCrash<'a>>> {
     let mut groups: Vec<Vec<&NamedCrash<'_>>> = Vec::new();
+    // The group of the next crash under each request.
+    let mut next: BTreeMap<Fingerprint, usize> = BTreeMap::new();
     for named in in_turn {
-        let follows = |group: &Vec<&NamedCrash<'_>>| {
-            group.iter().any(|other| other.1.shares_request(named.1))
-        };
-        match groups.iter_mut().find(|group| !follows(group)) {
-            Some(group) => group.push(named),
-            None => groups.push(vec![named]),
+        let requests = || named.1.requests();
+        let known = requests().filter_map(|request| next.get(&request));
+        let group = known.copied().max().unwrap_or(0);
+        next.extend(requests().map(|request| (request, group + 1)));
+        if group == groups.len() {
+            groups.push(Vec::new());
         }
+        groups[group].push(named);
     }
     groups
 }
