Send requests only once an entry knows what other entries know

Callers who repeated a request that crashes replicas lost a replica for each entry that started: it took requests as soon as it had its routes and learned of the quarantine half a second later, with the second comparison of tables. An entry that is suspended loses the news of a quarantine if its receive buffer is full, and sends such requests when it goes on.

The class: a process that acts before it has the soft state that its peers share. An entry now reads the tables of the leading entries of its hall after its start and after each pause of over 0.3 s, asks one entry of each other hall if these are just starting, too, and holds requests back meanwhile, for 0.5 s at most. It goes on at once if it is alone or if nobody knows more. A request is checked again right before it is sent. Each sending is logged with what the entry knew.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -22,6 +22,7 @@
 
 use crate::buffers::Buffers;
 use crate::cache_site::FeedSite;
+use crate::catch_up::CatchUpGate;
 use crate::dialect::Dialect;
 use crate::dispatch::{DispatchBounds, Dispatcher, HealthBounds};
 use crate::feed::{FeedConfig, follow_agents};
@@ -131,7 +132,13 @@
     if let Some(watch) = watch {
         tokio::spawn(live.clone().follow(watch, log.clone()));
     }
-    let poison = Arc::new(PoisonWatch::new(Arc::clone(&facts)));
+    let catch_up = Arc::new(CatchUpGate::new(
+        Arc::clone(&facts),
+        settings.peers.is_some(),
+        settings.first_start,
+    ));
+    let poison =
+        Arc::new(PoisonWatch::new(Arc::clone(&facts), Arc::clone(&catch_up)));
     let placing = start_placing(&settings, &dispatcher, &poison).await?;
     tokio::spawn(Arc::clone(&placing).run());
     let body_time = settings.buffers.unwrap_or_default().body_time();
@@ -170,6 +177,7 @@
         ready,
         peer_handler,
         &metrics,
+        &catch_up,
         &facts,
         &shutdown,
     )
@@ -220,6 +228,8 @@
         Arc::clone(&peers),
     ));
     tokio::spawn(Arc::clone(&gossip).run());
+    let catch_up = Arc::clone(poison.catch_up());
+    tokio::spawn(catch_up.run(Arc::clone(&gossip), Arc::clone(&peers)));
     let health = Arc::new(HealthGossip::new(
         Arc::clone(&dispatcher),
         Arc::clone(&wire),
@@ -311,6 +321,7 @@
     ready: TcpListener,
     peer_handler: Option<(SocketAddr, PeerHandler)>,
     metrics: &Arc<EntryMetrics>,
+    catch_up: &Arc<CatchUpGate>,
     facts: &Arc<Facts>,
     shutdown: &Shutdown,
 ) -> Result<Stopper, Error> {
@@ -321,6 +332,7 @@
     limits.connections = 64;
     let handler = Arc::new(ReadinessHandler {
         facts: Arc::clone(facts),
+        catch_up: Arc::clone(catch_up),
         shutdown: shutdown.clone(),
     });
     tokio::spawn(serve(ready, limits, end.clone(), handler));
--- a/crates/gateway/src/forward/log.rs
+++ b/crates/gateway/src/forward/log.rs
@@ -118,6 +118,8 @@
             waited_ms: context.elapsed_ms(),
             expected_ms: place.expected_ms(),
             begin_in_ms: self.left_to_begin(place),
+            crashed: self.poison.suspicion(context).ended,
+            informed_ms: self.poison.catch_up().informed_ms(),
         });
     }
 
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -98,6 +98,10 @@
             place.record_outcome(Outcome::Failed);
             AttemptError::new(AttemptResult::Unsent, e)
         })?;
+        if self.poison.confirm(context, suspicion).await.is_err() {
+            let why = "the request has been quarantined meanwhile";
+            return Err(AttemptError::new(AttemptResult::Unsent, why));
+        }
         let left = context.remaining();
         if left.is_zero() {
             return Err(AttemptError::new(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,7 +6,8 @@
 //! [`forward`] matches a caller's request to a route, and [`dispatch`] queues
 //! it for a replica, which one entry of the hall chooses for all of them
 //! ([`placing`]). [`poison`] quarantines requests that crash the replicas
-//! they run on. Requests are sent on pooled connections ([`pool`]), and
+//! they run on, and [`catch_up`] holds requests back until this entry knows
+//! what others know of such requests. Requests are sent on pooled connections ([`pool`]), and
 //! [`relay`] streams their answers; [`buffers`] bounds what is held for slow
 //! callers. The state of replicas comes from the
 //! platform ([`stairhinge_shell::directory`]) and, more up to date, from the
@@ -18,6 +19,7 @@
 mod buffers;
 mod cache_site;
 mod cancel_guard;
+mod catch_up;
 mod connect;
 mod dialect;
 mod dispatch;
--- a/crates/gateway/src/peer_list.rs
+++ b/crates/gateway/src/peer_list.rs
@@ -12,6 +12,7 @@
 
 use stairhinge::direct::HallEntry;
 use stairhinge::rank;
+use stairhinge::serving::CatchUpPeers;
 
 use crate::dispatch::Dispatcher;
 
@@ -20,6 +21,10 @@
 /// 2.5 s.
 const MEMBER_RETENTION: Duration = Duration::from_secs(30);
 
+/// The number of entries of its hall that an entry without leading ones
+/// catches up with.
+const MAX_CATCH_UP: usize = 5;
+
 /// The number of leading entries that forward what entries of their hall
 /// report to the entries that these do not know.
 const FORWARDERS: usize = 2;
@@ -101,6 +106,23 @@
         relays(&entries, self.hall(), self.own, turn)
     }
 
+    /// Returns the entries with which this one catches up: the other leading
+    /// ones of its hall, and one of each other hall.
+    pub(crate) fn catch_up_peers(&self) -> CatchUpPeers {
+        let leading = self.dispatcher.leading_entries();
+        let mut near: BTreeSet<SocketAddr> = leading.iter().copied().collect();
+        near.remove(&self.own);
+        if near.is_empty() {
+            near = self.near().into_iter().take(MAX_CATCH_UP).collect();
+        }
+        let relays = self.relays(0).into_iter();
+        CatchUpPeers {
+            near,
+            far: relays.map(|entry| entry.addr).collect(),
+            complete: !leading.is_empty(),
+        }
+    }
+
     /// Returns the entries to which a report from `from` is forwarded. A
     /// report from another hall goes to all of this one, and one from this
     /// hall to those that its sender does not know.
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -24,6 +24,7 @@
 use tokio::sync::Notify;
 
 pub(crate) use self::gossip::PoisonGossip;
+use crate::catch_up::CatchUpGate;
 use crate::request_context::RequestContext;
 
 /// The maximum number of names of parts that are remembered for the log.
@@ -53,13 +54,17 @@
     withdrawn: AtomicU64,
     /// Claims that other entries have yet to be told of.
     claims: Mutex<Vec<RunClaim>>,
+    catch_up: Arc<CatchUpGate>,
     facts: Arc<Facts>,
     changed: Notify,
 }
 
 impl PoisonWatch {
-    /// Returns a watch with an empty table.
-    pub(crate) fn new(facts: Arc<Facts>) -> PoisonWatch {
+    /// Returns a watch with an empty table, which `catch_up` fills.
+    pub(crate) fn new(
+        facts: Arc<Facts>,
+        catch_up: Arc<CatchUpGate>,
+    ) -> PoisonWatch {
         let mut table = PoisonTable::default();
         table.set_entry(rand::rng().random());
         PoisonWatch {
@@ -68,13 +73,20 @@
             part_names: Mutex::default(),
             withdrawn: AtomicU64::new(0),
             claims: Mutex::default(),
+            catch_up,
             facts,
             changed: Notify::new(),
         }
     }
 
-    /// Admits a request and returns the suspicion against it. If only one run
-    /// of it may be in progress, it is claimed first.
+    /// Returns whether this entry knows what others know of such requests.
+    pub(crate) const fn catch_up(&self) -> &Arc<CatchUpGate> {
+        &self.catch_up
+    }
+
+    /// Admits a request and returns the suspicion against it, once this entry
+    /// has caught up with others. If only one run of it may be in progress, it
+    /// is claimed first.
     ///
     /// # Errors
     ///
@@ -83,6 +95,7 @@
         &self,
         context: &RequestContext,
     ) -> Result<Suspicion, Refusal> {
+        self.catch_up.wait().await;
         if self.is_empty() {
             return Ok(Suspicion::default());
         }
@@ -146,6 +159,21 @@
         Ok((suspicion, claim))
     }
 
+    /// Checks an admitted request again right before it is sent: this entry may
+    /// have been paused since, and others may have learned more.
+    ///
+    /// # Errors
+    ///
+    /// The refusal, if the request may no longer be sent.
+    pub(crate) async fn confirm(
+        &self,
+        context: &RequestContext,
+        sent: Suspicion,
+    ) -> Result<(), Refusal> {
+        self.catch_up.wait().await;
+        self.recheck(context, sent)
+    }
+
     /// Checks an admitted request again after it has waited for a place.
     ///
     /// # Errors
--- a/crates/gateway/src/poison/gossip.rs
+++ b/crates/gateway/src/poison/gossip.rs
@@ -155,12 +155,19 @@
         if others.is_empty() {
             return;
         }
-        self.ask(others[turn % others.len()]);
+        self.ask(others[turn % others.len()], 0);
+    }
+
+    /// Asks an entry for its whole table, for a catch-up of this number.
+    pub(crate) fn ask_everything(&self, other: SocketAddr, number: u64) {
+        self.readings().remove(&other);
+        self.ask(other, number);
     }
 
     /// Asks an entry for the next page of its table, unless this one has the
-    /// same.
-    fn ask(&self, other: SocketAddr) {
+    /// same. `catch_up` is the number of the catch-up for which it is read, or
+    /// 0.
+    fn ask(&self, other: SocketAddr, catch_up: u64) {
         let from = {
             let mut readings = self.readings();
             if readings.len() >= MAX_READINGS {
@@ -172,7 +179,8 @@
         };
         let digest = self.watch.lock().digest();
         let hall = Arc::clone(self.peers.hall());
-        self.send(other, PoisonMessage::Compare { digest, hall, from });
+        let compare = PoisonMessage::Compare { digest, hall, from, catch_up };
+        self.send(other, compare);
     }
 
     /// Records that an entry has told news.
@@ -185,17 +193,30 @@
     /// Goes on reading an entry's table, whose next page begins at `next`: at
     /// once if it is of this hall and the last page has brought news, else with
     /// the next comparison. Whole tables would fill the links between halls.
-    fn read_on(&self, from: SocketAddr, theirs: u64, next: PagePosition) {
+    /// Returns whether it goes on at once; for a `catch_up` it does so without
+    /// news, too.
+    fn read_on(
+        &self,
+        from: SocketAddr,
+        theirs: u64,
+        next: PagePosition,
+        catch_up: u64,
+    ) -> bool {
         let has_news = {
             let mut readings = self.readings();
-            let Some(reading) = readings.get_mut(&from) else { return };
+            let Some(reading) = readings.get_mut(&from) else { return false };
             reading.next = next;
             reading.has_news
         };
-        if has_news && !next.is_start() && self.watch.lock().digest() != theirs
-        {
-            self.ask(from);
+        let is_near = || self.peers.near().contains(&from);
+        let wants_more = has_news || (catch_up != 0 && is_near());
+        let goes_on = wants_more
+            && !next.is_start()
+            && self.watch.lock().digest() != theirs;
+        if goes_on {
+            self.ask(from, catch_up);
         }
+        goes_on
     }
 
     fn readings(&self) -> MutexGuard<'_, HashMap<SocketAddr, Reading>> {
@@ -252,17 +273,33 @@
                 self.merge_crashes(from, &reports);
             }
             PoisonMessage::Digest(theirs) => {
-                self.answer_digest(from, theirs, PagePosition::default());
+                self.answer_digest(from, theirs, PagePosition::default(), 0);
             }
-            PoisonMessage::Compare { digest, hall, from: position } => {
+            PoisonMessage::Compare {
+                digest,
+                hall,
+                from: position,
+                catch_up,
+            } => {
                 self.peers.record_seen(from, &hall);
-                self.answer_digest(from, digest, position);
+                self.answer_digest(from, digest, position, catch_up);
             }
-            PoisonMessage::Differs { digest, records, next } => {
+            PoisonMessage::Same { catch_up, current } => {
+                self.watch.catch_up.record_answer(from, catch_up, current);
+            }
+            PoisonMessage::Differs {
+                digest,
+                records,
+                next,
+                catch_up,
+                current,
+            } => {
                 self.merge(from, records);
                 self.send_missing(from, digest);
-                if let Some(next) = next {
-                    self.read_on(from, digest, next);
+                if let Some(next) = next
+                    && !self.read_on(from, digest, next, catch_up)
+                {
+                    self.watch.catch_up.record_answer(from, catch_up, current);
                 }
             }
         }
@@ -310,17 +347,22 @@
         from: SocketAddr,
         theirs: u64,
         position: PagePosition,
+        catch_up: u64,
     ) {
         let now = self.watch.facts.now();
+        let current = self.watch.catch_up.is_current();
         let (digest, page) = {
             let table = self.watch.lock();
             let digest = table.digest();
-            if digest == theirs {
-                return;
+            let page = (digest != theirs).then(|| table.page(position, now));
+            (digest, page)
+        };
+        let Some(TablePage { records, crashes, next }) = page else {
+            if catch_up != 0 {
+                self.send(from, PoisonMessage::Same { catch_up, current });
             }
-            (digest, table.page(position, now))
+            return;
         };
-        let TablePage { records, crashes, next } = page;
         self.send_crashes(&BTreeSet::from([from]), crashes);
         let mut parts = records.chunks(PoisonMessage::MAX_RECORDS);
         // Without records, the other table may still have some that this one
@@ -330,7 +372,14 @@
             part = parts.next();
             let next = part.is_none().then_some(next);
             let records = records.to_vec();
-            self.send(from, PoisonMessage::Differs { digest, records, next });
+            let page = PoisonMessage::Differs {
+                digest,
+                records,
+                next,
+                catch_up,
+                current,
+            };
+            self.send(from, page);
         }
     }
 
--- a/crates/shell/src/decisions/decision.rs
+++ b/crates/shell/src/decisions/decision.rs
@@ -337,6 +337,30 @@
         /// version is outdated.
         #[serde(skip_serializing_if = "Option::is_none")]
         begin_in_ms: Option<u64>,
+        /// The number of consecutive replicas that are known to have ended
+        /// while they ran the request.
+        #[serde(skip_serializing_if = "is_zero")]
+        crashed: u8,
+        /// The time since an entry that was up to date last told this one
+        /// everything that it knew, in milliseconds, if one has since the
+        /// start.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        informed_ms: Option<u64>,
+    },
+    /// The process was paused, and catches up with other entries.
+    Paused {
+        /// For how long, in milliseconds.
+        paused_ms: u64,
+    },
+    /// The entry has caught up with others as far as it can, and sends
+    /// requests from now on.
+    CaughtUp {
+        /// How: `informed`, `none_knows`, `alone` or `timed_out`.
+        end: &'a str,
+        /// The number of entries that were asked.
+        asked: usize,
+        /// The time since the start or the pause, in milliseconds.
+        took_ms: u64,
     },
     /// A request began at a replica with an outdated version.
     BegunOutdated {
@@ -799,3 +823,11 @@
         lines: u64,
     },
 }
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_zero(count: &u8) -> bool {
+    *count == 0
+}
--- a/crates/shell/src/decisions_tests.rs
+++ b/crates/shell/src/decisions_tests.rs
@@ -84,6 +84,8 @@
             waited_ms: 40,
             expected_ms: None,
             begin_in_ms: None,
+            crashed: 0,
+            informed_ms: None,
         },
         Decision::AttemptFailed {
             request: "r1",
--- a/src/poison/message.rs
+++ b/src/poison/message.rs
@@ -29,6 +29,18 @@
         /// Where the page begins that the sender asks for.
         #[serde(default)]
         from: PagePosition,
+        /// The number of the catch-up for which the sender asks, which the
+        /// answer repeats, or 0 if it compares tables as usual.
+        #[serde(default, skip_serializing_if = "is_zero")]
+        catch_up: u64,
+    },
+    /// The answer to a [`PoisonMessage::Compare`] with the same digest, if the
+    /// sender of that is catching up.
+    Same {
+        /// The number of its catch-up.
+        catch_up: u64,
+        /// Whether the sender of this is up to date.
+        current: bool,
     },
     /// The answer to a digest that differs from that of the sender's table.
     /// The receiver answers with records of its own as
@@ -41,9 +53,23 @@
         /// Where the next page begins, in the last message of a page.
         #[serde(default)]
         next: Option<PagePosition>,
+        /// The number of the receiver's catch-up, 0 if it is up to date.
+        #[serde(default, skip_serializing_if = "is_zero")]
+        catch_up: u64,
+        /// Whether the sender is up to date.
+        #[serde(default)]
+        current: bool,
     },
 }
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
 impl PoisonMessage {
     /// The maximum number of records in one message. A record with three
     /// replica names of the maximum length takes 350 bytes of JSON, and a
--- a/src/poison/table_tests.rs
+++ b/src/poison/table_tests.rs
@@ -263,7 +263,13 @@
     let records = table.next_batch(PoisonMessage::MAX_RECORDS, at(0));
     assert_eq!(records.len(), PoisonMessage::MAX_RECORDS);
     let next = Some(PagePosition { record: u32::MAX, crash: u32::MAX });
-    let news = PoisonMessage::Differs { digest: u64::MAX, records, next };
+    let news = PoisonMessage::Differs {
+        digest: u64::MAX,
+        records,
+        next,
+        catch_up: u64::MAX,
+        current: true,
+    };
     let json = serde_json::to_vec(&Message::Poison(news)).unwrap();
     assert!(json.len() <= 4_096, "{} bytes", json.len());
 }
