Tell an entry that starts which replicas are ejected

An entry that had started found out by failures of its own which replicas fail: ejections are reported as they happen, and it was not there. Entries now answer the question of one that catches up with the replicas that they have ejected, and for how long.

Evidence: an_entry_that_starts_is_told_which_replicas_fail, on the code before 4 of 40 requests of the new entry reached the failing replica in 3 of 3 runs (allowed: two); with the reports it passed 5 of 5.

--- a/crates/gateway/src/dispatch/health_reports.rs
+++ b/crates/gateway/src/dispatch/health_reports.rs
@@ -33,6 +33,28 @@
         std::mem::take(&mut self.lock().health.unsent)
     }
 
+    /// Returns reports on the replicas that this entry sends no requests, for
+    /// an entry that has not heard of their ejections.
+    pub(crate) fn current_ejections(&self) -> Vec<HealthReport> {
+        let now = self.facts.now();
+        let state = self.lock();
+        let mut reports = Vec::new();
+        for (replica, known) in &state.known {
+            let until = known.outcomes.excluded_until();
+            let Some(until) = until.filter(|until| *until > now) else {
+                continue;
+            };
+            let since = known.outcomes.failing_since().unwrap_or(now);
+            reports.push(HealthReport {
+                replica: Arc::clone(replica),
+                born: known.born,
+                standing: ReportedStanding::ejected(until.since(now)),
+                failing_ms: now.since(since).as_millis() as u64,
+            });
+        }
+        reports
+    }
+
     /// Adds a report on a replica to those to send.
     pub(super) fn report_health(
         &self,
--- a/crates/gateway/src/health_gossip.rs
+++ b/crates/gateway/src/health_gossip.rs
@@ -67,7 +67,7 @@
 }
 
 /// Returns messages with reports.
-fn messages(reports: &[HealthReport]) -> Vec<Message> {
+pub(crate) fn messages(reports: &[HealthReport]) -> Vec<Message> {
     let parts = reports.chunks(HealthReport::MAX_REPORTS);
     parts.map(|part| Message::Health(part.to_vec())).collect()
 }
--- a/crates/gateway/src/poison/gossip.rs
+++ b/crates/gateway/src/poison/gossip.rs
@@ -23,6 +23,7 @@
 use super::{PoisonWatch, lock};
 use crate::connect::has_ended;
 use crate::dispatch::{Dispatcher, DownEngine};
+use crate::health_gossip;
 use crate::news_sender::NewsSender;
 use crate::peer_list::PeerList;
 use crate::peer_socket::PeerSocket;
@@ -282,6 +283,9 @@
                 catch_up,
             } => {
                 self.peers.record_seen(from, &hall);
+                if catch_up != 0 && position.is_start() {
+                    self.send_ejections(from);
+                }
                 self.answer_digest(from, digest, position, catch_up);
             }
             PoisonMessage::Same { catch_up, current } => {
@@ -383,6 +387,14 @@
         }
     }
 
+    /// Tells an entry which replicas this one has ejected.
+    fn send_ejections(&self, to: SocketAddr) {
+        let reports = self.dispatcher.current_ejections();
+        for message in health_gossip::messages(&reports) {
+            self.sender.send(&BTreeSet::from([to]), &message);
+        }
+    }
+
     /// Sends a batch of records to an entry whose table still differs.
     fn send_missing(&self, to: SocketAddr, theirs: u64) {
         let now = self.watch.facts.now();
