--- a/crates/local/tests/poison.rs
+++ b/crates/local/tests/poison.rs
@@ -279,3 +279,29 @@
     }
     assert!(ends(&trial) > 0);
 }
+
+/// Guards against an entry that sends a quarantined request because it has just
+/// started and takes requests before it has asked its peers.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_starts_behind_agents_runs_no_quarantined_request() {
+    let mut trial = start("bad").await;
+    let caller = Caller::new("bad").once(None).whole();
+    let last = repeat(&trial, &caller, 20).await;
+    assert_eq!(last.code, 3020, "{last:?}, {} ends", ends(&trial));
+    assert!(trial.local.await_live("v1", 6, LONG).await);
+    let before = ends(&trial);
+    let client = Client::new();
+    let entry = trial.local.entries()[0];
+    for _ in 0..5 {
+        trial.local.kill("entry-0-0");
+        trial.local.restart("entry-0-0").unwrap();
+        let refused = async {
+            while caller.chat(&client, entry, "matcher").await.code != 3020 {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        let refused = tokio::time::timeout(LONG, refused).await;
+        assert!(refused.is_ok(), "never refused");
+    }
+    assert_eq!(ends(&trial), before, "more engines have ended");
+}
