Ask peers before the first run behind agents, too

A hall whose entry and agents had started together ran a quarantined request once more: the entry took requests as soon as it had its declaration, and met its peers one at a time, an interval apart. Agents that had been there refuse such requests, so an entry alone that starts cost nothing.

--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -56,7 +56,8 @@
 impl Entry {
     fn ready(&self) -> Response<Body> {
         let has_fleet = self.node.view().fleet.is_some();
-        let ready = has_fleet && !self.node.leaving();
+        let has_started = has_fleet && self.node.is_caught_up();
+        let ready = has_started && !self.node.leaving();
         let status = if ready {
             StatusCode::OK
         } else {
--- a/crates/local/tests/poison.rs
+++ b/crates/local/tests/poison.rs
@@ -305,3 +305,38 @@
     }
     assert_eq!(ends(&trial), before, "more engines have ended");
 }
+
+/// Guards against a hall whose entry and agents start together, take requests
+/// before they have asked their peers, and run a quarantined one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_hall_that_starts_behind_agents_runs_no_quarantined_request() {
+    let mut trial = start("bad").await;
+    let caller = Caller::new("bad").once(None).whole();
+    let last = repeat(&trial, &caller, 20).await;
+    assert_eq!(last.code, 3020, "{last:?}, {} ends", ends(&trial));
+    assert!(trial.local.await_live("v1", 6, LONG).await);
+    let before = ends(&trial);
+    let client = Client::new();
+    let entry = trial.local.entries()[0];
+    let mut names: Vec<_> = trial.local.agents();
+    names.push("entry-0-0".into());
+    for name in &names {
+        trial.local.kill(name);
+    }
+    for name in &names {
+        trial.local.restart(name).unwrap();
+    }
+    let end = std::time::Instant::now() + Duration::from_secs(20);
+    let mut seen = Vec::new();
+    while std::time::Instant::now() < end {
+        let answer = caller.chat(&client, entry, "matcher").await;
+        seen.push(answer.code);
+        if answer.code == 3020 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    seen.dedup();
+    assert_eq!(ends(&trial), before, "{seen:?}");
+    assert_eq!(seen.last(), Some(&3020), "{seen:?}");
+}
--- a/crates/shell/src/node.rs
+++ b/crates/shell/src/node.rs
@@ -4,6 +4,7 @@
 //! [`View`] without a lock; the tasks that poll the platform and exchange
 //! with peers replace the whole view when they accept a newer document.
 
+mod catch_up;
 mod documents;
 mod feed;
 mod gossip;
--- a/crates/shell/src/node/run_claim.rs
+++ b/crates/shell/src/node/run_claim.rs
@@ -70,8 +70,9 @@
 }
 
 impl Node {
-    /// Admits a run of a request. If it must be the only one, it is claimed
-    /// among all entries first, which takes [`RunClaim::PERIOD`].
+    /// Admits a run of a request once this process has caught up with its
+    /// peers. If it must be the only one, it is claimed among all entries
+    /// first, which takes [`RunClaim::PERIOD`].
     ///
     /// # Errors
     ///
@@ -80,6 +81,7 @@
         self: &Arc<Node>,
         features: &RequestFeatures,
     ) -> Result<AdmittedRun, Refusal> {
+        self.wait_caught_up().await;
         loop {
             self.judge_poison();
             let (suspicion, claim) = self.begin_run(features)?;
--- a/crates/shell/src/node/state.rs
+++ b/crates/shell/src/node/state.rs
@@ -44,6 +44,8 @@
     pub(super) documents: Mutex<Documents>,
     pub(super) view: ArcSwap<View>,
     pub(super) changed: watch::Sender<u64>,
+    /// Whether the process has asked its peers what they know.
+    caught_up: watch::Sender<bool>,
     contact: Mutex<Option<Time>>,
     peers: Mutex<Peers>,
     standing: Mutex<ServingStatus>,
@@ -97,6 +99,7 @@
             documents: Mutex::new(documents),
             view: ArcSwap::from_pointee(View::default()),
             changed: watch::channel(0).0,
+            caught_up: watch::Sender::new(false),
             contact: Mutex::new(None),
             peers: Mutex::default(),
             standing: Mutex::new(standing),
@@ -118,6 +121,7 @@
             self.spawn(super::feed::run(Arc::clone(self), kind), shutdown);
         }
         self.spawn(super::gossip::run(Arc::clone(self)), shutdown);
+        self.spawn(super::catch_up::run(Arc::clone(self)), shutdown);
         self.spawn(super::poison::run(Arc::clone(self)), shutdown);
         self.spawn(super::poison::run_reviews(Arc::clone(self)), shutdown);
     }
@@ -259,6 +263,22 @@
         *lock(&self.standing).state == *Report::LEAVING
     }
 
+    /// Returns whether this process has caught up with its peers.
+    pub fn is_caught_up(&self) -> bool {
+        *self.caught_up.borrow()
+    }
+
+    /// Waits until this process has caught up with its peers.
+    pub async fn wait_caught_up(&self) {
+        let mut caught_up = self.caught_up.subscribe();
+        let _ = caught_up.wait_for(|caught_up| *caught_up).await;
+    }
+
+    /// Records that this process has caught up with its peers.
+    pub(super) fn set_caught_up(&self) {
+        self.caught_up.send_replace(true);
+    }
+
     /// Returns the serving state of this process.
     pub fn state(&self) -> Arc<str> {
         Arc::clone(&lock(&self.standing).state)
