Explain the catch-up of entries and processes where a reader would stop

A reading of the change: what a tick that comes late may mean, what ends a catch-up behind agents (peers were asked, not that one knew), a glossary line.

--- a/crates/gateway/src/catch_up.rs
+++ b/crates/gateway/src/catch_up.rs
@@ -31,6 +31,7 @@
 /// Whether this entry is up to date with its peers.
 pub(crate) struct CatchUpGate {
     facts: Arc<Facts>,
+    /// Whether the settings connect it with other entries.
     has_peers: bool,
     state: Mutex<State>,
     is_current: watch::Sender<bool>,
@@ -154,7 +155,7 @@
     }
 
     /// Begins to catch up if the process has been paused since this was last
-    /// called.
+    /// called. If the time of day was set forward, it catches up in vain.
     fn detect_pause(&self) {
         if !self.has_peers {
             return;
@@ -175,6 +176,7 @@
         self.facts.log().write(&Decision::Paused { paused_ms });
     }
 
+    /// Asks peers that have not answered, or ends the catch-up.
     fn step(&self, gossip: &PoisonGossip, peers: &PeerList) {
         let known = peers.catch_up_peers();
         let has_routes = self.facts.view().routes.is_some();
@@ -194,6 +196,7 @@
         }
     }
 
+    /// Lets requests pass from now on.
     fn finish(&self, end: CatchUpEnd, now: Time) {
         let catch_up = {
             let mut state = self.lock();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,9 +7,9 @@
 //! it for a replica, which one entry of the hall chooses for all of them
 //! ([`placing`]). [`poison`] quarantines requests that crash the replicas
 //! they run on, and [`catch_up`] holds requests back until this entry knows
-//! what others know of such requests. Requests are sent on pooled connections ([`pool`]), and
-//! [`relay`] streams their answers; [`buffers`] bounds what is held for slow
-//! callers. The state of replicas comes from the
+//! what others know of them. Requests are sent on pooled connections
+//! ([`pool`]), and [`relay`] streams their answers; [`buffers`] bounds what is
+//! held for slow callers. The state of replicas comes from the
 //! platform ([`stairhinge_shell::directory`]) and, more up to date, from the
 //! agents on their instances ([`feed`]). One entry reads the platform on
 //! behalf of the others ([`hall_reader`]). A [`Dialect`] encodes requests and
--- a/crates/shell/src/decisions/decision.rs
+++ b/crates/shell/src/decisions/decision.rs
@@ -347,9 +347,10 @@
         #[serde(skip_serializing_if = "Option::is_none")]
         informed_ms: Option<u64>,
     },
-    /// The process was paused, and catches up with other entries.
+    /// The process was paused, or the time of day was set forward, and it
+    /// catches up with other entries.
     Paused {
-        /// For how long, in milliseconds.
+        /// By how much the clock advanced between two ticks, in milliseconds.
         paused_ms: u64,
     },
     /// The entry has caught up with others as far as it can, and sends
--- a/crates/shell/src/node/catch_up.rs
+++ b/crates/shell/src/node/catch_up.rs
@@ -8,7 +8,7 @@
 
 use stairhinge::document::{Instance, Role};
 use stairhinge::rank;
-use stairhinge::serving::{CatchUp, CatchUpEnd};
+use stairhinge::serving::CatchUp;
 
 use super::Node;
 use super::gossip::{meet, one_peer_per_hall};
@@ -29,16 +29,17 @@
     let begun = node.now();
     let asked = tokio::time::timeout(CatchUp::MAX_SPAN, ask(&node)).await;
     let end = match asked {
-        Ok(0) => CatchUpEnd::Alone,
-        Ok(_) => CatchUpEnd::Informed,
-        Err(_) => CatchUpEnd::TimedOut,
+        Ok(0) => "alone",
+        Ok(_) => "asked",
+        Err(_) => "timed_out",
     };
     let took = node.now().since(begun).as_millis().to_string();
-    node.event("poison.caught_up", &[("end", end.name()), ("ms", &took)]);
+    node.event("poison.caught_up", &[("end", end), ("ms", &took)]);
     node.set_caught_up();
 }
 
-/// Exchanges tables with peers once any are listed, and returns with how many.
+/// Exchanges tables with peers once any are listed, and returns how many were
+/// asked.
 async fn ask(node: &Arc<Node>) -> usize {
     let mut changes = node.changes();
     while node.view().listing.instances.is_empty() {
