Let an entry whose agents are all away take requests at once

An entry that started while no agent could be reached held requests back for the whole 0.5 s of its catch-up, since nobody had told it of peers: a request came to its replica that much later, and all of them at once. It now goes on 50 ms after the last agent that it can ask has answered or refused the connection.

Evidence: a_load_that_no_agent_has_reported_is_not_served_from failed in 3 of 3 runs of its file (and passed 1 of 1 alone) with the longer wait: its requests came 0.5 s later, its agent was killed before the entry had heard it, and an entry uses such a replica after 10 s. All nine tests of the file passed with this change. In one of the three runs chunks_of_the_next_version_are_not_taken_by_an_order_that_waits failed as well, at a load of 19; not traced.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -362,6 +362,7 @@
         let own = known.load.own();
         known.load = known.load.with_report(report.queued, report.running);
         known.reported = Some(ReceivedReport { report, at: Instant::now() });
+        known.awaits_agent = false;
         state.contention.record_report(own, all);
         if let Some(after) = down
             && state.down_engines.len() < MAX_DOWN_ENGINES
@@ -383,6 +384,7 @@
         let mut state = self.lock();
         let known = state.known.entry(Arc::clone(incarnation)).or_default();
         known.confirmed.expect(Instant::now());
+        known.awaits_agent = true;
     }
 
     /// Forgets what the agents of a replica have confirmed, since this entry
--- a/crates/gateway/src/dispatch/hall.rs
+++ b/crates/gateway/src/dispatch/hall.rs
@@ -30,6 +30,20 @@
         Arc::clone(&self.lock().leading)
     }
 
+    /// Returns whether all agents that can be reached have told this entry of
+    /// others: one has, or none of them is there.
+    pub(crate) fn knows_entries(&self) -> bool {
+        let view = self.facts.view();
+        let state = self.lock();
+        let awaits = |incarnation: &Arc<str>| {
+            let known = state.known.get(incarnation);
+            known.is_some_and(|known| known.awaits_agent)
+        };
+        let is_listed = view.routes.is_some() && !view.replicas.is_empty();
+        !state.leading.is_empty()
+            || (is_listed && !view.replicas.keys().any(awaits))
+    }
+
     /// Returns the number of entries of this hall that read an agent's feed,
     /// rounded up to a power of two; 0 if it is not known.
     pub(crate) fn hall_entries(&self) -> usize {
--- a/crates/gateway/src/dispatch/known.rs
+++ b/crates/gateway/src/dispatch/known.rs
@@ -90,6 +90,9 @@
     /// When it last failed or was slow to start a request.
     pub slow_at: Option<Instant>,
     pub reported: Option<ReceivedReport>,
+    /// Whether its agent was asked for reports, and has neither answered nor
+    /// been found to be unreachable yet.
+    pub awaits_agent: bool,
     /// The load that its agent has confirmed.
     pub confirmed: ConfirmedLoad,
     pub full_until: Option<Instant>,
@@ -164,6 +167,7 @@
 
     /// Drops the agent's report; returns whether there was one.
     pub(super) fn drop_report(&mut self) -> bool {
+        self.awaits_agent = false;
         self.load = self.load.without_report();
         self.reported.take().is_some()
     }
@@ -194,6 +198,7 @@
         *self = KnownReplica {
             born: replica.born,
             confirmed,
+            awaits_agent: self.awaits_agent,
             load: self.load,
             offset: self.offset,
             reported: self.reported.take(),
--- a/crates/gateway/src/peer_list.rs
+++ b/crates/gateway/src/peer_list.rs
@@ -119,7 +119,7 @@
         CatchUpPeers {
             near,
             far: relays.map(|entry| entry.addr).collect(),
-            complete: !leading.is_empty(),
+            complete: self.dispatcher.knows_entries(),
         }
     }
 
--- a/src/serving/catch_up.rs
+++ b/src/serving/catch_up.rs
@@ -19,8 +19,8 @@
     pub near: BTreeSet<SocketAddr>,
     /// One of each other hall.
     pub far: BTreeSet<SocketAddr>,
-    /// Whether it has been told of the members of its hall, so that no peers
-    /// means that there are none.
+    /// Whether it has been told of the members of its hall, or nobody is there
+    /// to tell, so that it does not wait for more of them.
     pub complete: bool,
 }
 
@@ -77,6 +77,8 @@
     /// When the process was first able to act.
     able_since: Option<Time>,
     asked_at: Option<Time>,
+    /// Since when the peers known have been complete.
+    complete_since: Option<Time>,
     /// Whether peers of other halls are asked, too.
     asks_far: bool,
     answers: BTreeMap<SocketAddr, PeerAnswer>,
@@ -86,6 +88,9 @@
     /// The maximum time for which a process that could act does not.
     pub const MAX_SPAN: Duration = Duration::from_millis(500);
 
+    /// How long the list of peers may be incomplete at first.
+    pub const SETTLE_PERIOD: Duration = Duration::from_millis(50);
+
     /// The interval at which peers that have not answered are asked again.
     pub const ASK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -97,6 +102,7 @@
             begun: now,
             able_since: None,
             asked_at: None,
+            complete_since: None,
             asks_far: false,
             answers: BTreeMap::new(),
         }
@@ -147,6 +153,11 @@
         if is_able {
             self.able_since.get_or_insert(now);
         }
+        if !peers.complete {
+            self.complete_since = None;
+        } else if self.complete_since.is_none() {
+            self.complete_since = Some(now);
+        }
         let repeats = self
             .asked_at
             .is_some_and(|at| now.since(at) >= CatchUp::ASK_INTERVAL);
@@ -176,14 +187,14 @@
         if self.answers.values().any(|a| *a == PeerAnswer::Current) {
             return Some(CatchUpEnd::Informed);
         }
-        let settled = now.since(self.begun) >= CatchUp::ASK_INTERVAL;
+        let settled = |since: Time| now.since(since) >= CatchUp::SETTLE_PERIOD;
         let has_peers = !peers.near.is_empty() || !peers.far.is_empty();
-        if peers.complete && !has_peers && settled {
+        if !has_peers && self.complete_since.is_some_and(settled) {
             return Some(CatchUpEnd::Alone);
         }
         let none_knows =
             self.are_outdated(&peers.near) && self.are_outdated(&peers.far);
-        if has_peers && none_knows && settled {
+        if has_peers && none_knows && settled(self.begun) {
             return Some(CatchUpEnd::NoneKnows);
         }
         let able_for = self.able_since.map(|at| now.since(at));
