--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -10,6 +10,16 @@
 
 use crate::http::{read_body, read_head, Head};
 
+/// The first of the ports for what nodes say to each other, the same on all
+/// machines. Each machine has an address of its own.
+const PEER_PORT: u16 = 7700;
+
+/// Returns the address of a machine, of this run's own.
+pub fn machine_ip(number: u32) -> String {
+    let own = std::process::id();
+    format!("127.{}.{}.{}", 64 + own % 64, own / 64 % 250 + 1, number)
+}
+
 /// A temporary folder, removed when dropped.
 pub struct Folder(pub PathBuf);
 
@@ -81,14 +91,12 @@
         number: u32,
         at: Option<(SocketAddr, SocketAddr)>,
     ) -> Entry {
-        // An address of its own, since the metrics have a fixed port.
-        let own = std::process::id();
-        let ip = format!("127.{}.{}.{}", 64 + own % 64, own / 64 % 250 + 1, number);
+        let ip = machine_ip(number);
         let (front, ready) = match at {
             Some((front, ready)) => (front.port(), ready.port()),
             None => (free_port(&ip), free_port(&ip)),
         };
-        let peers = free_port(&ip);
+        let peers = PEER_PORT;
         let values = [
             ("node", format!("front-z1-{number}")),
             ("zone", "z1".into()),
@@ -174,6 +182,64 @@
     }
 }
 
+/// An agent of the project as a process; it is killed when dropped.
+pub struct Agent {
+    pub log: PathBuf,
+    child: Child,
+}
+
+impl Agent {
+    /// Starts the agent beside a model replica.
+    pub fn start(folder: &Path, store: SocketAddr, engine: SocketAddr, first_start: bool) -> Agent {
+        let ip = engine.ip().to_string();
+        let values = [
+            ("node", format!("side-{ip}")),
+            ("zone", "z1".into()),
+            ("ip", ip.clone()),
+            ("internalPorts.0", PEER_PORT.to_string()),
+            ("app", engine.to_string()),
+            ("service", "pool".into()),
+            ("bootstrap", first_start.to_string()),
+            ("bounds.graceS", "8".into()),
+            ("bounds.version_ms", "8000".into()),
+            ("bounds.contactMs", "3000".into()),
+            ("limits.linkMbps", "7.3".into()),
+            ("platformApi.address", store.to_string()),
+        ];
+        let template = fs::read_to_string("platform/agent.yaml").expect("template");
+        let settings = folder.join(format!("agent-{ip}.yaml"));
+        fs::write(&settings, fill(&template, &values)).unwrap();
+        let log = folder.join(format!("agent-{ip}.log"));
+        let out = File::options().create(true).append(true).open(&log).unwrap();
+        let child = Command::new("target/release/stairhinge-platform")
+            .arg("agent")
+            .env("STAIRHINGE_NODE_FILE", &settings)
+            .stdin(Stdio::null())
+            .stdout(out.try_clone().unwrap())
+            .stderr(out)
+            .spawn()
+            .expect("stairhinge-platform");
+        Agent { log, child }
+    }
+
+    /// Kills it.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Returns what it has logged.
+    pub fn logged(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+impl Drop for Agent {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
 /// What a client has seen.
 #[derive(Clone, Debug, Default)]
 pub struct Answer {
