--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -16,11 +16,29 @@
     items: BTreeMap<String, (u64, u64, String)>,
     /// Revision, key, and the item as JSON.
     history: Vec<(u64, String, String)>,
-    /// The connections of waiting watches, and their prefixes.
-    waiting: Vec<(String, TcpStream)>,
     range_calls: u64,
 }
 
+/// A link to the store: whether it is cut, and its open connections.
+#[derive(Clone, Default)]
+pub struct Link(Arc<Mutex<(bool, Vec<TcpStream>)>>);
+
+impl Link {
+    /// Cuts it: connections end, and new ones are closed at once.
+    pub fn cut(&self) {
+        let mut open = self.0.lock().unwrap();
+        open.0 = true;
+        for stream in open.1.drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Lets new connections through again.
+    pub fn heal(&self) {
+        self.0.lock().unwrap().0 = false;
+    }
+}
+
 #[derive(Clone)]
 pub struct Store {
     pub addr: SocketAddr,
@@ -43,6 +61,27 @@
         store
     }
 
+    /// Returns another address of the store, as a machine reaches it over a
+    /// link that may be cut.
+    pub fn behind_link(&self) -> (SocketAddr, Link) {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("link");
+        let addr = listener.local_addr().unwrap();
+        let link = Link::default();
+        let (store, carrying) = (self.clone(), link.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let mut open = carrying.0.lock().unwrap();
+                if open.0 {
+                    continue;
+                }
+                open.1.extend(stream.try_clone());
+                let store = store.clone();
+                thread::spawn(move || store.serve(stream));
+            }
+        });
+        (addr, link)
+    }
+
     /// Writes a value.
     pub fn put(&self, key: &str, value: &str) {
         let mut inner = self.inner.0.lock().unwrap();
@@ -67,21 +106,6 @@
         self.inner.1.notify_all();
     }
 
-    /// Cuts the watches that wait on a prefix; returns how many there were.
-    pub fn cut_watches(&self, prefix: &str) -> usize {
-        let mut inner = self.inner.0.lock().unwrap();
-        let mut cut = 0;
-        inner.waiting.retain(|(waits_on, stream)| {
-            if waits_on != prefix {
-                return true;
-            }
-            let _ = stream.shutdown(Shutdown::Both);
-            cut += 1;
-            false
-        });
-        cut
-    }
-
     /// Returns how many pages of items have been read.
     pub fn range_calls(&self) -> u64 {
         self.inner.0.lock().unwrap().range_calls
@@ -98,7 +122,7 @@
                 "/v1/kv-watch" => {
                     let after = head.query("after").parse().unwrap_or(0);
                     let wait = head.query("waitMs").parse().unwrap_or(0);
-                    self.watch(&prefix, after, wait, &out)
+                    Some(self.watch(&prefix, after, wait))
                 }
                 _ => Some("{}".into()),
             };
@@ -134,28 +158,18 @@
         format!("{{\"items\":[{}],\"more\":{more},\"at\":{at}}}", items.join(","))
     }
 
-    /// Returns the events after a revision as soon as there is one, or `None`
-    /// if the watch was cut.
-    fn watch(&self, prefix: &str, after: u64, wait_ms: u64, stream: &TcpStream) -> Option<String> {
+    /// Returns the events after a revision as soon as there is one.
+    fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> String {
         let until = Instant::now() + Duration::from_millis(wait_ms.min(30_000));
         let mut inner = self.inner.0.lock().unwrap();
-        let own = stream.peer_addr().ok()?;
-        if let Ok(stream) = stream.try_clone() {
-            inner.waiting.push((prefix.to_string(), stream));
-        }
         loop {
             let found = inner.history.iter();
             let found = found.filter(|(r, key, _)| *r > after && key.starts_with(prefix));
             let events: Vec<String> = found.map(|(_, _, json)| json.clone()).collect();
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
-                let waits = inner.waiting.len();
-                inner.waiting.retain(|(_, s)| s.peer_addr().ok() != Some(own));
-                if waits == inner.waiting.len() && wait_ms > 0 {
-                    return None;
-                }
                 let at = inner.revision;
-                return Some(format!("{{\"events\":[{}],\"at\":{at}}}", events.join(",")));
+                return format!("{{\"events\":[{}],\"at\":{at}}}", events.join(","));
             }
             inner = self.inner.1.wait_timeout(inner, left).unwrap().0;
         }
