--- a/review/standins-2/src/engine.rs
+++ b/review/standins-2/src/engine.rs
@@ -175,22 +175,32 @@
             return;
         }
         inner.pending = None;
-        inner.bad_for = Duration::ZERO;
-        let first = order.from * u64::from(CHUNKS) / LAYERS;
-        let end = (order.to * u64::from(CHUNKS)).div_ceil(LAYERS);
-        for i in first as u32..end as u32 {
-            if inner.staged.get(&i).is_some_and(|bytes| *bytes == piece(order.version, i)) {
+        // It keeps the layers that it has of the same version.
+        let kept = inner.held.filter(|(version, ..)| *version == order.version);
+        if kept.is_none() {
+            inner.bad_for = Duration::ZERO;
+        }
+        let mut worst = Duration::ZERO;
+        for layer in order.from..order.to {
+            if kept.is_some_and(|(_, from, to)| (from..to).contains(&layer)) {
                 continue;
             }
-            let bad = inner.spoilt.get(&i).map_or(Duration::MAX, |at| now - *at);
-            inner.bad_for = inner.bad_for.max(bad);
+            let first = layer * u64::from(CHUNKS) / LAYERS;
+            let end = ((layer + 1) * u64::from(CHUNKS)).div_ceil(LAYERS);
+            for i in first as u32..end as u32 {
+                if inner.staged.get(&i).is_some_and(|bytes| *bytes == piece(order.version, i)) {
+                    continue;
+                }
+                let bad = inner.spoilt.get(&i).map_or(Duration::MAX, |at| now - *at);
+                worst = worst.max(bad);
+            }
         }
+        inner.bad_for = inner.bad_for.max(worst);
         inner.held = None;
         inner.loading = Some((now + WARM, order));
-        let bad = inner.bad_for;
         drop(inner);
         self.record.line(format!(
-            "{}: takes what lies there for {order:?}; the worst piece has been bad for {bad:?}",
+            "{}: takes what lies there for {order:?}; the worst piece has been bad for {worst:?}",
             self.id
         ));
     }
