--- a/review/standins-2/src/bin/cut_answer.rs
+++ b/review/standins-2/src/bin/cut_answer.rs
@@ -49,8 +49,12 @@
     // One warm-up request of each kind shows that all is served.
     let end = Instant::now() + Duration::from_secs(15);
     loop {
-        let answer = call(entry.addr, &request("GET", "/safe/0", "warm", 3_000, ""));
-        if answer.status == 200 && answer.whole && answer.text == plain_body("warm") {
+        let answer =
+            call(entry.addr, &request("GET", "/safe/0", "warm", 3_000, ""));
+        if answer.status == 200
+            && answer.whole
+            && answer.text == plain_body("warm")
+        {
             break;
         }
         if Instant::now() > end {
@@ -109,7 +113,15 @@
             broken += 1;
             record.line(format!(
                 "BROKEN {id}: a success that looks complete has {:?}...",
-                answer.text.chars().rev().take(30).collect::<Vec<_>>().into_iter().rev().collect::<String>()
+                answer
+                    .text
+                    .chars()
+                    .rev()
+                    .take(30)
+                    .collect::<Vec<_>>()
+                    .into_iter()
+                    .rev()
+                    .collect::<String>()
             ));
         }
         served += usize::from(success && answer.whole && right);
@@ -119,7 +131,9 @@
             record.line(format!("{name}: {} ran {}", arrival.id, arrival.ran));
         }
     }
-    let line = |l: &&str| l.contains("event\":\"replica_") || l.contains("event\":\"ended");
+    let line = |l: &&str| {
+        l.contains("event\":\"replica_") || l.contains("event\":\"ended")
+    };
     for line in entry.logged().lines().filter(line) {
         record.line(format!("entry: {line}"));
     }
--- a/review/standins-2/src/bin/cut_reader.rs
+++ b/review/standins-2/src/bin/cut_reader.rs
@@ -10,7 +10,9 @@
 use review_standins_2::engine::{start_origin, Engine, CHUNKS, LAYERS};
 use review_standins_2::record::Record;
 use review_standins_2::replica::{now_unix_ms, Manner, Replica};
-use review_standins_2::site::{call, machine_ip, request, Agent, Entry, Folder};
+use review_standins_2::site::{
+    call, machine_ip, request, Agent, Entry, Folder,
+};
 use review_standins_2::store::Store;
 
 /// The bound of the rule.
@@ -76,14 +78,25 @@
     // Machines find one another through the agents of model replicas.
     let engine = Engine::start("i-engine0", &machine_ip(10), &store, record);
     let _agent = Agent::start(&folder.0, store.addr, engine.addr, true);
-    let only: Vec<Replica> =
-        SERVICES.iter().map(|s| Replica::start(&format!("i-{s}"), &Manner::default())).collect();
+    let only: Vec<Replica> = SERVICES
+        .iter()
+        .map(|s| Replica::start(&format!("i-{s}"), &Manner::default()))
+        .collect();
     for (replica, service) in only.iter().zip(SERVICES) {
-        store.put(&format!("servers/{}", replica.id), &replica.entry(service, "ready"));
+        store.put(
+            &format!("servers/{}", replica.id),
+            &replica.entry(service, "ready"),
+        );
     }
     let (behind, link) = store.behind_link();
     let mut entries: Vec<Entry> = (1..=3)
-        .map(|n| Entry::start_numbered(&folder.0, if n == 1 { behind } else { store.addr }, n))
+        .map(|n| {
+            Entry::start_numbered(
+                &folder.0,
+                if n == 1 { behind } else { store.addr },
+                n,
+            )
+        })
         .collect();
     if !entries.iter().all(Entry::wait_ready) {
         record.line("an entry is not ready");
@@ -102,14 +115,16 @@
                     break;
                 }
                 let id = format!("m{machine}c{c}n{i}");
-                let answer = call(addr, &request("POST", &path, &id, 3_000, ""));
+                let answer =
+                    call(addr, &request("POST", &path, &id, 3_000, ""));
                 record.line(format!("client {id}: status {}", answer.status));
                 thread::sleep(Duration::from_millis(80));
             }
         }));
     }
     let end = Instant::now() + Duration::from_secs(15);
-    while only.iter().any(|r| r.arrivals().len() < 20) && Instant::now() < end {
+    while only.iter().any(|r| r.arrivals().len() < 20) && Instant::now() < end
+    {
         thread::sleep(Duration::from_millis(50));
     }
     thread::sleep(Duration::from_secs(8));
@@ -126,7 +141,10 @@
         thread::sleep(PAUSE);
         store.delete(&format!("servers/{}", replica.id));
         gone.push(now_unix_ms());
-        record.line(format!("the store has taken that the entry of {} is gone", replica.id));
+        record.line(format!(
+            "the store has taken that the entry of {} is gone",
+            replica.id
+        ));
     }
     thread::sleep(CUT - PAUSE * 3);
     link.heal();
@@ -151,7 +169,9 @@
     }
     for entry in &entries {
         for line in entry.logged().lines() {
-            if line.contains("event\":\"replica_") || line.contains("dependency") {
+            if line.contains("event\":\"replica_")
+                || line.contains("dependency")
+            {
                 record.line(format!("{}: {line}", entry.addr));
             }
         }
--- a/review/standins-2/src/bin/foreign_entry.rs
+++ b/review/standins-2/src/bin/foreign_entry.rs
@@ -42,10 +42,15 @@
     let folder = Folder::create();
     let store = Store::start();
     store.put("op/config", &configuration(3, "plain", 2, 4_000));
-    let replicas: Vec<Replica> =
-        ["i-a1", "s-b2", "w-c3"].iter().map(|id| Replica::start(id, &Manner::default())).collect();
+    let replicas: Vec<Replica> = ["i-a1", "s-b2", "w-c3"]
+        .iter()
+        .map(|id| Replica::start(id, &Manner::default()))
+        .collect();
     for replica in &replicas {
-        store.put(&format!("servers/{}", replica.id), &replica.entry("plain", "ready"));
+        store.put(
+            &format!("servers/{}", replica.id),
+            &replica.entry("plain", "ready"),
+        );
     }
     let start = |number| Entry::start_numbered(&folder.0, store.addr, number);
     let mut entries: Vec<Entry> = (1..=ENTRIES).map(start).collect();
@@ -59,7 +64,8 @@
     let mut clients = Vec::new();
     for c in 0..4 {
         let addr = entries[c % entries.len()].addr;
-        let (stop, record, seen) = (Arc::clone(&stop), Arc::clone(record), Arc::clone(&seen));
+        let (stop, record, seen) =
+            (Arc::clone(&stop), Arc::clone(record), Arc::clone(&seen));
         clients.push(thread::spawn(move || {
             for i in 0.. {
                 if stop.load(Ordering::Relaxed) {
@@ -67,9 +73,15 @@
                 }
                 let id = format!("c{c}n{i}");
                 let sent = Instant::now();
-                let answer = call(addr, &request("GET", "/safe/20", &id, 3_000, ""));
-                let served = answer.status == 200 && answer.whole && answer.text == plain_body(&id);
-                record.line(format!("client {id}: status {}, served {served}", answer.status));
+                let answer =
+                    call(addr, &request("GET", "/safe/20", &id, 3_000, ""));
+                let served = answer.status == 200
+                    && answer.whole
+                    && answer.text == plain_body(&id);
+                record.line(format!(
+                    "client {id}: status {}, served {served}",
+                    answer.status
+                ));
                 seen.lock().unwrap().push((sent, served));
                 thread::sleep(Duration::from_millis(100));
             }
@@ -77,11 +89,17 @@
     }
     let served_since = |from: Instant| {
         let seen = seen.lock().unwrap();
-        let all: Vec<bool> = seen.iter().filter(|(at, _)| *at >= from).map(|(_, s)| *s).collect();
+        let all: Vec<bool> = seen
+            .iter()
+            .filter(|(at, _)| *at >= from)
+            .map(|(_, s)| *s)
+            .collect();
         (all.iter().filter(|s| **s).count(), all.len())
     };
     let end = Instant::now() + Duration::from_secs(15);
-    while served_since(end - Duration::from_secs(16)).0 < 40 && Instant::now() < end {
+    while served_since(end - Duration::from_secs(16)).0 < 40
+        && Instant::now() < end
+    {
         thread::sleep(Duration::from_millis(50));
     }
     let calm = Instant::now();
@@ -98,14 +116,16 @@
     }
     thread::sleep(Duration::from_secs(5));
     let (served, all) = served_since(calm);
-    record.line(format!("before the final fault {served} of {all} are served"));
+    record
+        .line(format!("before the final fault {served} of {all} are served"));
     if served * 2 < all || all < 20 {
         return 2;
     }
     entries.iter_mut().for_each(Entry::kill);
     record.line("all processes are killed");
     thread::sleep(DOWN);
-    let again = |entry: &Entry| Entry::start_again(&folder.0, store.addr, entry);
+    let again =
+        |entry: &Entry| Entry::start_again(&folder.0, store.addr, entry);
     let mut entries: Vec<Entry> = entries.iter().map(again).collect();
     record.line("they are back");
     let pages = store.range_calls();
@@ -113,16 +133,26 @@
     let late = Instant::now();
     thread::sleep(OBSERVED);
     let (served, all) = served_since(late);
-    record.line(format!("later than {RECOVERY:?} after that {served} of {all} are served"));
-    record.line(format!("pages of items read since: {}", store.range_calls() - pages));
+    record.line(format!(
+        "later than {RECOVERY:?} after that {served} of {all} are served"
+    ));
+    record.line(format!(
+        "pages of items read since: {}",
+        store.range_calls() - pages
+    ));
     for entry in &entries {
         let log = entry.logged();
         let lives: Vec<&str> = log.split("\"event\":\"start\"").collect();
         let last = lives.last().copied().unwrap_or_default();
-        for line in last.lines().filter(|l| l.contains("\"event\":\"replica_")) {
+        for line in last.lines().filter(|l| l.contains("\"event\":\"replica_"))
+        {
             record.line(format!("{}: {line}", entry.addr));
         }
-        record.line(format!("{}: memory {} KB", entry.addr, entry.memory_kb()));
+        record.line(format!(
+            "{}: memory {} KB",
+            entry.addr,
+            entry.memory_kb()
+        ));
     }
     stop.store(true, Ordering::Relaxed);
     for client in clients {
--- a/review/standins-2/src/bin/rot.rs
+++ b/review/standins-2/src/bin/rot.rs
@@ -54,14 +54,25 @@
     store.put("op/config", &configuration(&origin.to_string()));
     store.put("op/version/m", "{\"model\":\"m\",\"version\":1}");
     let engines: Vec<Engine> = (0..2)
-        .map(|i| Engine::start(&format!("i-engine{i}"), &machine_ip(10 + i), &store, record))
+        .map(|i| {
+            Engine::start(
+                &format!("i-engine{i}"),
+                &machine_ip(10 + i),
+                &store,
+                record,
+            )
+        })
         .collect();
     let start = |first: bool| -> Vec<Agent> {
-        engines.iter().map(|e| Agent::start(&folder.0, store.addr, e.addr, first)).collect()
+        engines
+            .iter()
+            .map(|e| Agent::start(&folder.0, store.addr, e.addr, first))
+            .collect()
     };
     let mut agents = start(true);
-    let mut entries: Vec<Entry> =
-        (1..=2).map(|n| Entry::start_numbered(&folder.0, store.addr, n)).collect();
+    let mut entries: Vec<Entry> = (1..=2)
+        .map(|n| Entry::start_numbered(&folder.0, store.addr, n))
+        .collect();
     if !entries.iter().all(Entry::wait_ready) {
         record.line("an entry is not ready");
         return 2;
@@ -125,7 +136,10 @@
         record.line("all processes are killed");
         thread::sleep(DOWN);
         agents = start(false);
-        entries = entries.iter().map(|e| Entry::start_again(&folder.0, store.addr, e)).collect();
+        entries = entries
+            .iter()
+            .map(|e| Entry::start_again(&folder.0, store.addr, e))
+            .collect();
         record.line("all start again");
     }
     thread::sleep(Duration::from_secs(12));
@@ -134,7 +148,12 @@
     for engine in &engines {
         let runs = engine.runs();
         let on = |v| runs.iter().filter(|r| r.1 == v).count();
-        record.line(format!("{}: {} runs on version 1, {} on version 2", engine.id, on(1), on(2)));
+        record.line(format!(
+            "{}: {} runs on version 1, {} on version 2",
+            engine.id,
+            on(1),
+            on(2)
+        ));
         for (id, version, bad) in runs {
             if bad > ALLOWED {
                 broken += 1;
@@ -146,11 +165,20 @@
             }
         }
     }
-    let told = ["\"start\"", "load_", "target_taken", "fetch_", "dependency_", "caught_up"];
+    let told = [
+        "\"start\"",
+        "load_",
+        "target_taken",
+        "fetch_",
+        "dependency_",
+        "caught_up",
+    ];
     let mut logs: Vec<String> = agents.iter().map(Agent::logged).collect();
     logs.extend(entries.iter().map(Entry::logged));
     for line in logs.iter().flat_map(|log| log.lines()) {
-        if told.iter().any(|event| line.contains(&format!("\"event\":\"{}", event.trim_matches('"')))) {
+        if told.iter().any(|event| {
+            line.contains(&format!("\"event\":\"{}", event.trim_matches('"')))
+        }) {
             record.line(format!("log: {line}"));
         }
     }
--- a/review/standins-2/src/engine.rs
+++ b/review/standins-2/src/engine.rs
@@ -41,7 +41,12 @@
                     let version = head.query("version").parse().unwrap_or(1);
                     let body = if head.path().starts_with("/v1/manifest/") {
                         let digests: Vec<String> = (0..CHUNKS)
-                            .map(|i| format!("\"{}\"", sha256::hex(&piece(version, i))))
+                            .map(|i| {
+                                format!(
+                                    "\"{}\"",
+                                    sha256::hex(&piece(version, i))
+                                )
+                            })
                             .collect();
                         format!(
                             "{{\"model\":\"m\",\"version\":{version},\"chunkBytes\":{CHUNK_BYTES},\
@@ -50,7 +55,10 @@
                         )
                         .into_bytes()
                     } else {
-                        piece(version, head.query("chunkCount").parse().unwrap_or(0))
+                        piece(
+                            version,
+                            head.query("chunkCount").parse().unwrap_or(0),
+                        )
                     };
                     if send(&mut out, 200, &body).is_err() {
                         return;
@@ -63,7 +71,10 @@
 }
 
 fn send(out: &mut TcpStream, status: u16, body: &[u8]) -> std::io::Result<()> {
-    let head = format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n", body.len());
+    let head = format!(
+        "HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
     out.write_all(head.as_bytes())?;
     out.write_all(body)
 }
@@ -107,7 +118,12 @@
 
 impl Engine {
     /// Starts a replica that holds version 1, staged too.
-    pub fn start(id: &str, ip: &str, store: &Store, record: &Arc<Record>) -> Engine {
+    pub fn start(
+        id: &str,
+        ip: &str,
+        store: &Store,
+        record: &Arc<Record>,
+    ) -> Engine {
         let listener = TcpListener::bind((ip, 0)).expect("engine");
         let engine = Engine {
             id: id.to_string(),
@@ -143,7 +159,9 @@
     fn list(&self) {
         let held = self.inner.lock().unwrap().held;
         let models = held.map_or("[]".into(), |(version, ..)| {
-            format!("[{{\"name\":\"m\",\"version\":{version},\"adapters\":[]}}]")
+            format!(
+                "[{{\"name\":\"m\",\"version\":{version},\"adapters\":[]}}]"
+            )
         });
         let (version, from, to) = held.unwrap_or((0, 0, 0));
         let entry = format!(
@@ -176,7 +194,8 @@
         }
         inner.pending = None;
         // It keeps the layers that it has of the same version.
-        let kept = inner.held.filter(|(version, ..)| *version == order.version);
+        let kept =
+            inner.held.filter(|(version, ..)| *version == order.version);
         if kept.is_none() {
             inner.bad_for = Duration::ZERO;
         }
@@ -188,10 +207,15 @@
             let first = layer * u64::from(CHUNKS) / LAYERS;
             let end = ((layer + 1) * u64::from(CHUNKS)).div_ceil(LAYERS);
             for i in first as u32..end as u32 {
-                if inner.staged.get(&i).is_some_and(|bytes| *bytes == piece(order.version, i)) {
+                if inner
+                    .staged
+                    .get(&i)
+                    .is_some_and(|bytes| *bytes == piece(order.version, i))
+                {
                     continue;
                 }
-                let bad = inner.spoilt.get(&i).map_or(Duration::MAX, |at| now - *at);
+                let bad =
+                    inner.spoilt.get(&i).map_or(Duration::MAX, |at| now - *at);
                 worst = worst.max(bad);
             }
         }
@@ -269,10 +293,18 @@
         }
         if path.starts_with("/v1/stage-get/") {
             return match index {
-                Some(i) => inner.staged.get(&i).map_or((404, Vec::new()), |b| (200, b.clone())),
+                Some(i) => inner
+                    .staged
+                    .get(&i)
+                    .map_or((404, Vec::new()), |b| (200, b.clone())),
                 None => {
-                    let held: Vec<String> = inner.staged.keys().map(u32::to_string).collect();
-                    (200, format!("{{\"held\":[{}]}}", held.join(",")).into_bytes())
+                    let held: Vec<String> =
+                        inner.staged.keys().map(u32::to_string).collect();
+                    (
+                        200,
+                        format!("{{\"held\":[{}]}}", held.join(","))
+                            .into_bytes(),
+                    )
                 }
             };
         }
@@ -288,16 +320,21 @@
         let text = String::from_utf8_lossy(body);
         let number = |name: &str| -> Option<u64> {
             let rest = text.split_once(&format!("\"{name}\":"))?.1;
-            let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
+            let digits: String =
+                rest.chars().take_while(char::is_ascii_digit).collect();
             digits.parse().ok()
         };
         let busy = inner.pending.is_some() || inner.loading.is_some();
-        if busy || number("expectedRevision").is_some_and(|r| r != inner.sequence) {
+        if busy
+            || number("expectedRevision").is_some_and(|r| r != inner.sequence)
+        {
             return (409, b"{}".to_vec());
         }
         let version = number("version").unwrap_or(0);
-        let (from, to) =
-            (number("startKey").unwrap_or(0), number("targetVersion").unwrap_or(LAYERS));
+        let (from, to) = (
+            number("startKey").unwrap_or(0),
+            number("targetVersion").unwrap_or(LAYERS),
+        );
         if inner.held == Some((version, from, to)) {
             return (200, b"{}".to_vec());
         }
@@ -307,16 +344,24 @@
         if to == LAYERS {
             inner.first_whole_order.get_or_insert_with(Instant::now);
         }
-        self.record.line(format!("{}: has order {order:?}, {} run", self.id, inner.running));
+        self.record.line(format!(
+            "{}: has order {order:?}, {} run",
+            self.id, inner.running
+        ));
         (202, b"{}".to_vec())
     }
 
     /// Runs a request as a stream: `/words/COUNT/GAP_MS`.
-    fn request(&self, out: &mut TcpStream, head: &Head) -> std::io::Result<()> {
+    fn request(
+        &self,
+        out: &mut TcpStream,
+        head: &Head,
+    ) -> std::io::Result<()> {
         let id = head.get("request-id").to_string();
         let begun = {
             let mut inner = self.inner.lock().unwrap();
-            let held = inner.held.filter(|(_, from, to)| *from == 0 && *to == LAYERS);
+            let held =
+                inner.held.filter(|(_, from, to)| *from == 0 && *to == LAYERS);
             let wrong = head.get("expect-instance") != self.id
                 || held.is_none_or(|(v, ..)| {
                     let expected = head.get("expect-version");
@@ -350,9 +395,17 @@
         done
     }
 
-    fn stream(&self, out: &mut TcpStream, head: &Head, id: &str, version: u64) -> std::io::Result<()> {
+    fn stream(
+        &self,
+        out: &mut TcpStream,
+        head: &Head,
+        id: &str,
+        version: u64,
+    ) -> std::io::Result<()> {
         let parts: Vec<&str> = head.path().split('/').collect();
-        let number = |i: usize| parts.get(i).and_then(|p| p.parse::<u64>().ok()).unwrap_or(0);
+        let number = |i: usize| {
+            parts.get(i).and_then(|p| p.parse::<u64>().ok()).unwrap_or(0)
+        };
         let text = format!(
             "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: {}.{id}\r\n\
              Weight-Versions: {version}\r\nContent-Type: text/event-stream\r\n\
@@ -363,7 +416,9 @@
         let after = head.get("last-event-id").parse::<u64>().unwrap_or(0);
         for n in after + 1..=number(2) {
             let event = crate::replica::event(n);
-            out.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+            out.write_all(
+                format!("{:x}\r\n{event}\r\n", event.len()).as_bytes(),
+            )?;
             thread::sleep(Duration::from_millis(number(3)));
         }
         out.write_all(b"0\r\n\r\n")
--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -13,7 +13,8 @@
 impl Head {
     /// Returns the value of a header, or an empty text.
     pub fn get(&self, name: &str) -> &str {
-        let found = self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        let found =
+            self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
         found.map_or("", |(_, v)| v.as_str())
     }
 
@@ -64,7 +65,8 @@
         if head.first.is_empty() {
             head.first = line.to_string();
         } else if let Some((name, value)) = line.split_once(':') {
-            head.headers.push((name.trim().to_string(), value.trim().to_string()));
+            head.headers
+                .push((name.trim().to_string(), value.trim().to_string()));
         }
     }
 }
@@ -78,7 +80,11 @@
 
 /// Reads a body by the framing that its head tells. `ends` tells whether a
 /// body without framing ends with its connection, as that of an answer does.
-pub fn read_body(from: &mut BufReader<TcpStream>, head: &Head, ends: bool) -> Body {
+pub fn read_body(
+    from: &mut BufReader<TcpStream>,
+    head: &Head,
+    ends: bool,
+) -> Body {
     let mut body = Body::default();
     if head.get("transfer-encoding").eq_ignore_ascii_case("chunked") {
         body.whole = read_chunks(from, &mut body.bytes).unwrap_or(false);
@@ -96,13 +102,18 @@
     body
 }
 
-fn read_chunks(from: &mut BufReader<TcpStream>, into: &mut Vec<u8>) -> io::Result<bool> {
+fn read_chunks(
+    from: &mut BufReader<TcpStream>,
+    into: &mut Vec<u8>,
+) -> io::Result<bool> {
     loop {
         let mut line = String::new();
         if from.read_line(&mut line)? == 0 {
             return Ok(false);
         }
-        let Ok(size) = u64::from_str_radix(line.trim(), 16) else { return Ok(false) };
+        let Ok(size) = u64::from_str_radix(line.trim(), 16) else {
+            return Ok(false);
+        };
         let before = into.len() as u64;
         from.take(size).read_to_end(into)?;
         if into.len() as u64 - before < size {
--- a/review/standins-2/src/replica.rs
+++ b/review/standins-2/src/replica.rs
@@ -41,7 +41,8 @@
 /// address on the first line, then each request that it runs or rejects.
 pub fn main(args: &[String]) {
     let id = args[0].clone();
-    let manner = Manner { unframed: args[1] == "1", keep_alive: args[2].clone() };
+    let manner =
+        Manner { unframed: args[1] == "1", keep_alive: args[2].clone() };
     let listener = TcpListener::bind("127.0.0.1:0").expect("replica");
     println!("{}", listener.local_addr().unwrap());
     for stream in listener.incoming().flatten() {
@@ -71,7 +72,9 @@
             continue;
         }
         println!("run {id} {}", unix_ms());
-        if answer(&mut out, &head, own, &id, manner).is_err() || manner.unframed {
+        if answer(&mut out, &head, own, &id, manner).is_err()
+            || manner.unframed
+        {
             return;
         }
     }
@@ -85,7 +88,9 @@
     manner: &Manner,
 ) -> std::io::Result<()> {
     let parts: Vec<&str> = head.path().split('/').collect();
-    let number = |i: usize| parts.get(i).and_then(|p| p.parse::<u64>().ok()).unwrap_or(0);
+    let number = |i: usize| {
+        parts.get(i).and_then(|p| p.parse::<u64>().ok()).unwrap_or(0)
+    };
     let mut more = String::new();
     if !manner.keep_alive.is_empty() {
         more = format!("Keep-Alive: {}\r\n", manner.keep_alive);
@@ -94,8 +99,13 @@
         "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: {own}.{id}\r\n{more}"
     );
     if parts.get(1) == Some(&"words") {
-        let framing = if manner.unframed { "" } else { "Transfer-Encoding: chunked\r\n" };
-        let text = format!("{start}Content-Type: text/event-stream\r\n{framing}\r\n");
+        let framing = if manner.unframed {
+            ""
+        } else {
+            "Transfer-Encoding: chunked\r\n"
+        };
+        let text =
+            format!("{start}Content-Type: text/event-stream\r\n{framing}\r\n");
         out.write_all(text.as_bytes())?;
         let after = head.get("last-event-id").parse::<u64>().unwrap_or(0);
         for n in after + 1..=number(2) {
@@ -146,7 +156,12 @@
     pub fn start(id: &str, manner: &Manner) -> Replica {
         let program = std::env::current_exe().expect("own program");
         let mut child = Command::new(program)
-            .args(["replica", id, if manner.unframed { "1" } else { "0" }, &manner.keep_alive])
+            .args([
+                "replica",
+                id,
+                if manner.unframed { "1" } else { "0" },
+                &manner.keep_alive,
+            ])
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .spawn()
@@ -160,10 +175,19 @@
                 let parts: Vec<&str> = line.split(' ').collect();
                 let [what, id, at] = parts[..] else { continue };
                 let (id, at) = (id.to_string(), at.parse().unwrap_or(0));
-                into.lock().unwrap().push(Arrival { id, ran: what == "run", at });
+                into.lock().unwrap().push(Arrival {
+                    id,
+                    ran: what == "run",
+                    at,
+                });
             }
         });
-        Replica { id: id.to_string(), addr, child: Mutex::new(child), arrivals }
+        Replica {
+            id: id.to_string(),
+            addr,
+            child: Mutex::new(child),
+            arrivals,
+        }
     }
 
     /// Returns its entry in the platform's store.
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -75,13 +75,27 @@
     }
 
     /// Starts one of several entries.
-    pub fn start_numbered(folder: &Path, store: SocketAddr, number: u32) -> Entry {
+    pub fn start_numbered(
+        folder: &Path,
+        store: SocketAddr,
+        number: u32,
+    ) -> Entry {
         Entry::start_at(folder, store, true, number, None)
     }
 
     /// Starts it again at the addresses of one that has ended.
-    pub fn start_again(folder: &Path, store: SocketAddr, ended: &Entry) -> Entry {
-        Entry::start_at(folder, store, false, ended.number, Some((ended.addr, ended.ready)))
+    pub fn start_again(
+        folder: &Path,
+        store: SocketAddr,
+        ended: &Entry,
+    ) -> Entry {
+        Entry::start_at(
+            folder,
+            store,
+            false,
+            ended.number,
+            Some((ended.addr, ended.ready)),
+        )
     }
 
     fn start_at(
@@ -119,11 +133,13 @@
             ("bounds.budgetMinRetries", "102".into()),
             ("platformApi.address", store.to_string()),
         ];
-        let template = fs::read_to_string("platform/entry.yaml").expect("template");
+        let template =
+            fs::read_to_string("platform/entry.yaml").expect("template");
         let settings = folder.join(format!("entry-{number}.yaml"));
         fs::write(&settings, fill(&template, &values)).unwrap();
         let log = folder.join(format!("entry-{number}.log"));
-        let out = File::options().create(true).append(true).open(&log).unwrap();
+        let out =
+            File::options().create(true).append(true).open(&log).unwrap();
         let child = Command::new("target/release/stairhinge-platform")
             .arg("entry")
             .env("STAIRHINGE_NODE_FILE", &settings)
@@ -161,7 +177,8 @@
         let path = format!("/proc/{}/status", self.child.id());
         let text = fs::read_to_string(path).unwrap_or_default();
         let line = text.lines().find(|l| l.starts_with("VmRSS:"));
-        line.and_then(|l| l.split_whitespace().nth(1)?.parse().ok()).unwrap_or(0)
+        line.and_then(|l| l.split_whitespace().nth(1)?.parse().ok())
+            .unwrap_or(0)
     }
 
     /// Returns whether its process has ended by itself.
@@ -190,7 +207,12 @@
 
 impl Agent {
     /// Starts the agent beside a model replica.
-    pub fn start(folder: &Path, store: SocketAddr, engine: SocketAddr, first_start: bool) -> Agent {
+    pub fn start(
+        folder: &Path,
+        store: SocketAddr,
+        engine: SocketAddr,
+        first_start: bool,
+    ) -> Agent {
         let ip = engine.ip().to_string();
         let values = [
             ("node", format!("side-{ip}")),
@@ -206,11 +228,13 @@
             ("limits.linkMbps", "7.3".into()),
             ("platformApi.address", store.to_string()),
         ];
-        let template = fs::read_to_string("platform/agent.yaml").expect("template");
+        let template =
+            fs::read_to_string("platform/agent.yaml").expect("template");
         let settings = folder.join(format!("agent-{ip}.yaml"));
         fs::write(&settings, fill(&template, &values)).unwrap();
         let log = folder.join(format!("agent-{ip}.log"));
-        let out = File::options().create(true).append(true).open(&log).unwrap();
+        let out =
+            File::options().create(true).append(true).open(&log).unwrap();
         let child = Command::new("target/release/stairhinge-platform")
             .arg("agent")
             .env("STAIRHINGE_NODE_FILE", &settings)
@@ -284,7 +308,13 @@
 }
 
 /// Returns a request as a client of tenant `t1` sends it.
-pub fn request(method: &str, path: &str, id: &str, deadline_ms: u64, body: &str) -> String {
+pub fn request(
+    method: &str,
+    path: &str,
+    id: &str,
+    deadline_ms: u64,
+    body: &str,
+) -> String {
     format!(
         "{method} {path} HTTP/1.1\r\nHost: a.example\r\nRequest-Id: {id}\r\n\
          Deadline-Ms: {deadline_ms}\r\nAuthorization: Token key1\r\nContent-Length: {}\r\n\r\n{body}",
@@ -295,7 +325,12 @@
 /// Returns a configuration with the routes `/words/` (a stream that may be
 /// resumed), `/talk/` (one that may not), `/safe/` and `/once/`, all to one
 /// service.
-pub fn configuration(version: u64, service: &str, attempts: u32, timeout_ms: u64) -> String {
+pub fn configuration(
+    version: u64,
+    service: &str,
+    attempts: u32,
+    timeout_ms: u64,
+) -> String {
     let route = |path: &str, kind: &str, resume: bool| {
         format!(
             "{{\"name\":\"{path}\",\"host\":\"a.example\",\"pathPrefix\":\"{path}\",\"kind\":\"{kind}\",\
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -101,7 +101,9 @@
         inner.revision += 1;
         let revision = inner.revision;
         inner.items.remove(key);
-        let json = format!("{{\"key\":\"{key}\",\"revision\":{revision},\"gone\":true}}");
+        let json = format!(
+            "{{\"key\":\"{key}\",\"revision\":{revision},\"gone\":true}}"
+        );
         inner.history.push((revision, key.to_string(), json));
         self.inner.1.notify_all();
     }
@@ -118,7 +120,9 @@
         while let Ok(Some(head)) = read_head(&mut input) {
             let prefix = head.query("pathPrefix").to_string();
             let body = match head.path() {
-                "/v1/kv-range" => Some(self.range(&prefix, head.query("after"))),
+                "/v1/kv-range" => {
+                    Some(self.range(&prefix, head.query("after")))
+                }
                 "/v1/kv-watch" => {
                     let after = head.query("after").parse().unwrap_or(0);
                     let wait = head.query("waitMs").parse().unwrap_or(0);
@@ -155,21 +159,30 @@
             items.push(item(key, *revision, *made, text));
         }
         let at = inner.revision;
-        format!("{{\"items\":[{}],\"more\":{more},\"at\":{at}}}", items.join(","))
+        format!(
+            "{{\"items\":[{}],\"more\":{more},\"at\":{at}}}",
+            items.join(",")
+        )
     }
 
     /// Returns the events after a revision as soon as there is one.
     fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> String {
-        let until = Instant::now() + Duration::from_millis(wait_ms.min(30_000));
+        let until =
+            Instant::now() + Duration::from_millis(wait_ms.min(30_000));
         let mut inner = self.inner.0.lock().unwrap();
         loop {
             let found = inner.history.iter();
-            let found = found.filter(|(r, key, _)| *r > after && key.starts_with(prefix));
-            let events: Vec<String> = found.map(|(_, _, json)| json.clone()).collect();
+            let found = found
+                .filter(|(r, key, _)| *r > after && key.starts_with(prefix));
+            let events: Vec<String> =
+                found.map(|(_, _, json)| json.clone()).collect();
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
                 let at = inner.revision;
-                return format!("{{\"events\":[{}],\"at\":{at}}}", events.join(","));
+                return format!(
+                    "{{\"events\":[{}],\"at\":{at}}}",
+                    events.join(",")
+                );
             }
             inner = self.inner.1.wait_timeout(inner, left).unwrap().0;
         }
@@ -183,7 +196,8 @@
 }
 
 fn base64(bytes: &[u8]) -> String {
-    const SIGNS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    const SIGNS: &[u8; 64] =
+        b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for part in bytes.chunks(3) {
         let byte = |i: usize| u32::from(part.get(i).copied().unwrap_or(0));
