Keep all entries of the list, and work out which replicas are in use

Cause: a listed replica was removed for good when an entry listed later at its address took over, and without routes every service counted as known. A process that starts reads replicas before routes. The missing routes only decided when it struck: with routes known from the beginning, a replica stayed away after the entry that had taken over went, or after a configuration that dropped its service.

The list now keeps every entry, and who is in use is derived from the list and the known services at each change of either, so that no order of events matters. An entry of an unknown service takes nothing over, nor does a doubtful one from a listed one. What is known of a replica is kept while it is listed.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -431,7 +431,7 @@
         let mut state = self.lock();
         let now = self.facts.now();
         state.known.retain(|incarnation, known| {
-            if view.replicas.contains_key(incarnation) {
+            if view.is_listed(incarnation) {
                 return true;
             }
             let kept = known.load.own() > 0 || known.has_recent_notice(now);
--- a/crates/shell/src/decisions/decision.rs
+++ b/crates/shell/src/decisions/decision.rs
@@ -239,6 +239,17 @@
         /// Whether the platform was healthy enough to trust the removal.
         reliable: bool,
     },
+    /// A listed replica is no longer used, since an entry that was listed
+    /// later has its address.
+    ReplicaReplaced {
+        /// The incarnation of the replica.
+        replica: &'a str,
+    },
+    /// A listed replica is used again, since nothing replaces it any more.
+    ReplicaRestored {
+        /// The incarnation of the replica.
+        replica: &'a str,
+    },
     /// A replica is excluded for some time after consecutive failures.
     ReplicaSuspect {
         /// The incarnation of the replica.
--- a/crates/shell/src/directory/facts.rs
+++ b/crates/shell/src/directory/facts.rs
@@ -3,7 +3,7 @@
 mod evacuations;
 mod targets;
 
-use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -11,8 +11,10 @@
 use arc_swap::ArcSwap;
 use bytes::Bytes;
 use stairhinge::Time;
+pub use stairhinge::direct::Standing;
 use stairhinge::direct::{
-    Engine, Evacuations, Replica, ReplicaState, RouteTable, VersionTargets,
+    Engine, Evacuations, Replica, ReplicaList, ReplicaState, Replicas,
+    RouteTable, VersionTargets,
 };
 use tokio::sync::watch;
 
@@ -21,16 +23,6 @@
 use super::{Change, Published, Record, Source};
 use crate::decisions::{Decision, DecisionLog};
 
-/// Whether the list of replicas still confirms a replica.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Standing {
-    /// It is in the list.
-    Listed,
-    /// It disappeared from the list while the platform was failing, possibly
-    /// only because of that failure.
-    Doubtful,
-}
-
 /// A snapshot of [`Facts`].
 #[derive(Clone, Debug, Default)]
 pub struct FactsView {
@@ -42,8 +34,11 @@
     pub targets: VersionTargets,
     /// The data halls that get no requests.
     pub evacuations: Evacuations,
-    /// The replicas by incarnation.
-    pub replicas: HashMap<Arc<str>, (Arc<Replica>, Standing)>,
+    /// The replicas in use, by incarnation.
+    pub replicas: Arc<Replicas>,
+    /// All replicas of the list, also those that another one has replaced at
+    /// their address.
+    listed: Arc<ReplicaList>,
 }
 
 impl FactsView {
@@ -52,10 +47,22 @@
         self.routes.as_ref()?.service(service)?.engine
     }
 
-    /// Whether the current routes contain a service; without routes, every
-    /// service counts as known.
+    /// Whether the current routes contain a service; without routes, none is
+    /// known.
     pub fn knows_service(&self, service: &str) -> bool {
-        self.routes.as_ref().is_none_or(|r| r.service(service).is_some())
+        self.routes.as_ref().is_some_and(|r| r.service(service).is_some())
+    }
+
+    /// Returns whether a replica is in the list, in use or not, or has
+    /// disappeared from it in doubt.
+    pub fn is_listed(&self, incarnation: &str) -> bool {
+        self.listed.get(incarnation).is_some()
+    }
+
+    /// Returns whether a replica is in the list, but another one has its
+    /// address.
+    fn is_replaced(&self, incarnation: &str) -> bool {
+        self.is_listed(incarnation) && !self.replicas.contains_key(incarnation)
     }
 
     /// Returns the replicas of a service.
@@ -179,18 +186,21 @@
     /// Applies a full list of replicas: all others are gone, or doubtful
     /// without `reliable`.
     pub fn replace_replicas(&self, listed: Vec<Replica>, reliable: bool) {
-        let mut absent = Vec::new();
-        for incarnation in self.view().replicas.keys() {
-            if listed.iter().all(|r| r.incarnation != *incarnation) {
-                absent.push(Arc::clone(incarnation));
+        let names: HashSet<Arc<str>> =
+            listed.iter().map(|r| Arc::clone(&r.incarnation)).collect();
+        self.change_list(|list| {
+            let known = list.incarnations().cloned();
+            let absent: Vec<Arc<str>> =
+                known.filter(|name| !names.contains(name)).collect();
+            let mut changes = Vec::new();
+            for replica in listed {
+                changes.extend(set(list, replica));
             }
-        }
-        for replica in listed {
-            self.learn_replica(replica);
-        }
-        for incarnation in absent {
-            self.remove(&incarnation, reliable);
-        }
+            for name in absent {
+                changes.extend(unlist(list, name, reliable));
+            }
+            changes
+        });
     }
 
     /// Returns the revision of the current routes, 0 without any.
@@ -255,15 +265,13 @@
 
     /// Removes the doubtful replicas, once the platform has recovered.
     pub fn remove_doubtful(&self) {
-        let mut doubtful = Vec::new();
-        for (incarnation, (_, standing)) in &self.view().replicas {
-            if *standing == Standing::Doubtful {
-                doubtful.push(Arc::clone(incarnation));
+        self.change_list(|list| {
+            let mut changes = Vec::new();
+            for name in list.doubtful() {
+                changes.extend(unlist(list, name, true));
             }
-        }
-        for incarnation in doubtful {
-            self.remove(&incarnation, true);
-        }
+            changes
+        });
     }
 
     fn learn_routes(
@@ -295,77 +303,116 @@
     }
 
     fn learn_replica(&self, replica: Replica) {
-        let replica = Arc::new(replica);
-        let known = self
-            .view()
-            .replicas
-            .get(&replica.incarnation)
-            .is_some_and(|(r, s)| *r == replica && *s == Standing::Listed);
-        if known {
-            return;
-        }
-        let view = self.view();
-        let known = view.replicas.get(&replica.incarnation);
-        if known.is_some_and(|(known, _)| replica.is_older_than(known)) {
+        // Most records repeat what is known, and the list is long.
+        if !self.view().listed.accepts(&replica) {
             return;
         }
-        let others = || view.replicas.values().map(|(other, _)| other);
-        let takes_over = |new: &Replica, old: &Replica| {
-            old.is_replaced_by(new) && view.knows_service(&new.service)
-        };
-        if others().any(|other| takes_over(other, &replica)) {
-            return;
-        }
-        let replaced: Vec<Arc<str>> = others()
-            .filter(|other| takes_over(&replica, other))
-            .map(|other| Arc::clone(&other.incarnation))
-            .collect();
-        for incarnation in replaced {
-            self.remove(&incarnation, true);
-        }
-        self.log.write(&Decision::ReplicaListed {
-            replica: &replica.incarnation,
-            addr: replica.addr,
-            draining: replica.state == ReplicaState::Draining,
-        });
-        self.change(|view| {
-            let key = Arc::clone(&replica.incarnation);
-            view.replicas.insert(key, (replica, Standing::Listed));
-            true
-        });
+        self.change_list(|list| set(list, replica).into_iter().collect());
     }
 
     fn remove(&self, incarnation: &Arc<str>, reliable: bool) {
-        let mut changed = false;
+        let name = Arc::clone(incarnation);
+        self.change_list(|list| {
+            unlist(list, name, reliable).into_iter().collect()
+        });
+    }
+
+    /// Applies changes of the list, if there are any, and logs them.
+    fn change_list(
+        &self,
+        apply: impl FnOnce(&mut ReplicaList) -> Vec<ListChange>,
+    ) {
+        let mut changes = Vec::new();
         self.change(|view| {
-            let Some(entry) = view.replicas.get_mut(incarnation) else {
-                return false;
-            };
-            if reliable {
-                view.replicas.remove(incarnation);
-                changed = true;
-            } else {
-                changed = entry.1 != Standing::Doubtful;
-                entry.1 = Standing::Doubtful;
-            }
-            changed
+            let mut list = ReplicaList::clone(&view.listed);
+            changes = apply(&mut list);
+            view.listed = Arc::new(list);
+            !changes.is_empty()
         });
-        if changed {
-            self.log.write(&Decision::ReplicaUnlisted {
-                replica: incarnation,
-                reliable,
-            });
+        for change in changes {
+            self.log.write(&change.decision());
         }
     }
 
     fn change(&self, apply: impl FnOnce(&mut FactsView) -> bool) {
         let _writing =
             self.writing.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut view = FactsView::clone(&self.view.load());
+        let before = self.view.load();
+        let mut view = FactsView::clone(&before);
         if !apply(&mut view) {
             return;
         }
+        if has_other_replicas(&before, &view) {
+            let in_use = view.listed.in_use(|name| view.knows_service(name));
+            view.replicas = Arc::new(in_use);
+            self.log_replaced(&before, &view);
+        }
         self.view.store(Arc::new(view));
         self.changed.send_modify(|count| *count += 1);
     }
+
+    /// Logs which replicas of the list are no longer in use, or again.
+    fn log_replaced(&self, before: &FactsView, view: &FactsView) {
+        for name in view.listed.incarnations() {
+            let was_replaced = before.is_replaced(name);
+            if was_replaced == view.is_replaced(name) {
+                continue;
+            }
+            self.log.write(&if was_replaced {
+                Decision::ReplicaRestored { replica: name }
+            } else {
+                Decision::ReplicaReplaced { replica: name }
+            });
+        }
+    }
+}
+
+/// Whether the list or the known services differ, on which the replicas in
+/// use depend.
+fn has_other_replicas(before: &FactsView, view: &FactsView) -> bool {
+    let same_routes = match (&before.routes, &view.routes) {
+        (Some(before), Some(routes)) => Arc::ptr_eq(before, routes),
+        (before, routes) => before.is_none() && routes.is_none(),
+    };
+    !same_routes || !Arc::ptr_eq(&before.listed, &view.listed)
+}
+
+/// A change of the list, to be logged.
+enum ListChange {
+    Listed(Arc<Replica>),
+    Unlisted { name: Arc<str>, reliable: bool },
+}
+
+impl ListChange {
+    fn decision(&self) -> Decision<'_> {
+        match self {
+            ListChange::Listed(replica) => Decision::ReplicaListed {
+                replica: &replica.incarnation,
+                addr: replica.addr,
+                draining: replica.state == ReplicaState::Draining,
+            },
+            ListChange::Unlisted { name, reliable } => {
+                Decision::ReplicaUnlisted {
+                    replica: name,
+                    reliable: *reliable,
+                }
+            }
+        }
+    }
+}
+
+fn set(list: &mut ReplicaList, replica: Replica) -> Option<ListChange> {
+    let replica = Arc::new(replica);
+    let changed = list.set(Arc::clone(&replica));
+    changed.then_some(ListChange::Listed(replica))
+}
+
+fn unlist(
+    list: &mut ReplicaList,
+    name: Arc<str>,
+    reliable: bool,
+) -> Option<ListChange> {
+    let changed =
+        if reliable { list.remove(&name) } else { list.doubt(&name) };
+    changed.then_some(ListChange::Unlisted { name, reliable })
 }
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -15,6 +15,8 @@
 //!   [`Shortage`] when a refused caller may
 //!   retry.
 //! * [`EventSplitter`] finds the points at which a stream can be resumed.
+//! * [`ReplicaList`] holds the platform's list of replicas and tells which of
+//!   them are in use.
 //! * [`RolloutTurn`] schedules when a replica switches to new weights.
 //! * [`ReaderChoice`] chooses the entry that reads the platform for others,
 //!   and [`FirstReadDelay`] how long a new process waits for it.
@@ -32,6 +34,7 @@
 mod regions;
 mod repeat_time;
 mod replica;
+mod replica_list;
 mod retry_after;
 mod retry_share;
 mod rollout;
@@ -50,6 +53,7 @@
 pub use self::regions::{AllowedRegions, HallRegions};
 pub use self::repeat_time::repeat_time;
 pub use self::replica::{Replica, ReplicaState, ReplicaVersion};
+pub use self::replica_list::{ReplicaList, Replicas, Standing};
 pub use self::retry_after::Shortage;
 pub use self::retry_share::RetryShare;
 pub use self::rollout::RolloutTurn;
@@ -70,6 +74,8 @@
 #[cfg(test)]
 mod repeat_time_tests;
 #[cfg(test)]
+mod replica_list_tests;
+#[cfg(test)]
 mod retry_after_tests;
 #[cfg(test)]
 mod sharing_tests;
