Percent-encode keys and names in the targets of requests

Cause: the last key of a page went into the query of the next request as it was. What follows a number sign is a fragment and is not sent, so the platform answered the same page again; a blank made the URI invalid, and an escape that the key itself held was decoded, so that entries between two pages were skipped. Names of models went into paths likewise.

--- a/crates/chunks/src/cache.rs
+++ b/crates/chunks/src/cache.rs
@@ -174,13 +174,13 @@
         let query = request.uri().query().unwrap_or_default();
         if let Some((model, version)) = version_path(&path, STANDING) {
             if query == DRAW {
-                self.record_request(model, version, Duration::ZERO);
+                self.record_request(&model, version, Duration::ZERO);
             }
-            return Some(self.status(model, version));
+            return Some(self.status(&model, version));
         }
         let (model, version) = ChunkServer::manifest_path(&path)?;
-        self.record_request(model, version, query_duration(query, "idle_ms"));
-        Some(self.server.answer_manifest(model, version, query).await)
+        self.record_request(&model, version, query_duration(query, "idle_ms"));
+        Some(self.server.answer_manifest(&model, version, query).await)
     }
 
     fn status(
--- a/crates/chunks/src/peers.rs
+++ b/crates/chunks/src/peers.rs
@@ -11,7 +11,7 @@
 use hyper::{Request, Response};
 use serde::{Deserialize, Serialize};
 use stairhinge::{Code, Error};
-use stairhinge_shell::http::{Body, Client, full, headers};
+use stairhinge_shell::http::{Body, Client, full, headers, segment};
 
 use crate::manifest::VersionManifest;
 
@@ -159,6 +159,7 @@
     fetch: bool,
 ) -> Result<CacheStatus, Error> {
     let query = if fetch { DRAW } else { "" };
+    let model = segment(model);
     let path = format!("{STANDING}{model}/{version}?{query}");
     let response = client.get(cache, &path, MAX_STATUS_BYTES, STATUS_TIMEOUT);
     let (status, _, bytes) = response.await?;
@@ -189,6 +190,7 @@
     idle: Duration,
 ) -> Result<VersionManifest, Error> {
     let (ms, idle) = (hold.as_millis(), idle.as_millis());
+    let model = segment(model);
     let path =
         format!("{MANIFEST}{model}/{version}?hold_ms={ms}&idle_ms={idle}");
     let timeout = STALL_TIMEOUT + hold;
--- a/crates/chunks/src/server.rs
+++ b/crates/chunks/src/server.rs
@@ -1,5 +1,6 @@
 //! Serving chunks and manifests to other processes.
 
+use std::borrow::Cow;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,7 +11,7 @@
 use stairhinge::{Code, Digest, Error};
 use stairhinge_shell::Shaper;
 use stairhinge_shell::http::{
-    Body, answer, empty, full_ahead, full_in_turn, headers, read,
+    Body, answer, decoded, empty, full_ahead, full_in_turn, headers, read,
 };
 use tokio::time::Instant;
 
@@ -64,7 +65,7 @@
 
     /// Parses the path of a manifest request into model and version. Returns
     /// `None` for any other path.
-    pub fn manifest_path(path: &str) -> Option<(&str, u64)> {
+    pub fn manifest_path(path: &str) -> Option<(Cow<'_, str>, u64)> {
         version_path(path, MANIFEST)
     }
 
@@ -232,10 +233,10 @@
 pub(crate) fn version_path<'a>(
     path: &'a str,
     prefix: &str,
-) -> Option<(&'a str, u64)> {
+) -> Option<(Cow<'a, str>, u64)> {
     let suffix = path.strip_prefix(prefix)?;
     let (model, version) = suffix.split_once('/')?;
-    Some((model, version.parse().ok()?))
+    Some((decoded(model)?, version.parse().ok()?))
 }
 
 /// Returns a duration given in a query in milliseconds, or 0 if it is missing
@@ -246,3 +247,7 @@
     let ms = found.and_then(|(_, value)| value.parse().ok());
     Duration::from_millis(ms.unwrap_or(0))
 }
+
+#[cfg(test)]
+#[path = "server_tests.rs"]
+mod tests;
--- a/crates/loader/src/serve.rs
+++ b/crates/loader/src/serve.rs
@@ -72,7 +72,7 @@
         }
         if let Some((model, version)) = ChunkServer::manifest_path(&path) {
             let query = request.uri().query().unwrap_or_default();
-            return self.chunks.answer_manifest(model, version, query).await;
+            return self.chunks.answer_manifest(&model, version, query).await;
         }
         Err(Error::new(Code::UnknownPath, path))
     }
--- a/crates/shell/src/http.rs
+++ b/crates/shell/src/http.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod client;
+mod encode;
 mod fail;
 pub mod headers;
 mod server;
@@ -11,5 +12,6 @@
     stream,
 };
 pub use self::client::{CallError, Client};
+pub use self::encode::{decoded, query_value, segment};
 pub use self::fail::{Failed, answer};
 pub use self::server::{ConnectionHandle, Handler, Limits, serve};
