Read changes that are too large for a watch by a list

A process learned of no change of replicas any more: with nine values of 1 MB of another writer under one key, requests reached a replica that had said that it leaves.

Cause: an answer to a watch returns each change since a revision, and one above 8 MB was an error. The next watch began at the same revision and failed likewise, for ever. A list comes in pages of about 1 MB.

--- a/crates/shell/src/directory/records.rs
+++ b/crates/shell/src/directory/records.rs
@@ -89,7 +89,8 @@
     /// The changes in order, possibly none, and the platform revision that
     /// they lead to.
     Changes(Vec<Change>, u64),
-    /// The platform no longer has the changes after the requested revision.
+    /// The platform no longer has the changes after the requested revision,
+    /// or they are too large to be read; a list is needed.
     Forgotten,
 }
 
