Decide what the absence of a replica from the list proves

The evidence that tells a replica that has gone from an entry that lapsed while the platform was away, before any logic uses it. What counts is whether the reads that the list comes from were answered, whoever made them:

So a process whose hall reader is cut off takes no notice of that: it reads itself, or another process whose reads were answered vouches.

The grace period is two heartbeats, as before; it counts from the first answer after a failure. Properties over own reads, relayed lists, cuts, starts and an outage found two wrong forms of the rule on the way: a grace period that counts from the last failure is over up to 0.4 s early, and an own failure was forgotten beside the list of a process that had just started.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -15,6 +15,8 @@
 //!   [`Shortage`] when a refused caller may
 //!   retry.
 //! * [`EventSplitter`] finds the points at which a stream can be resumed.
+//! * [`ListReads`] decides whether a replica that is missing from the list has
+//!   gone.
 //! * [`ReplicaList`] holds the platform's list of replicas and tells which of
 //!   them are in use.
 //! * [`RolloutTurn`] schedules when a replica switches to new weights.
@@ -29,6 +31,7 @@
 mod event_splitter;
 mod first_read_delay;
 mod layers;
+mod list_reads;
 mod published_replicas;
 mod reader_choice;
 mod regions;
@@ -48,6 +51,7 @@
 pub use self::event_splitter::{Event, EventSplitter};
 pub use self::first_read_delay::FirstReadDelay;
 pub use self::layers::LayerRange;
+pub use self::list_reads::{Absence, AnsweredSpan, ListReads};
 pub use self::published_replicas::{PublishedReplicas, ReplicaChanges};
 pub use self::reader_choice::{HallEntry, ReaderChoice};
 pub use self::regions::{AllowedRegions, HallRegions};
@@ -68,6 +72,8 @@
 #[cfg(test)]
 mod first_read_delay_tests;
 #[cfg(test)]
+mod list_reads_tests;
+#[cfg(test)]
 mod overload_tests;
 #[cfg(test)]
 mod region_tests;
--- /dev/null
+++ b/src/direct/list_reads.rs
@@ -0,0 +1,194 @@
+//! Whether the absence of a replica from the list proves that it has gone.
+//!
+//! The entry of a replica goes when the replica leaves. It also lapses while
+//! the platform is away, since the replica cannot renew it then, and is back
+//! shortly after. The two are told apart by whether the platform answered the
+//! reads that the list comes from, whoever made them:
+//!
+//! | the list comes from | and | a missing replica |
+//! | --- | --- | --- |
+//! | own reads | none has failed, or they have been answered for the grace period again | has gone |
+//! | own reads | one failed within the grace period, and nobody vouches for that time | is in doubt |
+//! | own reads | one waiting watch was cut, and the next call was answered | has gone |
+//! | another process | its reads have been answered for the grace period | has gone, whatever failed here |
+//! | another process | its reads failed within the grace period, at a time at which the own ones were answered | has gone: its link failed |
+//! | another process | its reads failed within the grace period | is in doubt |
+//! | another process | it has started within the grace period, before the last answer known here | has gone |
+//! | another process | it has started within the grace period, after the last answer known here | is in doubt |
+//! | any | it has been missing while the platform answered for twice the grace period in all | has gone |
+//!
+//! While the platform answers nobody, nothing is read and all replicas are
+//! kept.
+
+use std::time::Duration;
+
+use crate::Time;
+
+/// What it means that a replica is missing from the list.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Absence {
+    /// It has gone.
+    Gone,
+    /// Its entry may have lapsed while the platform was away. The platform
+    /// had answered for this long in all when it was missing first.
+    Doubtful(Duration),
+}
+
+/// A span of time in which the platform answered all reads that are known.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AnsweredSpan {
+    /// When its first read began.
+    pub since: Time,
+    /// The last time at which the platform is known to have answered.
+    pub until: Time,
+    /// When a read last failed before it, or may have; `None` if the process
+    /// started with it.
+    pub failed: Option<Time>,
+}
+
+impl AnsweredSpan {
+    /// Returns whether a replica that is missing from a list which was read
+    /// in this span has gone. A lapsed entry is back within `grace` after the
+    /// platform's return.
+    pub fn proves_absence(&self, grace: Duration) -> bool {
+        self.failed.is_none() || self.until.since(self.since) >= grace
+    }
+
+    /// Returns whether the platform can't have failed between this span and
+    /// another one that begins up to `gap` later.
+    fn continues_in(&self, other: &AnsweredSpan, gap: Duration) -> bool {
+        other.since <= self.until.after(gap)
+            && self.since <= other.until
+            && other.failed.is_none_or(|failed| failed <= self.until)
+    }
+
+    /// Returns this span with another one that it continues in.
+    ///
+    /// It begins after a failure if this one does, however the other began:
+    /// nothing is known of the time before.
+    fn joined(&self, other: &AnsweredSpan) -> AnsweredSpan {
+        let first = if other.since < self.since { other } else { self };
+        AnsweredSpan {
+            since: first.since,
+            until: self.until.max(other.until),
+            failed: self.failed.and(first.failed.or(Some(first.since))),
+        }
+    }
+}
+
+/// The reads of the platform that a process's list of replicas comes from,
+/// its own and those of other processes.
+#[derive(Clone, Debug)]
+pub struct ListReads {
+    grace: Duration,
+    span: Option<AnsweredSpan>,
+    /// When an own read failed last.
+    failed: Option<Time>,
+    /// Whether the last own read was a waiting watch that was cut.
+    watch_cut: bool,
+    /// For how long the platform has answered in all.
+    answered: Duration,
+}
+
+impl ListReads {
+    /// How often the grace period a replica is missing before it has gone in
+    /// spite of failures, in time for which the platform answered.
+    const MAX_DOUBT: u32 = 2;
+
+    /// Creates the record of a process that has read nothing yet. A lapsed
+    /// entry is back within `grace` after the platform's return.
+    pub const fn new(grace: Duration) -> ListReads {
+        ListReads {
+            grace,
+            span: None,
+            failed: None,
+            watch_cut: false,
+            answered: Duration::ZERO,
+        }
+    }
+
+    /// Records an own read that failed.
+    pub fn record_failure(&mut self, now: Time) {
+        self.watch_cut = false;
+        self.failed = self.failed.max(Some(now));
+    }
+
+    /// Records an own watch that ended without an answer while it waited. The
+    /// platform cuts watches at times, so one alone is no failure; the next
+    /// read shows which it was.
+    pub fn record_watch_cut(&mut self, now: Time) {
+        if self.watch_cut {
+            self.record_failure(now);
+        } else {
+            self.watch_cut = true;
+        }
+    }
+
+    /// Records an own read that was answered.
+    pub fn record_answer(&mut self, called: Time, answered: Time) {
+        self.watch_cut = false;
+        let known = self.span.map(|span| span.until);
+        let failed = self.failed.filter(|failed| Some(*failed) > known);
+        let new = AnsweredSpan { since: called, until: answered, failed };
+        // No call has failed since the last answer. An entry that is renewed
+        // in time outlasts such a gap.
+        self.extend(new, self.grace);
+    }
+
+    /// Records a list of another process, which tells when the reads were
+    /// answered that it comes from.
+    pub fn record_relayed(&mut self, span: AnsweredSpan) {
+        self.extend(span, Duration::ZERO);
+    }
+
+    /// Returns the span that the current list comes from.
+    pub const fn span(&self) -> Option<AnsweredSpan> {
+        self.span
+    }
+
+    /// Returns whether the platform failed so recently that a missing replica
+    /// may be back.
+    pub fn is_in_doubt(&self) -> bool {
+        let proves = |span: AnsweredSpan| span.proves_absence(self.grace);
+        !self.span.is_none_or(proves)
+    }
+
+    /// Returns what it means that a replica is missing from the current list.
+    pub fn absence(&self) -> Absence {
+        if self.is_in_doubt() {
+            Absence::Doubtful(self.answered)
+        } else {
+            Absence::Gone
+        }
+    }
+
+    /// Returns up to which begin of a doubt, as in [`Absence::Doubtful`], the
+    /// missing replicas have gone by now.
+    pub fn settled(&self) -> Option<Duration> {
+        if self.is_in_doubt() {
+            self.answered.checked_sub(self.grace * Self::MAX_DOUBT)
+        } else {
+            Some(self.answered)
+        }
+    }
+
+    fn extend(&mut self, new: AnsweredSpan, gap: Duration) {
+        // An own failure that the other process was not there to refute.
+        let failed = new.failed.max(self.failed.filter(|at| *at < new.since));
+        let new = AnsweredSpan { failed, ..new };
+        let Some(span) = self.span else {
+            self.answered += new.until.since(new.since);
+            self.span = Some(new);
+            return;
+        };
+        let from = span.until.max(new.since);
+        self.answered += new.until.since(from);
+        if span.continues_in(&new, gap) {
+            self.span = Some(span.joined(&new));
+        } else if new.until > span.until {
+            // Nothing was read in between, so the platform may have failed.
+            let failed = Some(failed.unwrap_or(new.since));
+            self.span = Some(AnsweredSpan { failed, ..new });
+        }
+    }
+}
