Judge missing replicas by the reads that the list comes from

Cause: an answer to another process told when the platform had last failed the one that answered, and those that asked took that for a failure of their own. As long as that was less than two heartbeats ago, each removal was only a doubt, and a service whose only replica is doubtful goes on using it. The same doubt came from one watch that was cut (2.55 s of requests), from a forgotten history (2.56 s), and it had no end while failures came again and again (28 s, the whole test).

A single failed call is followed by another one after 0.1 s, which decides; a list after a forgotten history counts as an answer; a doubt ends after twice the grace period of answered time. The grace period counts from the first answer after a failure. Entries do not adopt a placer's choice of a doubtful replica while others are listed, and agents go by the same evidence.

--- a/crates/gateway/src/dispatch/find.rs
+++ b/crates/gateway/src/dispatch/find.rs
@@ -265,15 +265,13 @@
     ) -> CandidateSets {
         let now = self.facts.now();
         let layers = layer_count(view, need);
-        let listed = view
-            .of_service(&need.service)
-            .any(|(_, standing)| *standing == Standing::Listed);
+        let listed = view.has_listed(&need.service);
         let mut sets = CandidateSets {
             in_service: self.has_tried_in_service(state, view, need, now),
             ..CandidateSets::default()
         };
         for (replica, standing) in replicas {
-            if listed && *standing == Standing::Doubtful {
+            if listed && !standing.is_listed() {
                 continue;
             }
             let terms = self.terms(state, view, need, replica, layers, now);
--- a/crates/gateway/src/dispatch/hall.rs
+++ b/crates/gateway/src/dispatch/hall.rs
@@ -8,7 +8,7 @@
 use stairhinge::direct::balance::LatencyModel;
 use stairhinge::direct::{HallEntry, Replica, ReplicaState};
 use stairhinge::placing::{Need, Placed, leading_entries};
-use stairhinge_shell::directory::{FactsView, Standing};
+use stairhinge_shell::directory::FactsView;
 
 use super::find::layer_count;
 use super::known::KnownReplica;
@@ -105,7 +105,7 @@
         let mut reporting = 0;
         for (replica, standing) in view.replicas.values() {
             let near = replica.hall == self.hall;
-            let sound = *standing == Standing::Listed;
+            let sound = standing.is_listed();
             if !near || !sound || view.engine(&replica.service).is_none() {
                 continue;
             }
@@ -164,8 +164,11 @@
         placer: SocketAddr,
     ) -> Option<Place> {
         let view = self.facts.view();
-        let (replica, _) = view.replicas.get(&placed.replica)?;
+        let (replica, standing) = view.replicas.get(&placed.replica)?;
+        let is_left_out =
+            !standing.is_listed() && view.has_listed(&replica.service);
         if replica.state == ReplicaState::Draining
+            || is_left_out
             || !self.is_allowed(need, &replica.hall)
             || self.evacuation_capacity(&view, &replica.hall) <= 0.0
         {
--- a/crates/loader/src/agent.rs
+++ b/crates/loader/src/agent.rs
@@ -24,7 +24,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::engine::{EngineState, StagedEngine};
-use crate::hall_entries::HallEntries;
+use crate::hall_entries::{HallEntries, UNLISTED_GRACE};
 use crate::load_history::LoadHistory;
 use crate::read_routes::read_routes;
 use crate::reconcile::reconcile;
@@ -362,7 +362,7 @@
             collection: Collection::Targets,
             wait: settings.target_watch(),
             pace: Duration::from_millis(100),
-            unlisted_grace: Duration::from_millis(4_000),
+            unlisted_grace: UNLISTED_GRACE,
             burst_read_interval: Duration::ZERO,
             settling: Duration::ZERO,
             first_start: false,
--- a/crates/loader/src/hall_entries.rs
+++ b/crates/loader/src/hall_entries.rs
@@ -12,6 +12,7 @@
 
 use bytes::Bytes;
 use futures::future::BoxFuture;
+use stairhinge::direct::Absence;
 use stairhinge::{Code, Error};
 use stairhinge_chunks::log_failure;
 use stairhinge_gateway::{FetchError, fetch_published, fetch_routes};
@@ -46,6 +47,10 @@
 /// The maximum age of a list of replicas.
 const MAX_LIST_AGE: Duration = Duration::from_secs(5);
 
+/// How long the platform has to answer after a failure until a replica that is
+/// missing from the list has gone.
+pub(crate) const UNLISTED_GRACE: Duration = Duration::from_millis(4_000);
+
 /// The entries of the hall that subscribe to an agent's feed.
 pub(crate) struct HallEntries {
     facts: Arc<Facts>,
@@ -156,15 +161,22 @@
             most_age_ms: MAX_LIST_AGE.as_millis() as u64,
             for_itself: true,
         };
+        let called = self.facts.now();
         let shared = self.ask_next(&question).await?.shared;
+        let sound = shared.reads(called).proves_absence(UNLISTED_GRACE);
         let Some(replicas) = shared.replicas else {
             return Err(Error::new(
                 Code::PeerLost,
                 "the entry's answer has no list of replicas",
             ));
         };
+        let absence = if sound {
+            Absence::Gone
+        } else {
+            Absence::Doubtful(Duration::ZERO)
+        };
         if replicas.whole {
-            self.facts.replace_replicas(replicas.listed, true);
+            self.facts.replace_replicas(replicas.listed, absence);
         } else {
             let set = |replica| Change::Set(Record::Replica(replica));
             let listed = replicas.listed.into_iter().map(set);
@@ -172,9 +184,12 @@
             for change in listed.chain(gone) {
                 let source = Source::new("hall");
                 let published = Published::default();
-                self.facts.apply(change, source, true, published);
+                self.facts.apply(change, source, absence, published);
             }
         }
+        if sound {
+            self.facts.remove_doubtful(Duration::MAX);
+        }
         self.list_revision.store(shared.at, Ordering::Relaxed);
         Ok(())
     }
--- a/crates/loader/src/peer_list.rs
+++ b/crates/loader/src/peer_list.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use stairhinge::direct::Absence;
 use stairhinge_chunks::log_failure;
 use stairhinge_shell::directory::{Collection, Freshness, Record};
 use tokio::task::JoinHandle;
@@ -42,7 +43,7 @@
                     replicas.push(replica);
                 }
             }
-            agent.facts.replace_replicas(replicas, true);
+            agent.facts.replace_replicas(replicas, Absence::Gone);
         }
         Err(error) => log_failure(&agent.facts, "replica list", &error),
     }
--- a/crates/loader/src/version_selection.rs
+++ b/crates/loader/src/version_selection.rs
@@ -10,7 +10,6 @@
 };
 use stairhinge_chunks::{CacheStatus, cache_status};
 use stairhinge_shell::decisions::{Decision, VersionInputs};
-use stairhinge_shell::directory;
 
 use crate::agent::Agent;
 use crate::fetch_owner::caches;
@@ -141,7 +140,7 @@
     for (replica, standing) in view.of_service(&agent.settings.service) {
         let in_hall = replica.hall == agent.settings.hall
             && replica.addr != agent.settings.engine;
-        if !in_hall || *standing != directory::Standing::Listed {
+        if !in_hall || !standing.is_listed() {
             continue;
         }
         versions.extend(replica.version(&wanted.model, layers));
--- a/crates/shell/src/decisions/decision.rs
+++ b/crates/shell/src/decisions/decision.rs
@@ -239,6 +239,18 @@
         /// Whether the platform was healthy enough to trust the removal.
         reliable: bool,
     },
+    /// Whether a replica that is missing from the list may have lapsed while
+    /// the platform was away has changed.
+    AbsenceDoubted {
+        /// Whether it may have.
+        in_doubt: bool,
+        /// For how long the platform has answered the reads that the list
+        /// comes from, in milliseconds.
+        answered_ms: u64,
+        /// The time since one of them failed before, in milliseconds.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        failed_ms: Option<u64>,
+    },
     /// A listed replica is no longer used, since an entry that was listed
     /// later has its address.
     ReplicaReplaced {
--- a/crates/shell/src/directory/facts.rs
+++ b/crates/shell/src/directory/facts.rs
@@ -13,8 +13,8 @@
 use stairhinge::Time;
 pub use stairhinge::direct::Standing;
 use stairhinge::direct::{
-    Engine, Evacuations, Replica, ReplicaList, ReplicaState, Replicas,
-    RouteTable, VersionTargets,
+    Absence, Engine, Evacuations, Replica, ReplicaList, ReplicaState,
+    Replicas, RouteTable, VersionTargets,
 };
 use tokio::sync::watch;
 
@@ -59,6 +59,12 @@
         self.listed.get(incarnation).is_some()
     }
 
+    /// Returns whether any replica of a service is listed. Doubtful ones get
+    /// requests only if none is.
+    pub fn has_listed(&self, service: &str) -> bool {
+        self.of_service(service).any(|(_, standing)| standing.is_listed())
+    }
+
     /// Returns whether a replica is in the list, but another one has its
     /// address.
     fn is_replaced(&self, incarnation: &str) -> bool {
@@ -155,14 +161,13 @@
         }
     }
 
-    /// Applies a change. Without `reliable`, which says that the platform
-    /// hasn't failed recently, a replica that is gone is only marked as
-    /// doubtful.
+    /// Applies a change. `absence` tells what it means for a replica that it
+    /// is no longer listed.
     pub fn apply(
         &self,
         change: Change,
         source: Source,
-        reliable: bool,
+        absence: Absence,
         published: Published,
     ) {
         match change {
@@ -170,7 +175,7 @@
             Change::EvacuationEnded(hall) => {
                 self.end_evacuation(&hall, source.way());
             }
-            Change::Gone(incarnation) => self.remove(&incarnation, reliable),
+            Change::Gone(incarnation) => self.remove(&incarnation, absence),
             Change::Invalid(error) => self.refuse(&error),
         }
     }
@@ -183,9 +188,8 @@
         });
     }
 
-    /// Applies a full list of replicas: all others are gone, or doubtful
-    /// without `reliable`.
-    pub fn replace_replicas(&self, listed: Vec<Replica>, reliable: bool) {
+    /// Applies a full list of replicas, from which all others are absent.
+    pub fn replace_replicas(&self, listed: Vec<Replica>, absence: Absence) {
         let names: HashSet<Arc<str>> =
             listed.iter().map(|r| Arc::clone(&r.incarnation)).collect();
         self.change_list(|list| {
@@ -197,7 +201,7 @@
                 changes.extend(set(list, replica));
             }
             for name in absent {
-                changes.extend(unlist(list, name, reliable));
+                changes.extend(unlist(list, name, absence));
             }
             changes
         });
@@ -263,12 +267,16 @@
         Time::from_millis(self.now().as_millis().saturating_sub(ms))
     }
 
-    /// Removes the doubtful replicas, once the platform has recovered.
-    pub fn remove_doubtful(&self) {
+    /// Removes the replicas whose doubt began at or before `until`, as in
+    /// [`Absence::Doubtful`].
+    pub fn remove_doubtful(&self, until: Duration) {
+        if self.view().listed.doubtful(until).is_empty() {
+            return;
+        }
         self.change_list(|list| {
             let mut changes = Vec::new();
-            for name in list.doubtful() {
-                changes.extend(unlist(list, name, true));
+            for name in list.doubtful(until) {
+                changes.extend(unlist(list, name, Absence::Gone));
             }
             changes
         });
@@ -310,10 +318,10 @@
         self.change_list(|list| set(list, replica).into_iter().collect());
     }
 
-    fn remove(&self, incarnation: &Arc<str>, reliable: bool) {
+    fn remove(&self, incarnation: &Arc<str>, absence: Absence) {
         let name = Arc::clone(incarnation);
         self.change_list(|list| {
-            unlist(list, name, reliable).into_iter().collect()
+            unlist(list, name, absence).into_iter().collect()
         });
     }
 
@@ -410,9 +418,12 @@
 fn unlist(
     list: &mut ReplicaList,
     name: Arc<str>,
-    reliable: bool,
+    absence: Absence,
 ) -> Option<ListChange> {
-    let changed =
-        if reliable { list.remove(&name) } else { list.doubt(&name) };
+    let changed = match absence {
+        Absence::Gone => list.remove(&name),
+        Absence::Doubtful(since) => list.doubt(&name, since),
+    };
+    let reliable = absence == Absence::Gone;
     changed.then_some(ListChange::Unlisted { name, reliable })
 }
--- a/crates/shell/src/directory/follow/overdue.rs
+++ b/crates/shell/src/directory/follow/overdue.rs
@@ -11,10 +11,10 @@
 use std::time::{Duration, Instant};
 
 use rand::RngExt as _;
-use stairhinge::direct::ReaderChoice;
+use stairhinge::direct::{Absence, ReaderChoice};
 use stairhinge::{Code, Error, Time};
 
-use super::{ASK_INTERVAL, Follower, before};
+use super::{ASK_INTERVAL, Follower};
 use crate::decisions::Decision;
 use crate::directory::{
     Collection, Freshness, Published, ReaderAnswer, Sharing, Source, Watched,
@@ -152,7 +152,7 @@
         let synced = self.small.map(|small| small.synced).max(self.synced);
         for change in changes {
             let published = Published::after(synced).watched();
-            self.facts.apply(change, source, true, published);
+            self.facts.apply(change, source, Absence::Gone, published);
         }
         self.small = Some(SmallRead { at, synced: called });
         let halls = Collection::Evacuations;
@@ -179,7 +179,7 @@
                 let called = facts.now();
                 let asked = reader.ask_until_fresh(question.clone());
                 let answer = asked.await;
-                let synced = before(called, answer.shared.age_ms);
+                let synced = answer.shared.synced(called);
                 if known.is_none_or(|known| synced > known)
                     || answer.shared.has_newer_routes(&question)
                 {
--- a/crates/shell/src/directory/follow/read.rs
+++ b/crates/shell/src/directory/follow/read.rs
@@ -2,11 +2,11 @@
 //! revisions of routes that are published in quick succession.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures::StreamExt as _;
 use futures::stream::FuturesUnordered;
-use stairhinge::direct::Replica;
+use stairhinge::direct::{Absence, Replica};
 use stairhinge::{Error, Time};
 
 use super::Follower;
@@ -42,10 +42,12 @@
         let collection = self.follow.collection;
         let called = self.facts.now();
         let wait = self.watch_wait(called);
-        match self.directory.watch(collection, after, wait).await? {
+        let watched = self.directory.watch(collection, after, wait).await?;
+        self.record_answer(called, wait);
+        match watched {
             Watched::Forgotten => self.forget(),
             Watched::Changes(changes, at) => {
-                let reliable = self.reliable();
+                let absence = self.reads.absence();
                 let routes =
                     changes.iter().filter(|c| is_routes_change(c)).count();
                 self.burst = routes >= BURST_REVISIONS;
@@ -64,7 +66,7 @@
                 };
                 let published = self.contact.published(times, content);
                 for change in changes {
-                    self.facts.apply(change, source, reliable, published);
+                    self.facts.apply(change, source, absence, published);
                 }
                 self.record_sync(at, called);
                 self.contact.record_watch(times, content);
@@ -135,9 +137,10 @@
         };
         let took = self.facts.now().since(called);
         let source = Source::platform("watch", took, 0);
+        self.record_answer(called, Duration::ZERO);
         for change in changes {
             let published = Published::after(self.synced).watched();
-            self.facts.apply(change, source, true, published);
+            self.facts.apply(change, source, Absence::Gone, published);
         }
         let routes = Collection::Routes;
         let listing = self.directory.list(routes, Freshness::Current).await?;
@@ -154,11 +157,19 @@
 
     /// Makes the next read a full list, since the platform no longer has the
     /// changes after the last known revision.
-    fn forget(&mut self) {
+    const fn forget(&mut self) {
         self.at = None;
-        // The platform may have lost its history, so this counts as a
-        // failure.
-        self.failed = Some(Instant::now());
+    }
+
+    /// Records that the platform has answered a call that was to wait for a
+    /// time. An answer that was read later than it can have been sent proves
+    /// nothing of the time in between, in which the process may have stood
+    /// still.
+    fn record_answer(&mut self, called: Time, wait: Duration) {
+        let latest = called.after(wait + self.follow.unlisted_grace);
+        let answered = self.facts.now().min(latest);
+        self.reads.record_answer(called, answered);
+        self.note_doubt();
     }
 
     /// Lists the collection, after a pause of `burst_read_interval`; the burst
@@ -181,16 +192,17 @@
         let listing =
             self.directory.list(collection, Freshness::Current).await?;
         let at = listing.at;
+        self.record_answer(called, Duration::ZERO);
         if collection == Collection::Declarations {
             self.take_evacuations(&listing);
         }
         let replicas = self.take_list(listing, called);
         if collection == Collection::Replicas {
-            let reliable = self.reliable();
+            let absence = self.reads.absence();
             if let Some(sharing) = &self.follow.sharing {
                 sharing.share.note_list(&replicas, at);
             }
-            self.facts.replace_replicas(replicas, reliable);
+            self.facts.replace_replicas(replicas, absence);
         }
         self.record_sync(at, called);
         self.contact.record_answer(self.facts.now());
@@ -261,7 +273,7 @@
             Some(sharing) => sharing.watch().min(self.follow.wait),
             None => self.follow.wait,
         };
-        if self.failed.is_some() {
+        if self.reads.is_in_doubt() {
             wait.min(self.follow.unlisted_grace / 2)
         } else {
             wait
--- a/crates/shell/src/directory/shared_messages.rs
+++ b/crates/shell/src/directory/shared_messages.rs
@@ -8,9 +8,9 @@
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use serde::{Deserialize, Serialize};
-use stairhinge::Error;
-use stairhinge::direct::{Replica, ReplicaChanges};
+use stairhinge::direct::{AnsweredSpan, Replica, ReplicaChanges};
 use stairhinge::document::Patch;
+use stairhinge::{Error, Time};
 
 use super::{Collection, EvacuationAge, TargetAge};
 
@@ -50,9 +50,14 @@
     /// The maximum time since the answer was known to be complete, in
     /// milliseconds.
     pub age_ms: u64,
-    /// The time since a call of the reader to the platform last failed, in
-    /// milliseconds.
+    /// The time since the platform last failed the reads that the data comes
+    /// from, in milliseconds. The process that made them is another one than
+    /// the reader if the reader has the data from it.
     pub failed_ms: Option<u64>,
+    /// For how long the platform had answered these reads when the data was
+    /// complete, in milliseconds; absent from processes of earlier versions.
+    #[serde(default)]
+    pub answered_ms: Option<u64>,
     /// The revision of the reader's current routes.
     pub revision: u64,
     /// How to get to newer routes.
@@ -66,10 +71,29 @@
     pub evacuations: Option<Vec<EvacuationAge>>,
     /// Changes of replicas.
     #[serde(default)]
-    pub replicas: Option<SharedReplicas>,
+    pub replicas: Option<Box<SharedReplicas>>,
 }
 
 impl SharedAnswer {
+    /// Returns the time at which the data was complete, if the question was
+    /// sent at `called`.
+    pub(super) const fn synced(&self, called: Time) -> Time {
+        called.before(Duration::from_millis(self.age_ms))
+    }
+
+    /// Returns the reads that the data comes from, if the question was sent at
+    /// `called`.
+    pub fn reads(&self, called: Time) -> AnsweredSpan {
+        let ms = Duration::from_millis;
+        let synced = self.synced(called);
+        let failed = self.failed_ms.map(|ago| called.before(ms(ago)));
+        let since = match self.answered_ms {
+            Some(answered) => synced.before(ms(answered)),
+            None => failed.map_or(synced, |at| at.min(synced)),
+        };
+        AnsweredSpan { since, until: synced, failed }
+    }
+
     /// Returns whether it has newer routes than the asker knows.
     pub fn has_newer_routes(&self, question: &SharedQuestion) -> bool {
         self.routes.is_some() && self.revision > question.revision
--- a/crates/shell/tests/support/mod.rs
+++ b/crates/shell/tests/support/mod.rs
@@ -236,6 +236,7 @@
         at,
         age_ms: 0,
         failed_ms: None,
+        answered_ms: None,
         revision,
         routes,
         evacuations: None,
--- a/src/direct/list_reads.rs
+++ b/src/direct/list_reads.rs
@@ -9,7 +9,7 @@
 //! | --- | --- | --- |
 //! | own reads | none has failed, or they have been answered for the grace period again | has gone |
 //! | own reads | one failed within the grace period, and nobody vouches for that time | is in doubt |
-//! | own reads | one waiting watch was cut, and the next call was answered | has gone |
+//! | own reads | a call failed or a watch was cut, and the next call was answered at once | has gone |
 //! | another process | its reads have been answered for the grace period | has gone, whatever failed here |
 //! | another process | its reads failed within the grace period, at a time at which the own ones were answered | has gone: its link failed |
 //! | another process | its reads failed within the grace period | is in doubt |
@@ -81,58 +81,75 @@
 #[derive(Clone, Debug)]
 pub struct ListReads {
     grace: Duration,
+    pace: Duration,
     span: Option<AnsweredSpan>,
     /// When an own read failed last.
     failed: Option<Time>,
-    /// Whether the last own read was a waiting watch that was cut.
-    watch_cut: bool,
+    /// When the own reads began to fail, if none has been answered since.
+    failing_since: Option<Time>,
     /// For how long the platform has answered in all.
     answered: Duration,
 }
 
 impl ListReads {
+    /// Own reads that fail for less than this fraction of the grace period are
+    /// no outage, but a connection or a watch that was cut.
+    const MIN_OUTAGE: u32 = 8;
+
     /// How often the grace period a replica is missing before it has gone in
     /// spite of failures, in time for which the platform answered.
     const MAX_DOUBT: u32 = 2;
 
-    /// Creates the record of a process that has read nothing yet. A lapsed
-    /// entry is back within `grace` after the platform's return.
-    pub const fn new(grace: Duration) -> ListReads {
+    /// Creates the record of a process that has read nothing yet, and that
+    /// reads at least every `pace`. A lapsed entry is back within `grace`, two
+    /// of its heartbeats, after the platform's return.
+    pub const fn new(grace: Duration, pace: Duration) -> ListReads {
         ListReads {
             grace,
+            pace,
             span: None,
             failed: None,
-            watch_cut: false,
+            failing_since: None,
             answered: Duration::ZERO,
         }
     }
 
     /// Records an own read that failed.
     pub fn record_failure(&mut self, now: Time) {
-        self.watch_cut = false;
+        self.failing_since.get_or_insert(now);
         self.failed = self.failed.max(Some(now));
     }
 
-    /// Records an own watch that ended without an answer while it waited. The
-    /// platform cuts watches at times, so one alone is no failure; the next
-    /// read shows which it was.
-    pub fn record_watch_cut(&mut self, now: Time) {
-        if self.watch_cut {
-            self.record_failure(now);
-        } else {
-            self.watch_cut = true;
-        }
+    /// Returns whether one own read has failed since the last answer. A call
+    /// that follows at once shows whether the platform has.
+    pub fn has_just_failed(&self) -> bool {
+        self.failing_since.is_some() && self.failing_since == self.failed
     }
 
     /// Records an own read that was answered.
     pub fn record_answer(&mut self, called: Time, answered: Time) {
-        self.watch_cut = false;
         let known = self.span.map(|span| span.until);
+        if self.was_brief(called) {
+            self.failed = self.failed.filter(|at| Some(*at) <= known);
+        }
+        self.failing_since = None;
         let failed = self.failed.filter(|failed| Some(*failed) > known);
         let new = AnsweredSpan { since: called, until: answered, failed };
         // No call has failed since the last answer. An entry that is renewed
         // in time outlasts such a gap.
-        self.extend(new, self.grace);
+        self.extend(new, self.grace + self.pace);
+    }
+
+    /// Returns whether the own reads have failed too briefly for an outage, if
+    /// one that was called then has been answered. The platform answered so
+    /// recently before that each entry has been renewed at most once less.
+    fn was_brief(&self, called: Time) -> bool {
+        let Some(since) = self.failing_since else { return false };
+        let Some(span) = self.span else { return false };
+        let failing = called.since(since.max(span.until));
+        let unknown = called.since(span.until);
+        failing < self.grace / Self::MIN_OUTAGE
+            && unknown <= self.grace / 2 + self.pace
     }
 
     /// Records a list of another process, which tells when the reads were
--- a/src/direct/replica_list.rs
+++ b/src/direct/replica_list.rs
@@ -9,6 +9,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::Replica;
 
@@ -18,8 +19,16 @@
     /// It is in the list.
     Listed,
     /// It disappeared from the list while the platform was failing, possibly
-    /// only because of that failure.
-    Doubtful,
+    /// only because of that failure. The platform had answered for this long
+    /// in all by then, as in [`Absence::Doubtful`](super::Absence::Doubtful).
+    Doubtful(Duration),
+}
+
+impl Standing {
+    /// Returns whether the list confirms the replica.
+    pub const fn is_listed(self) -> bool {
+        matches!(self, Standing::Listed)
+    }
 }
 
 /// Replicas by incarnation, with their standing.
@@ -50,7 +59,7 @@
         else {
             return true;
         };
-        let unchanged = **known == *replica && *standing == Standing::Listed;
+        let unchanged = **known == *replica && standing.is_listed();
         !unchanged && !replica.is_older_than(known)
     }
 
@@ -70,21 +79,29 @@
         self.entries.remove(incarnation).is_some()
     }
 
-    /// Keeps an entry as doubtful. Returns whether it was listed before.
-    pub fn doubt(&mut self, incarnation: &str) -> bool {
+    /// Keeps an entry that is missing as doubtful from then on, unless it is
+    /// already. Returns whether it was listed before.
+    pub fn doubt(&mut self, incarnation: &str, since: Duration) -> bool {
         let Some((_, standing)) = self.entries.get_mut(incarnation) else {
             return false;
         };
-        std::mem::replace(standing, Standing::Doubtful) == Standing::Listed
+        let was_listed = standing.is_listed();
+        if was_listed {
+            *standing = Standing::Doubtful(since);
+        }
+        was_listed
     }
 
-    /// Returns the incarnations of the doubtful entries.
-    pub fn doubtful(&self) -> Vec<Arc<str>> {
-        let doubtful = |(_, (_, standing)): &(_, &(_, Standing))| {
-            *standing == Standing::Doubtful
-        };
-        let found = self.entries.iter().filter(doubtful);
-        found.map(|(incarnation, _)| Arc::clone(incarnation)).collect()
+    /// Returns the incarnations of the entries that have been doubtful since
+    /// then or before.
+    pub fn doubtful(&self, until: Duration) -> Vec<Arc<str>> {
+        let mut doubtful = Vec::new();
+        for (incarnation, (_, standing)) in &self.entries {
+            if matches!(standing, Standing::Doubtful(at) if *at <= until) {
+                doubtful.push(Arc::clone(incarnation));
+            }
+        }
+        doubtful
     }
 
     /// Returns the replicas in use: all but those whose address a later entry
@@ -104,7 +121,7 @@
                 let taken_over = entries.iter().any(|(new, other)| {
                     old.is_replaced_by(new)
                         && knows_service(&new.service)
-                        && (*other == Standing::Listed || other == standing)
+                        && (other.is_listed() || !standing.is_listed())
                 });
                 if taken_over {
                     in_use.remove(&old.incarnation);
