Take an answer with a status outside 200 to 599 for a failure

Callers got 600, 999 and a 101 that nobody had asked for as answers, with the replica's body; after the 101, what they sent next was no HTTP. A replica that answered 600 to all got all requests of a test, since it was never busy: 0 of 60 served. 000, 099, 1000 and what is no number ended in 502 already.

Cause: the library takes any number from 100 to 999 for a status, and only 5xx counted as a failure of the replica.

An answer whose status is not from 200 to 599 is now treated as one that cannot be read: the connection is closed, the replica counts as failing, and the request is repeated where that is allowed. Agents in front of backend servers do the same.

--- a/crates/agent/src/proxy.rs
+++ b/crates/agent/src/proxy.rs
@@ -14,7 +14,7 @@
 use stairhinge::serving::LoadedTarget;
 use stairhinge::{Code, Error, Ran};
 use stairhinge_shell::http::{
-    Body, BodyError, CallError, Failed, headers, stream,
+    Body, BodyError, CallError, Failed, headers, is_final, stream,
 };
 use stairhinge_shell::is_connection_refused;
 use tokio::sync::mpsc;
@@ -149,6 +149,12 @@
                 return Err(started.failed(Failed::new(err).with_ran(ran)));
             }
         };
+        if !is_final(response.status()) {
+            let why = format_args!("answered status {}", response.status());
+            let err = Error::new(Code::EngineLost, why);
+            let failed = Failed::new(err).with_ran(Ran::MayHaveRun);
+            return Err(started.failed(failed));
+        }
         if let Some(bound) = &self.bound {
             check_target(&response, bound).map_err(|f| started.failed(f))?;
         }
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -19,6 +19,7 @@
 use stairhinge::direct::{AttemptResult, Repeat, Replica, repeat_time};
 use stairhinge::placing::Outcome;
 use stairhinge::poison::Suspicion;
+use stairhinge_shell::http::is_final;
 use tokio::time::error::Elapsed;
 
 use super::{Answered, AttemptError, Forwarder};
@@ -165,6 +166,11 @@
         let (head, body) = response.into_parts();
         let judgement =
             self.dialect.classify_response(&context.caller.id, &head);
+        if !is_final(head.status) && judgement != ResponseKind::Unrelated {
+            place.record_outcome(Outcome::Failed);
+            let why = format!("the replica answered status {}", head.status);
+            return Err(AttemptError::new(AttemptResult::NoResponse, why));
+        }
         if judgement.is_from_intended_replica() {
             place.handle_notice(&self.dialect.read_notice(&head), sent_at);
         }
--- a/crates/local/tests/once.rs
+++ b/crates/local/tests/once.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hyper::StatusCode;
 use stairhinge::Ran;
 use stairhinge::document::Presence;
 use stairhinge_local::{Answer, Caller, Plan, Trial, until};
@@ -253,3 +254,26 @@
     }
     assert_eq!(trial.runs("direct"), 1);
 }
+
+/// Guards against a status that no server gives: the caller would take it for
+/// the answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_status_above_599_reaches_no_caller() {
+    let trial = Trial::start(plan()).await.unwrap();
+    let entry = trial.local.entries()[0];
+    let client = Client::new();
+    let caller = Caller::new("notice").once(None);
+    until("the service answers", async || {
+        caller.service(&client, entry, "archive").await.status == 200
+    })
+    .await;
+    for code in [600, 999] {
+        let status = StatusCode::from_u16(code).unwrap();
+        for service in trial.local.services() {
+            service.answer_with(status);
+        }
+        let answer = caller.service(&client, entry, "archive").await;
+        assert_eq!(answer.status, 502, "{code}: {answer:?}");
+        assert_eq!(answer.ran, Some(Ran::MayHaveRun), "{answer:?}");
+    }
+}
--- a/crates/shell/src/http.rs
+++ b/crates/shell/src/http.rs
@@ -6,6 +6,7 @@
 mod fail;
 pub mod headers;
 mod server;
+mod status;
 
 pub use self::body::{
     Body, BodyError, empty, full, full_ahead, full_in_turn, read, shaped,
@@ -15,3 +16,4 @@
 pub use self::encode::{decoded, query_value, segment};
 pub use self::fail::{Failed, answer};
 pub use self::server::{ConnectionHandle, Handler, Limits, serve};
+pub use self::status::is_final;
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -1,5 +1,6 @@
 //! A plain service: answers what it was asked, and keeps a record.
 
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -18,13 +19,15 @@
     delay: Duration,
     gate: Arc<Gate>,
     records: Mutex<Vec<Record>>,
+    status: AtomicU16,
 }
 
 impl Service {
     /// Returns a service that takes `delay` for each call.
     pub fn new(delay: Duration) -> Arc<Service> {
         let (gate, records) = (Gate::new(), Mutex::default());
-        Arc::new(Service { delay, gate, records })
+        let status = AtomicU16::new(StatusCode::OK.as_u16());
+        Arc::new(Service { delay, gate, records, status })
     }
 
     /// Returns what ran here.
@@ -32,6 +35,11 @@
         self.lock().clone()
     }
 
+    /// Makes it answer all calls with a status.
+    pub fn answer_with(&self, status: StatusCode) {
+        self.status.store(status.as_u16(), Ordering::Relaxed);
+    }
+
     /// Makes its process stand still for a time: its connections stay open.
     pub fn stand_still(&self, span: Duration) {
         self.gate.stand_still(span);
@@ -81,7 +89,9 @@
             "path": parts.uri.to_string(),
             "body": body,
         });
-        answer(StatusCode::OK, json.to_string())
+        let status = self.status.load(Ordering::Relaxed);
+        let status = StatusCode::from_u16(status).unwrap_or_default();
+        answer(status, json.to_string())
     }
 }
 
