Leave an answer without an end an error of the store

The client tells the two apart by a code (BodyTooLarge), and the process that follows the list reads it anew, also where it probes a platform that had failed or catches up on versions. The test passes again, unchanged, as does a_leaving_replica_is_known_beside_large_foreign_entries.

--- a/crates/shell/src/directory/follow/read.rs
+++ b/crates/shell/src/directory/follow/read.rs
@@ -7,7 +7,7 @@
 use futures::StreamExt as _;
 use futures::stream::FuturesUnordered;
 use stairhinge::direct::{Absence, Replica};
-use stairhinge::{Error, Time};
+use stairhinge::{Code, Error, Time};
 
 use super::Follower;
 use super::contact::{WatchContent, WatchTimes};
@@ -42,7 +42,7 @@
         let collection = self.follow.collection;
         let called = self.facts.now();
         let wait = self.watch_wait(called);
-        let watched = self.directory.watch(collection, after, wait).await?;
+        let watched = self.watch(collection, after, wait).await?;
         self.record_answer(called, wait);
         match watched {
             Watched::Forgotten => self.forget(),
@@ -75,6 +75,16 @@
         Ok(())
     }
 
+    /// Waits for changes.
+    async fn watch(
+        &self,
+        collection: Collection,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Watched, Error> {
+        or_forgotten(self.directory.watch(collection, after, wait).await)
+    }
+
     /// Probes a platform that has failed with small requests until one is
     /// answered. Starts a probe every `pace`, also while earlier ones are
     /// pending.
@@ -88,7 +98,7 @@
         let mut timer = tokio::time::interval(pace);
         loop {
             tokio::select! {
-                Some(answer) = calls.next() => match answer {
+                Some(answer) = calls.next() => match or_forgotten(answer) {
                     Ok(_) => return,
                     Err(error) => self.record_failure(&error),
                 },
@@ -129,8 +139,7 @@
     async fn rejoin(&mut self, after: u64) -> Result<(), Error> {
         let called = self.facts.now();
         let versions = Collection::Targets;
-        let named =
-            self.directory.watch(versions, after, Duration::ZERO).await?;
+        let named = self.watch(versions, after, Duration::ZERO).await?;
         let Watched::Changes(changes, named_at) = named else {
             self.forget();
             return Ok(());
@@ -281,6 +290,17 @@
     }
 }
 
+/// Returns changes that are too large to be read at once as forgotten, so that
+/// a list follows, which comes in pages.
+fn or_forgotten(watched: Result<Watched, Error>) -> Result<Watched, Error> {
+    match watched {
+        Err(error) if error.code() == Code::BodyTooLarge => {
+            Ok(Watched::Forgotten)
+        }
+        watched => watched,
+    }
+}
+
 const fn is_routes_change(change: &Change) -> bool {
     matches!(change, Change::Set(Record::Routes(..)))
 }
--- a/crates/shell/src/directory/records.rs
+++ b/crates/shell/src/directory/records.rs
@@ -89,8 +89,7 @@
     /// The changes in order, possibly none, and the platform revision that
     /// they lead to.
     Changes(Vec<Change>, u64),
-    /// The platform no longer has the changes after the requested revision,
-    /// or they are too large to be read; a list is needed.
+    /// The platform no longer has the changes after the requested revision.
     Forgotten,
 }
 
@@ -111,6 +110,11 @@
     fn parse_routes(&self, document: Bytes) -> Result<Record, Error>;
 
     /// Waits up to `wait` for changes after a platform revision.
+    ///
+    /// # Errors
+    ///
+    /// [`stairhinge::Code::BodyTooLarge`] if the changes are larger than what
+    /// is read at once, or the error of the call.
     fn watch(
         &self,
         collection: Collection,
