Bound the time for which a replica keeps a connection alive

Callers' connections ended without an answer after each request that a replica answered with Keep-Alive: timeout=, although the request had run.

Cause: the time was added to the clock, which panics on overflow and ends the task of the connection. It counts for an hour at most now.

headers_of_replicas_with_large_numbers_cut_no_caller_off failed before with that header; five other headers with such numbers, and seven of callers, held.

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -24,6 +24,10 @@
 /// `Keep-Alive` timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// The maximum time that a connection may stay idle, whatever the replica
+/// allows. A time that is too long cannot be added to a clock.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
+
 /// How long before the replica's `Keep-Alive` timeout a connection is closed.
 const CLOSE_MARGIN: Duration = Duration::from_millis(800);
 
@@ -145,7 +149,7 @@
     pub(crate) fn put(&self, connection: Connection, headers: &HeaderMap) {
         let Some(idle_time) = idle_timeout(headers) else { return };
         let now = Instant::now();
-        let until = now + idle_time;
+        let until = now + idle_time.min(MAX_IDLE_TIMEOUT);
         let mut idle = self.lock();
         let kept = idle.entry(Arc::clone(&connection.replica)).or_default();
         if kept.len() >= MAX_IDLE_PER_REPLICA {
