Add slots and queue of a replica without overflow

An entry of the list with slots made each choice of a replica of its service panic in a debug build; in a release build the sum wrapped and the replica got nothing.

The sums saturate. records_with_large_numbers_stop_no_entry failed before.

--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -100,6 +100,6 @@
 
     /// Returns the number of running and queued requests.
     pub const fn total(&self) -> u32 {
-        self.running + self.queued
+        self.running.saturating_add(self.queued)
     }
 }
--- a/src/direct/balance.rs
+++ b/src/direct/balance.rs
@@ -167,7 +167,7 @@
     const MAX_OFFSET_MS: f64 = 50.0;
 
     fn has_capacity(&self) -> bool {
-        self.load.total() < self.latency.slots + self.queue
+        self.load.total() < self.latency.slots.saturating_add(self.queue)
             && self.latency.backlog_ms(&self.load) <= self.max_backlog_ms
     }
 
