Take an answer that ends as its leaving replica does for cut

Cause: the end of such an answer is that of its connection, and it counted as cut only if the replica was listed as ready, since one that leaves may end because it has answered. What was not known to be complete was passed on as complete.

It is cut now whenever the replica's process has ended with it. A replica that ends at once after a whole answer of this kind costs a repeat, or a failure where the request may not run twice; nothing tells the two apart, and an answer that ends early must not look complete. Crashes still count against a request only if the replica was listed as ready.

--- a/crates/gateway/src/forward/ending.rs
+++ b/crates/gateway/src/forward/ending.rs
@@ -4,7 +4,7 @@
 //! which looks the same if the replica's process has ended in between.
 
 use hyper::header::HeaderMap;
-use stairhinge::direct::{Replica, ReplicaState};
+use stairhinge::direct::Replica;
 
 use super::Forwarder;
 use crate::connect::is_running;
@@ -42,9 +42,10 @@
         }
         match is_running(replica.addr).await {
             Some(true) => Ending::Complete,
-            // One that leaves may end once it has answered.
-            Some(false) if self.is_ready(replica) => Ending::Cut,
-            Some(false) | None => Ending::Unknown,
+            // One that leaves may have ended because it had answered, or in
+            // the middle of the answer.
+            Some(false) => Ending::Cut,
+            None => Ending::Unknown,
         }
     }
 
@@ -60,11 +61,4 @@
             Ending::Unknown | Ending::Cut => self.poison.finish_run(context),
         }
     }
-
-    /// Returns whether a replica is listed as ready.
-    fn is_ready(&self, replica: &Replica) -> bool {
-        let view = self.facts.view();
-        let listed = view.replicas.get(&replica.incarnation);
-        listed.is_some_and(|(r, _)| r.state == ReplicaState::Ready)
-    }
 }
