Apply the changes of one answer to the list together

Since who is in use is worked out from the list at each change, a change costs as much as the list is long. When all entries of 3,400 replicas lapse and come back, one answer has thousands of changes, and an entry would be busy for seconds with each of them.

--- a/crates/loader/src/hall_entries.rs
+++ b/crates/loader/src/hall_entries.rs
@@ -181,11 +181,10 @@
             let set = |replica| Change::Set(Record::Replica(replica));
             let listed = replicas.listed.into_iter().map(set);
             let gone = replicas.gone.into_iter().map(Change::Gone);
-            for change in listed.chain(gone) {
-                let source = Source::new("hall");
-                let published = Published::default();
-                self.facts.apply(change, source, absence, published);
-            }
+            let changes = listed.chain(gone).collect();
+            let (source, published) =
+                (Source::new("hall"), Published::default());
+            self.facts.apply_all(changes, source, absence, published);
         }
         if sound {
             self.facts.remove_doubtful(Duration::MAX);
--- a/crates/shell/src/directory/facts.rs
+++ b/crates/shell/src/directory/facts.rs
@@ -180,6 +180,52 @@
         }
     }
 
+    /// Applies the changes of one answer, like [`Facts::apply`]. Those of
+    /// replicas become visible together, since each change of a long list
+    /// costs time.
+    pub fn apply_all(
+        &self,
+        changes: Vec<Change>,
+        source: Source,
+        absence: Absence,
+        published: Published,
+    ) {
+        let mut of_list = Vec::new();
+        for change in changes {
+            match change {
+                Change::Set(Record::Replica(_)) | Change::Gone(_) => {
+                    of_list.push(change);
+                }
+                other => self.apply(other, source, absence, published),
+            }
+        }
+        let known = Arc::clone(&self.view().listed);
+        let is_news = |change: &Change| match change {
+            Change::Set(Record::Replica(replica)) => known.accepts(replica),
+            Change::Gone(name) => known.get(name).is_some(),
+            _ => false,
+        };
+        // Most answers repeat what is known.
+        if !of_list.iter().any(is_news) {
+            return;
+        }
+        self.change_list(|list| {
+            let mut changes = Vec::new();
+            for change in of_list {
+                match change {
+                    Change::Set(Record::Replica(replica)) => {
+                        changes.extend(set(list, replica));
+                    }
+                    Change::Gone(name) => {
+                        changes.extend(unlist(list, name, absence));
+                    }
+                    _ => {}
+                }
+            }
+            changes
+        });
+    }
+
     /// Logs a published record that is invalid.
     pub fn refuse(&self, error: &stairhinge::Error) {
         self.log.write(&Decision::RecordRefused {
--- a/crates/shell/src/directory/follow.rs
+++ b/crates/shell/src/directory/follow.rs
@@ -298,10 +298,8 @@
                 let changes: Vec<Change> = set.chain(gone).collect();
                 share.note(&changes, answer.at);
                 let source = Source::new("hall");
-                for change in changes {
-                    let published = Published::after(self.synced);
-                    self.facts.apply(change, source, absence, published);
-                }
+                let published = Published::after(self.synced);
+                self.facts.apply_all(changes, source, absence, published);
             }
         }
         self.burst = false;
--- a/crates/shell/src/directory/follow/read.rs
+++ b/crates/shell/src/directory/follow/read.rs
@@ -65,9 +65,7 @@
                     (false, _) => WatchContent::Large,
                 };
                 let published = self.contact.published(times, content);
-                for change in changes {
-                    self.facts.apply(change, source, absence, published);
-                }
+                self.facts.apply_all(changes, source, absence, published);
                 self.record_sync(at, called);
                 self.contact.record_watch(times, content);
             }
--- a/crates/shell/tests/replica_list.rs
+++ b/crates/shell/tests/replica_list.rs
@@ -212,3 +212,38 @@
     assert_eq!(standing("i-1"), Standing::Listed);
     assert_eq!(standing("i-2"), Standing::Doubtful(Duration::ZERO));
 }
+
+/// Guards against a process that is busy for seconds because all entries of a
+/// large fleet lapse and come back: each change of the list takes as long as
+/// the list is.
+#[test]
+fn the_changes_of_one_answer_are_one_change_of_the_list() {
+    let facts = facts();
+    configure(&facts, 1, &["plain"]);
+    let replicas = |slots| {
+        let all = (0..3_400_u16).map(move |i| {
+            let mut replica = replica(&format!("i-{i}"), "plain", 3);
+            replica.addr.set_port(10_000 + i);
+            replica.slots = slots;
+            replica
+        });
+        all.map(|r| Change::Set(Record::Replica(r))).collect::<Vec<_>>()
+    };
+    let apply = |changes| {
+        let mut seen = facts.changes();
+        let before = *seen.borrow_and_update();
+        let source = Source::new("test");
+        let published = Published::default();
+        facts.apply_all(changes, source, Absence::Gone, published);
+        *seen.borrow() - before
+    };
+    assert_eq!(apply(replicas(8)), 1);
+    assert_eq!(facts.view().replicas.len(), 3_400);
+    assert_eq!(apply(replicas(8)), 0, "nothing is new");
+    let gone = |i| Change::Gone(Arc::from(format!("i-{i}")));
+    let mut changes: Vec<Change> = (0..3_400).map(gone).collect();
+    changes.extend(replicas(4).into_iter().take(1_700));
+    changes.push(gone(0));
+    assert_eq!(apply(changes), 1);
+    assert_eq!(facts.view().replicas.len(), 1_699);
+}
