--- a/crates/shell/src/directory/follow.rs
+++ b/crates/shell/src/directory/follow.rs
@@ -392,10 +392,9 @@
     /// that has changed.
     fn note_doubt(&mut self) {
         let in_doubt = self.reads.is_in_doubt();
-        let changed = std::mem::replace(&mut self.in_doubt, in_doubt);
+        let before = std::mem::replace(&mut self.in_doubt, in_doubt);
         let Some(span) = self.reads.span() else { return };
-        if self.follow.collection != Collection::Replicas
-            || changed == in_doubt
+        if self.follow.collection != Collection::Replicas || before == in_doubt
         {
             return;
         }
