Settle doubts that come from another process by an own read

Cause: an entry that takes the list from another one is told when the reads behind it had failed before. If these began again after its own last answer, even 0.15 s later, that failure counted, although its own reads had been answered after it: a gap between own reads counts as answered if no failure is known in it, one before another process's reads did not. By the same reasoning a failure that another process has between two own reads could never be refuted: with real entries and a reader that is cut off for 0.5 s the replica was used for 3.1 s, where 2 s is the bound.

A gap counts alike now. What another process tells no longer replaces the last span that proved absence, which an own read or a third process's may continue; and a process whose doubt an own read can settle makes one at once, in place of asking.

--- a/crates/shell/src/directory/follow.rs
+++ b/crates/shell/src/directory/follow.rs
@@ -200,6 +200,13 @@
         let Some(sharing) = self.follow.sharing.clone() else {
             return self.read_platform().await;
         };
+        if self.settles_doubt() {
+            // Another process would only hand its doubt on again.
+            let reading = self.read_platform();
+            let read = tokio::time::timeout(sharing.small_read(), reading);
+            let late = || Error::new(Code::PlatformLost, "no answer in time");
+            return read.await.map_err(|_| late()).flatten();
+        }
         let newer = self.ask_for_newer(&sharing);
         let (answer, called) = tokio::select! {
             read = self.read_platform() => {
@@ -240,6 +247,9 @@
             // The readers are asked again during the read.
             return HallOutcome::ReadPlatform;
         }
+        if self.settles_doubt() {
+            return HallOutcome::ReadPlatform;
+        }
         let called = self.facts.now();
         let asked = sharing.reader.ask(self.question(&sharing));
         let asked = tokio::time::timeout(self.reliance(), asked);
@@ -261,6 +271,13 @@
         }
     }
 
+    /// Whether an own read should show now whether a replica that is missing
+    /// has gone, since another process's reads have failed.
+    fn settles_doubt(&self) -> bool {
+        self.follow.collection == Collection::Replicas
+            && self.reads.is_settled_by_answer(self.facts.now())
+    }
+
     /// Applies the answer of another process, fetching its routes first.
     async fn take(
         &mut self,
--- a/crates/shell/src/directory/follow/read.rs
+++ b/crates/shell/src/directory/follow/read.rs
@@ -260,8 +260,12 @@
 
     /// Returns how long a watch called at `called` waits. A watch that does
     /// not continue the last answer may return target versions set any time
-    /// since, and does not wait, so that they aren't taken for new.
+    /// since, and does not wait, so that they aren't taken for new. Nor does
+    /// one that is to settle a doubt.
     fn watch_wait(&self, called: Time) -> Duration {
+        if self.settles_doubt() {
+            return Duration::ZERO;
+        }
         let dated = self.follow.collection != Collection::Replicas;
         if dated && !self.contact.continues(called, self.pace()) {
             return Duration::ZERO;
--- a/src/direct/list_reads.rs
+++ b/src/direct/list_reads.rs
@@ -12,7 +12,8 @@
 //! | own reads | a call failed or a watch was cut, and the next call was answered at once | has gone |
 //! | another process | its reads have been answered for the grace period | has gone, whatever failed here |
 //! | another process | its reads failed within the grace period, at a time at which the own ones were answered | has gone: its link failed |
-//! | another process | its reads failed within the grace period | is in doubt |
+//! | another process | its reads failed before the last answer known here, and were answered again shortly after it | has gone |
+//! | another process | its reads failed within the grace period | is in doubt, until an own read follows shortly that is answered |
 //! | another process | it has started within the grace period, before the last answer known here | has gone |
 //! | another process | it has started within the grace period, after the last answer known here | is in doubt |
 //! | any | it has been missing while the platform answered for twice the grace period in all | has gone |
@@ -83,6 +84,9 @@
     grace: Duration,
     pace: Duration,
     span: Option<AnsweredSpan>,
+    /// The last span that proved absence, unless an own read left a doubt
+    /// after it.
+    proven: Option<AnsweredSpan>,
     /// When an own read failed last.
     failed: Option<Time>,
     /// When the own reads began to fail, if none has been answered since.
@@ -108,6 +112,7 @@
             grace,
             pace,
             span: None,
+            proven: None,
             failed: None,
             failing_since: None,
             answered: Duration::ZERO,
@@ -128,34 +133,51 @@
 
     /// Records an own read that was answered.
     pub fn record_answer(&mut self, called: Time, answered: Time) {
-        let known = self.span.map(|span| span.until);
-        if self.was_brief(called) {
+        // The failures of others since then count only if the platform may
+        // have failed this process as well.
+        self.proven =
+            self.proven.filter(|span| self.was_brief(span.until, called));
+        let span = self.proven.or(self.span);
+        let known = span.map(|span| span.until);
+        if known.is_some_and(|known| self.was_brief(known, called)) {
             self.failed = self.failed.filter(|at| Some(*at) <= known);
         }
         self.failing_since = None;
         let failed = self.failed.filter(|failed| Some(*failed) > known);
         let new = AnsweredSpan { since: called, until: answered, failed };
-        // No call has failed since the last answer. An entry that is renewed
-        // in time outlasts such a gap.
-        self.extend(new, self.grace + self.pace);
+        self.extend(new, self.max_gap());
+        // What an own read left in doubt is not settled by another one.
+        self.proven = self.span.filter(|span| self.proves(span));
     }
 
     /// Returns whether the own reads have failed too briefly for an outage, if
     /// one that was called then has been answered. The platform answered so
-    /// recently before that each entry has been renewed at most once less.
-    fn was_brief(&self, called: Time) -> bool {
-        let Some(since) = self.failing_since else { return false };
-        let Some(span) = self.span else { return false };
-        let failing = called.since(since.max(span.until));
-        let unknown = called.since(span.until);
+    /// recently before, at `known`, that each entry has been renewed at most
+    /// once less.
+    fn was_brief(&self, known: Time, called: Time) -> bool {
+        let failing = self
+            .failing_since
+            .map_or(Duration::ZERO, |since| called.since(since.max(known)));
         failing < self.grace / Self::MIN_OUTAGE
-            && unknown <= self.grace / 2 + self.pace
+            && called.since(known) <= self.grace / 2 + self.pace
     }
 
     /// Records a list of another process, which tells when the reads were
     /// answered that it comes from.
     pub fn record_relayed(&mut self, span: AnsweredSpan) {
-        self.extend(span, Duration::ZERO);
+        // A process that has just started knows nothing of the time before.
+        let gap = span.failed.map_or(Duration::ZERO, |_| self.max_gap());
+        self.extend(span, gap);
+        if let Some(span) = self.span.filter(|span| self.proves(span)) {
+            self.proven = Some(span);
+        }
+    }
+
+    /// Returns how long no read may have been answered for, with no failure
+    /// known, without an outage: an entry that is renewed in time outlasts
+    /// such a gap.
+    fn max_gap(&self) -> Duration {
+        self.grace + self.pace
     }
 
     /// Returns the span that the current list comes from.
@@ -166,8 +188,11 @@
     /// Returns whether the platform failed so recently that a missing replica
     /// may be back.
     pub fn is_in_doubt(&self) -> bool {
-        let proves = |span: AnsweredSpan| span.proves_absence(self.grace);
-        !self.span.is_none_or(proves)
+        !self.span.is_none_or(|span| self.proves(&span))
+    }
+
+    fn proves(&self, span: &AnsweredSpan) -> bool {
+        span.proves_absence(self.grace)
     }
 
     /// Returns what it means that a replica is missing from the current list.
@@ -179,6 +204,13 @@
         }
     }
 
+    /// Returns whether an own read that is answered now shows that what is
+    /// missing has gone, though reads of another process have failed.
+    pub fn is_settled_by_answer(&self, now: Time) -> bool {
+        let brief = |span: AnsweredSpan| self.was_brief(span.until, now);
+        self.is_in_doubt() && self.proven.is_some_and(brief)
+    }
+
     /// Returns up to which begin of a doubt, as in [`Absence::Doubtful`], the
     /// missing replicas have gone by now.
     pub fn settled(&self) -> Option<Duration> {
@@ -200,8 +232,15 @@
         };
         let from = span.until.max(new.since);
         self.answered += new.until.since(from);
-        if span.continues_in(&new, gap) {
-            self.span = Some(span.joined(&new));
+        let joined = [self.proven, Some(span)]
+            .into_iter()
+            .flatten()
+            .filter(|span| span.continues_in(&new, gap))
+            .map(|span| span.joined(&new))
+            .filter(|joined| joined.until >= span.until)
+            .max_by_key(|span| self.proves(span));
+        if joined.is_some() {
+            self.span = joined;
         } else if new.until > span.until {
             // Nothing was read in between, so the platform may have failed.
             let failed = Some(failed.unwrap_or(new.since));
