Answer revisions between two lists with the whole list

Cause: a process that reads a list after another one knows the difference of the two only. Asked for the changes since a revision between them, it answered with that difference, without a replica that had come and gone in between, and with the newer revision, so that the asker skipped the removal for good. Likewise a change that another process told of was not handed on if it equalled what was known, though an asker may know the state in between.

The pairs of revisions of such lists are kept (16), a question from between them gets the whole list, and those that follow are told of the pairs (gaps). What another process tells of as changed is handed on. Whole lists stay the exception: an asker at the revision of either list gets the difference. The property holds in 100,000 cases; a_revision_between_two_lists_is_answered_with_a_list failed without the pair, and without telling it on.

--- a/crates/shell/src/directory/follow.rs
+++ b/crates/shell/src/directory/follow.rs
@@ -305,15 +305,14 @@
         self.note_doubt();
         if let Some(replicas) = answer.replicas {
             let absence = self.reads.absence();
+            share.note_relayed(&replicas, answer.at);
             if replicas.whole {
-                share.note_list(&replicas.listed, answer.at);
                 self.facts.replace_replicas(replicas.listed, absence);
             } else {
                 let listed = replicas.listed.into_iter();
                 let set = listed.map(|r| Change::Set(Record::Replica(r)));
                 let gone = replicas.gone.into_iter().map(Change::Gone);
                 let changes: Vec<Change> = set.chain(gone).collect();
-                share.note(&changes, answer.at);
                 let source = Source::new("hall");
                 let published = Published::after(self.synced);
                 self.facts.apply_all(changes, source, absence, published);
--- a/crates/shell/src/directory/share.rs
+++ b/crates/shell/src/directory/share.rs
@@ -91,7 +91,8 @@
         last_asked.is_some_and(|at| at.elapsed() < READER_WINDOW)
     }
 
-    /// Records the replica changes among `changes`, up to revision `at`.
+    /// Records the replica changes among `changes`, which the platform told of
+    /// up to revision `at`.
     pub(super) fn note(&self, changes: &[Change], at: u64) {
         let mut state = self.lock();
         for change in changes {
@@ -107,6 +108,24 @@
         }
     }
 
+    /// Records the changes that another process told of, up to revision `at`.
+    pub(super) fn note_relayed(&self, replicas: &SharedReplicas, at: u64) {
+        let published = &mut self.lock().published;
+        if replicas.whole {
+            published.replace(replicas.listed.clone(), at);
+            return;
+        }
+        for replica in &replicas.listed {
+            published.update(replica.clone(), at);
+        }
+        for incarnation in &replicas.gone {
+            published.remove(Arc::clone(incarnation), at);
+        }
+        for gap in &replicas.gaps {
+            published.note_gap(*gap);
+        }
+    }
+
     /// Records a full list of replicas at revision `at`.
     pub(super) fn note_list(&self, replicas: &[Replica], at: u64) {
         self.lock().published.replace(replicas.to_vec(), at);
--- a/crates/shell/src/directory/shared_messages.rs
+++ b/crates/shell/src/directory/shared_messages.rs
@@ -119,6 +119,10 @@
     pub listed: Vec<Replica>,
     /// Incarnations that are no longer listed.
     pub gone: Vec<Arc<str>>,
+    /// Pairs of revisions, of which the changes between them are known by
+    /// their result only; absent from processes of earlier versions.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub gaps: Vec<(u64, u64)>,
 }
 
 impl SharedReplicas {
@@ -127,6 +131,7 @@
             whole: changes.whole,
             listed: changes.listed,
             gone: changes.gone,
+            gaps: changes.gaps,
         }
     }
 }
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -76,6 +76,8 @@
 #[cfg(test)]
 mod overload_tests;
 #[cfg(test)]
+mod published_replicas_tests;
+#[cfg(test)]
 mod region_tests;
 #[cfg(test)]
 mod repeat_time_tests;
--- a/src/direct/published_replicas.rs
+++ b/src/direct/published_replicas.rs
@@ -5,7 +5,7 @@
 //! state of each replica is kept, with the revision at which it changed, so
 //! that a response contains each replica once, however often it changed.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
 use super::Replica;
@@ -17,6 +17,9 @@
     revision: Option<u64>,
     /// The oldest revision since which all changes are known.
     oldest: u64,
+    /// Revisions of lists that followed one another. A replica that came and
+    /// went between two of them is unknown.
+    gaps: VecDeque<(u64, u64)>,
     entries: BTreeMap<Arc<str>, Entry>,
 }
 
@@ -40,12 +43,18 @@
     pub listed: Vec<Replica>,
     /// The incarnations that are no longer listed.
     pub gone: Vec<Arc<str>>,
+    /// Pairs of revisions, of which the changes between them are known by
+    /// their result only.
+    pub gaps: Vec<(u64, u64)>,
 }
 
 impl PublishedReplicas {
     /// The maximum number of removed replicas that are kept.
     const MAX_REMOVED: usize = 1_024;
 
+    /// The maximum number of gaps that are kept.
+    const MAX_GAPS: usize = 16;
+
     /// Returns the platform's revision of the list, or `None` before the
     /// first read.
     pub const fn revision(&self) -> Option<u64> {
@@ -54,9 +63,10 @@
 
     /// Replaces the list with the complete list of a revision.
     pub fn replace(&mut self, listed: Vec<Replica>, revision: u64) {
-        if self.revision.is_none() {
+        match self.revision {
             // Earlier changes are unknown.
-            self.oldest = revision;
+            None => self.oldest = revision,
+            Some(known) => self.note_gap((known, revision)),
         }
         let mut absent = Vec::new();
         for (incarnation, entry) in &self.entries {
@@ -74,12 +84,19 @@
         self.advance_to(revision);
     }
 
-    /// Adds or updates a replica as of a revision.
+    /// Adds or updates a replica as of a revision. The platform tells of it
+    /// at each heartbeat, mostly with nothing new.
     pub fn set(&mut self, replica: Replica, revision: u64) {
         let known = self.entries.get(&replica.incarnation);
         if known.is_some_and(|e| e.replica.as_ref() == Some(&replica)) {
             return;
         }
+        self.update(replica, revision);
+    }
+
+    /// Updates a replica that has changed since the revision of the list,
+    /// perhaps to what it was before.
+    pub fn update(&mut self, replica: Replica, revision: u64) {
         let incarnation = Arc::clone(&replica.incarnation);
         let entry = Entry { changed: revision, replica: Some(replica) };
         self.entries.insert(incarnation, entry);
@@ -92,6 +109,20 @@
         self.evict_oldest_removal();
     }
 
+    /// Records that the changes between two revisions are known by their
+    /// result only.
+    pub fn note_gap(&mut self, gap: (u64, u64)) {
+        if self.gaps.contains(&gap) {
+            return;
+        }
+        self.gaps.push_back(gap);
+        if self.gaps.len() > PublishedReplicas::MAX_GAPS
+            && let Some((_, to)) = self.gaps.pop_front()
+        {
+            self.oldest = self.oldest.max(to);
+        }
+    }
+
     /// Records that all changes up to a revision are known.
     pub fn advance_to(&mut self, revision: u64) {
         self.revision =
@@ -100,7 +131,8 @@
 
     /// Returns whether a replica may have changed after a revision.
     pub fn changed_after(&self, after: u64) -> bool {
-        after < self.oldest || self.entries.values().any(|e| e.changed > after)
+        self.needs_list(after)
+            || self.entries.values().any(|e| e.changed > after)
     }
 
     /// Returns the changes after a revision, or the complete list if `after`
@@ -109,9 +141,13 @@
     /// Returns `None` before the first read.
     pub fn changes_since(&self, after: Option<u64>) -> Option<ReplicaChanges> {
         let revision = self.revision?;
-        let whole = after.is_none_or(|after| after < self.oldest);
+        let whole = after.is_none_or(|after| self.needs_list(after));
         let mut changes =
             ReplicaChanges { revision, whole, ..Default::default() };
+        if !whole {
+            let later = |gap: &&(u64, u64)| Some(gap.1) > after;
+            changes.gaps = self.gaps.iter().filter(later).copied().collect();
+        }
         for (incarnation, entry) in &self.entries {
             if !whole && after.is_some_and(|after| entry.changed <= after) {
                 continue;
@@ -125,6 +161,12 @@
         Some(changes)
     }
 
+    /// Returns whether not all changes after a revision are known.
+    fn needs_list(&self, after: u64) -> bool {
+        let within = |(from, to): &(u64, u64)| *from < after && after < *to;
+        after < self.oldest || self.gaps.iter().any(within)
+    }
+
     /// Drops the oldest removal if there are too many.
     fn evict_oldest_removal(&mut self) {
         let gone = self.entries.iter().filter(|(_, e)| e.replica.is_none());
