Read the platform's list after a forgotten history

An entry whose watch the store answers with a forgotten history dropped its revision and asked the hall first, so that it took whatever list it was given, also one older than its own, from an entry that was cut off: replicas that had gone came back, and the revision of that list was forgotten as well.

The store has just answered, so the list is read from it at once, and the revision is kept until then: answers that are behind it are not taken.

a_forgotten_history_is_read_from_the_platform timed out before (30 s: the older list came again and again) and passes.

--- a/crates/shell/src/directory/follow/read.rs
+++ b/crates/shell/src/directory/follow/read.rs
@@ -45,7 +45,9 @@
         let watched = self.watch(collection, after, wait).await?;
         self.record_answer(called, wait);
         match watched {
-            Watched::Forgotten => self.forget(),
+            // A process that reads for this one may not know what has changed
+            // meanwhile.
+            Watched::Forgotten => self.list().await?,
             Watched::Changes(changes, at) => {
                 let absence = self.reads.absence();
                 let routes =
@@ -139,8 +141,7 @@
         let versions = Collection::Targets;
         let named = self.watch(versions, after, Duration::ZERO).await?;
         let Watched::Changes(changes, named_at) = named else {
-            self.forget();
-            return Ok(());
+            return self.list().await;
         };
         let took = self.facts.now().since(called);
         let source = Source::platform("watch", took, 0);
@@ -162,12 +163,6 @@
         Ok(())
     }
 
-    /// Makes the next read a full list, since the platform no longer has the
-    /// changes after the last known revision.
-    const fn forget(&mut self) {
-        self.at = None;
-    }
-
     /// Records that the platform has answered a call that was to wait for a
     /// time. An answer that was read later than it can have been sent proves
     /// nothing of the time in between, in which the process may have stood
--- a/crates/shell/tests/list_gaps.rs
+++ b/crates/shell/tests/list_gaps.rs
@@ -18,7 +18,7 @@
     Sharing, Watched, follow,
 };
 use stairhinge_shell::{Shutdown, Stopper};
-use support::{BEHIND, BOUND, Nobody};
+use support::{BEHIND, BOUND, Nobody, fresh};
 
 fn replica() -> Replica {
     Replica {
@@ -206,3 +206,62 @@
         assert_eq!(changes.gone, [Arc::from("i-1")]);
     }
 }
+
+/// Answers those that know nothing with a list of an earlier revision.
+struct Outdated;
+
+impl HallReader for Outdated {
+    fn ask(&self, question: SharedQuestion) -> BoxFuture<'_, HallAnswer> {
+        Box::pin(async move {
+            if question.after.is_some() {
+                return HallAnswer::ReadPlatform;
+            }
+            let mut answer = fresh(5, 0, None);
+            let replicas = SharedReplicas {
+                whole: true,
+                listed: vec![replica()],
+                gone: Vec::new(),
+                gaps: Vec::new(),
+            };
+            answer.shared.replicas = Some(Box::new(replicas));
+            HallAnswer::Answered(answer)
+        })
+    }
+
+    fn ask_until_fresh(
+        &self,
+        question: SharedQuestion,
+    ) -> BoxFuture<'_, ReaderAnswer> {
+        Nobody.ask_until_fresh(question)
+    }
+
+    fn is_alone(&self) -> bool {
+        false
+    }
+
+    fn leads(&self) -> bool {
+        false
+    }
+
+    fn fetch_routes(
+        &self,
+        entry: SocketAddr,
+        within: Duration,
+    ) -> BoxFuture<'_, Result<Bytes, Error>> {
+        Nobody.fetch_routes(entry, within)
+    }
+}
+
+/// Guards against a process that takes an older list of another one for what
+/// the platform has forgotten.
+#[tokio::test]
+async fn a_forgotten_history_is_read_from_the_platform() {
+    let platform = Forgetful::start();
+    let (_facts, share, _stop) =
+        start(Arc::clone(&platform) as _, Arc::new(Outdated));
+    until_at(&share, 10).await;
+    platform.newest.store(20, Ordering::Relaxed);
+    until_at(&share, 20).await;
+    let answer = share.answer(&question(None)).await.unwrap();
+    assert!(answer.replicas.unwrap().listed.is_empty());
+}
