--- a/crates/shell/tests/list_gaps.rs
+++ b/crates/shell/tests/list_gaps.rs
@@ -143,13 +143,26 @@
     *answer.replicas.unwrap()
 }
 
-/// Another process, which is asked directly.
-struct Other(Arc<Share>);
+/// Another process of the hall.
+enum Other {
+    /// One that is asked directly.
+    Sharing(Arc<Share>),
+    /// One that answers those that know nothing with a list of an earlier
+    /// revision, and nobody else.
+    Outdated,
+}
 
 impl HallReader for Other {
     fn ask(&self, question: SharedQuestion) -> BoxFuture<'_, HallAnswer> {
         Box::pin(async move {
-            match self.0.answer(&question).await {
+            let share = match self {
+                Other::Sharing(share) => share,
+                Other::Outdated if question.after.is_some() => {
+                    return HallAnswer::ReadPlatform;
+                }
+                Other::Outdated => return HallAnswer::Answered(outdated()),
+            };
+            match share.answer(&question).await {
                 Some(shared) => HallAnswer::Answered(ReaderAnswer {
                     entry: BEHIND,
                     shared,
@@ -183,6 +196,19 @@
     }
 }
 
+/// Returns a fresh answer with a list from before the platform's first one.
+fn outdated() -> ReaderAnswer {
+    let mut answer = fresh(5, 0, None);
+    let replicas = SharedReplicas {
+        whole: true,
+        listed: vec![replica()],
+        gone: Vec::new(),
+        gaps: Vec::new(),
+    };
+    answer.shared.replicas = Some(Box::new(replicas));
+    answer
+}
+
 /// Guards against a replica that is used on because it came and went between
 /// two lists of the process that was asked, or of the one that it asked.
 #[tokio::test]
@@ -192,7 +218,7 @@
         start(Arc::clone(&platform) as _, Arc::new(Nobody));
     let (_, follower, _stop) = start(
         Arc::clone(&platform) as _,
-        Arc::new(Other(Arc::clone(&reader))),
+        Arc::new(Other::Sharing(Arc::clone(&reader))),
     );
     until_at(&reader, 10).await;
     until_at(&follower, 10).await;
@@ -207,58 +233,13 @@
     }
 }
 
-/// Answers those that know nothing with a list of an earlier revision.
-struct Outdated;
-
-impl HallReader for Outdated {
-    fn ask(&self, question: SharedQuestion) -> BoxFuture<'_, HallAnswer> {
-        Box::pin(async move {
-            if question.after.is_some() {
-                return HallAnswer::ReadPlatform;
-            }
-            let mut answer = fresh(5, 0, None);
-            let replicas = SharedReplicas {
-                whole: true,
-                listed: vec![replica()],
-                gone: Vec::new(),
-                gaps: Vec::new(),
-            };
-            answer.shared.replicas = Some(Box::new(replicas));
-            HallAnswer::Answered(answer)
-        })
-    }
-
-    fn ask_until_fresh(
-        &self,
-        question: SharedQuestion,
-    ) -> BoxFuture<'_, ReaderAnswer> {
-        Nobody.ask_until_fresh(question)
-    }
-
-    fn is_alone(&self) -> bool {
-        false
-    }
-
-    fn leads(&self) -> bool {
-        false
-    }
-
-    fn fetch_routes(
-        &self,
-        entry: SocketAddr,
-        within: Duration,
-    ) -> BoxFuture<'_, Result<Bytes, Error>> {
-        Nobody.fetch_routes(entry, within)
-    }
-}
-
 /// Guards against a process that takes an older list of another one for what
 /// the platform has forgotten.
 #[tokio::test]
 async fn a_forgotten_history_is_read_from_the_platform() {
     let platform = Forgetful::start();
     let (_facts, share, _stop) =
-        start(Arc::clone(&platform) as _, Arc::new(Outdated));
+        start(Arc::clone(&platform) as _, Arc::new(Other::Outdated));
     until_at(&share, 10).await;
     platform.newest.store(20, Ordering::Relaxed);
     until_at(&share, 20).await;
--- a/src/direct/published_replicas_tests.rs
+++ b/src/direct/published_replicas_tests.rs
@@ -2,27 +2,12 @@
 //! each reads the platform at times of its own.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use proptest::prelude::*;
 
-use super::{PublishedReplicas, Replica, ReplicaChanges, ReplicaState};
-
-fn replica(number: usize, slots: u32) -> Replica {
-    Replica {
-        incarnation: Arc::from(format!("i-{number}")),
-        service: Arc::from("pool"),
-        addr: SocketAddr::from(([127, 0, 0, 1], 7000)),
-        hall: Arc::from("north"),
-        slots,
-        state: ReplicaState::Ready,
-        listed_at: 0,
-        born: None,
-        cold_ms: 0,
-        versions: Vec::new(),
-    }
-}
+use super::sharing_tests::replica;
+use super::{PublishedReplicas, Replica, ReplicaChanges};
 
 /// Guards against a replica that is used on because it came and went between
 /// two lists of a reader.
@@ -77,7 +62,7 @@
         &self.0[revision as usize]
     }
 
-    fn set(&mut self, number: usize, slots: u32) {
+    fn set(&mut self, number: u32, slots: u32) {
         let mut list = self.0.last().unwrap().clone();
         let replica = replica(number, slots);
         if slots == 0 {
@@ -131,7 +116,7 @@
 
 #[derive(Clone, Debug)]
 enum Step {
-    Set(usize, u32),
+    Set(u32, u32),
     List(usize),
     Watch(usize),
     /// The first process asks the second one.
@@ -143,7 +128,7 @@
 fn any_step() -> impl Strategy<Value = Step> {
     let process = 0..PROCESSES;
     prop_oneof![
-        4 => (0..4_usize, 0..3_u32).prop_map(|(n, slots)| Step::Set(n, slots)),
+        4 => (0..4_u32, 0..3_u32).prop_map(|(n, slots)| Step::Set(n, slots)),
         1 => process.clone().prop_map(Step::List),
         2 => process.clone().prop_map(Step::Watch),
         3 => (process.clone(), process).prop_map(|(a, b)| Step::Ask(a, b)),
--- a/src/direct/sharing_tests.rs
+++ b/src/direct/sharing_tests.rs
@@ -12,7 +12,7 @@
 };
 use crate::Time;
 
-fn replica(number: u32, slots: u32) -> Replica {
+pub(super) fn replica(number: u32, slots: u32) -> Replica {
     Replica {
         incarnation: Arc::from(format!("i-{number}")),
         service: Arc::from("pool"),
