Say why a process does not serve after its start, and why it ends

What on-call saw: an entry that has read no list refused requests with 3002 and 'no replica serves this', listed 0, the same as for a service without replicas, and was ready; a process that ended because of its settings or an address wrote no event; a panic left none either.

Change: facts record how far each collection has been read since the start. Requests are refused with 3025 while the list is not read whole; readiness asks for the list; 'start_delayed' names what is waited for and the last failure, 1 s after the start and at each doubling; 'end' and 'panicked' are events.

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -16,7 +16,7 @@
 };
 use stairhinge_shell::http::{Client, Limits, serve};
 use stairhinge_shell::{
-    LiveSettings, SettingsWatch, Shaper, Shutdown, Stopper,
+    LiveSettings, SettingsWatch, Shaper, Shutdown, Stopper, report_start,
 };
 use tokio::net::TcpListener;
 
@@ -37,6 +37,7 @@
 use crate::poison::{PoisonGossip, PoisonWatch};
 use crate::ready::ReadinessHandler;
 use crate::settings::EntrySettings;
+use crate::start::StartState;
 
 /// The interval at which idle connections are closed and gauges updated.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(500);
@@ -137,6 +138,12 @@
         settings.peers.is_some(),
         settings.first_start,
     ));
+    let start = StartState {
+        facts: Arc::clone(&facts),
+        catch_up: Arc::clone(&catch_up),
+    };
+    let starting = start.clone();
+    tokio::spawn(report_start(log.clone(), move || starting.obstacle()));
     let poison =
         Arc::new(PoisonWatch::new(Arc::clone(&facts), Arc::clone(&catch_up)));
     let placing = start_placing(&settings, &dispatcher, &poison).await?;
@@ -177,8 +184,7 @@
         ready,
         peer_handler,
         &metrics,
-        &catch_up,
-        &facts,
+        start,
         &shutdown,
     )
     .await?;
@@ -321,8 +327,7 @@
     ready: TcpListener,
     peer_handler: Option<(SocketAddr, PeerHandler)>,
     metrics: &Arc<EntryMetrics>,
-    catch_up: &Arc<CatchUpGate>,
-    facts: &Arc<Facts>,
+    start: StartState,
     shutdown: &Shutdown,
 ) -> Result<Stopper, Error> {
     // These listeners serve until the process ends, since the readiness
@@ -330,11 +335,8 @@
     let (stopper, end) = Shutdown::new();
     let mut limits = limits(settings);
     limits.connections = 64;
-    let handler = Arc::new(ReadinessHandler {
-        facts: Arc::clone(facts),
-        catch_up: Arc::clone(catch_up),
-        shutdown: shutdown.clone(),
-    });
+    let shutdown = shutdown.clone();
+    let handler = Arc::new(ReadinessHandler { start, shutdown });
     tokio::spawn(serve(ready, limits, end.clone(), handler));
     if let Some(addr) = settings.metrics {
         let listener = bind(addr).await?;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -27,7 +27,7 @@
 use stairhinge::placing::Outcome;
 use stairhinge::poison::Suspicion;
 use stairhinge::{Code, Error, Time};
-use stairhinge_shell::directory::Facts;
+use stairhinge_shell::directory::{Collection, Facts};
 use stairhinge_shell::http::{Body, Failed, Handler, full, read};
 use stairhinge_shell::{LiveSettings, Shutdown};
 
@@ -188,6 +188,8 @@
         if let Some(age) = self.facts.routes_age() {
             self.metrics.routes_age.set(age.as_secs_f64());
         }
+        let list = self.facts.reading(Collection::Replicas).state;
+        self.metrics.list_read.set(list as i64);
         self.metrics.documents_read.set(self.facts.documents() as i64);
         if let Some(routes) = &view.routes {
             self.metrics.revision.set(routes.revision() as i64);
--- a/crates/gateway/src/forward/attempts.rs
+++ b/crates/gateway/src/forward/attempts.rs
@@ -10,6 +10,7 @@
 use stairhinge::placing::{Need, NoPlaceReason};
 use stairhinge::poison::Suspicion;
 use stairhinge::{Code, Error};
+use stairhinge_shell::directory::{Collection, ReadState};
 use stairhinge_shell::http::{Body, Failed};
 
 use super::further::MAX_SILENT_NAMED;
@@ -245,6 +246,11 @@
         }
         let (code, shortage) = match reason {
             NoPlaceReason::Room => (Code::NoBackend, Shortage::NoCapacity),
+            NoPlaceReason::Replica if self.may_be_unread(&count) => {
+                let why = "no replica is known, and the list is not read yet";
+                let error = Error::new(Code::ListUnread, why);
+                return Err(refused(error, Shortage::NoReplica));
+            }
             NoPlaceReason::Replica => {
                 (Code::NoBackend, no_replica_shortage(&count))
             }
@@ -253,6 +259,13 @@
         Err(refused(Error::new(code, reason), shortage))
     }
 
+    /// Returns whether no replica of a service is known only because the list
+    /// has not been read to its end.
+    fn may_be_unread(&self, count: &ReplicaCount) -> bool {
+        let reading = self.facts.reading(Collection::Replicas);
+        count.listed == 0 && reading.state != ReadState::Whole
+    }
+
     /// Checks a replica that returned no complete answer. Returns whether its
     /// process has ended, if that was checked, and the updated suspicion
     /// against the request. `sent` is the suspicion at the time of sending,
--- a/crates/gateway/src/forward/log.rs
+++ b/crates/gateway/src/forward/log.rs
@@ -6,6 +6,7 @@
 use stairhinge::overload::Full;
 use stairhinge::placing::{Need, RateLimit};
 use stairhinge_shell::decisions::Decision;
+use stairhinge_shell::directory::Collection;
 
 use super::{FailedAttempt, Forwarder};
 use crate::dispatch::{Place, ReplicaCount};
@@ -47,6 +48,7 @@
         self.facts.log().write(&Decision::NoReplica {
             request: &context.caller.id,
             service: &context.service,
+            list: self.facts.reading(Collection::Replicas).state.name(),
             listed: count.listed,
             suitable: count.suitable,
             barred: count.barred,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -46,6 +46,7 @@
 mod request_context;
 mod settings;
 mod silence;
+mod start;
 
 pub use self::dialect::{
     Attempt, CallerRequest, Dialect, PlainDialect, ReplicaNotice,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -92,6 +92,7 @@
     pub routes_age: Gauge<f64, AtomicU64>,
     pub documents_read: Gauge,
     pub replicas: Gauge,
+    pub list_read: Gauge,
     pub places_given: Gauge,
     pub places_taken_back: Gauge,
     pub evacuated: Gauge,
@@ -141,6 +142,7 @@
             routes_age: Gauge::default(),
             documents_read: Gauge::default(),
             replicas: Gauge::default(),
+            list_read: Gauge::default(),
             places_given: Gauge::default(),
             places_taken_back: Gauge::default(),
             evacuated: Gauge::default(),
@@ -240,6 +242,12 @@
         );
         let replicas = self.replicas.clone();
         r.register("replicas", "Replicas listed", replicas);
+        let list_read = self.list_read.clone();
+        r.register(
+            "list_read",
+            "The list of replicas: 0 unread, 1 read in part, 2 whole",
+            list_read,
+        );
         let choices = self.choices.clone();
         r.register("choices", "Replicas chosen, by whom", choices);
         let calls = self.calls.clone();
--- a/crates/gateway/src/ready.rs
+++ b/crates/gateway/src/ready.rs
@@ -6,28 +6,35 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use stairhinge_shell::Shutdown;
-use stairhinge_shell::directory::Facts;
-use stairhinge_shell::http::{Body, Handler, empty};
+use stairhinge_shell::http::{Body, Handler, empty, full};
 
-use crate::catch_up::CatchUpGate;
+use crate::start::StartState;
 
-/// Answers 200 once routes are known and the entry has caught up with others,
-/// until a graceful shutdown begins, and 503 otherwise.
+/// Answers 200 once the entry has started to serve, until a graceful shutdown
+/// begins, and 503 with the reason otherwise.
 pub(crate) struct ReadinessHandler {
-    pub facts: Arc<Facts>,
-    pub catch_up: Arc<CatchUpGate>,
+    pub start: StartState,
     pub shutdown: Shutdown,
 }
 
+impl ReadinessHandler {
+    fn obstacle(&self) -> Option<&'static str> {
+        if self.shutdown.stopping() {
+            return Some("stopping");
+        }
+        self.start.obstacle().map(|obstacle| obstacle.waits_for)
+    }
+}
+
 impl Handler for ReadinessHandler {
     fn handle(
         self: Arc<Self>,
         _request: Request<Incoming>,
     ) -> BoxFuture<'static, Response<Body>> {
-        let has_routes = self.facts.view().routes.is_some();
         let mut response = Response::new(empty());
-        let has_started = has_routes && self.catch_up.has_started();
-        if !has_started || self.shutdown.stopping() {
+        if let Some(obstacle) = self.obstacle() {
+            let text = format!("not ready: {obstacle}\n");
+            *response.body_mut() = full(text);
             *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
         }
         Box::pin(async move { response })
--- a/crates/loader/src/agent.rs
+++ b/crates/loader/src/agent.rs
@@ -19,7 +19,9 @@
     Share, Sharing, follow,
 };
 use stairhinge_shell::http::{Client, Limits, serve};
-use stairhinge_shell::{LiveSettings, SettingsWatch, Shaper, Shutdown};
+use stairhinge_shell::{
+    LiveSettings, SettingsWatch, Shaper, Shutdown, report_start,
+};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
 
@@ -30,6 +32,7 @@
 use crate::reconcile::reconcile;
 use crate::serve::AgentServer;
 use crate::settings::AgentSettings;
+use crate::start;
 use crate::subscribers::Subscribers;
 use crate::watch_engine::watch_engine;
 use crate::watch_link::watch_link;
@@ -419,6 +422,10 @@
     tokio::spawn(read_routes(Arc::clone(&agent)));
     tokio::spawn(watch_link(Arc::clone(&agent)));
     tokio::spawn(reconcile(Arc::clone(&agent)));
+    let starting = Arc::clone(&agent);
+    tokio::spawn(report_start(log.clone(), move || {
+        start::obstacle(&starting)
+    }));
     let limits = Limits {
         head: MAX_REQUEST_BYTES,
         body: MAX_REQUEST_BYTES,
--- a/crates/loader/src/lib.rs
+++ b/crates/loader/src/lib.rs
@@ -23,6 +23,7 @@
 mod serve;
 mod settings;
 mod staging;
+mod start;
 mod subscribers;
 mod turn;
 mod version_selection;
--- a/crates/shell/src/decisions/decision.rs
+++ b/crates/shell/src/decisions/decision.rs
@@ -44,6 +44,36 @@
         /// The time that it has for stopping, in milliseconds.
         grace_ms: u64,
     },
+    /// The process ended, or is about to.
+    End {
+        /// The numbered code, if it ended because of an error.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        code: Option<u16>,
+        /// Why it ended.
+        reason: &'a str,
+    },
+    /// A thread or task panicked.
+    Panicked {
+        /// The file and line.
+        place: &'a str,
+        /// The message.
+        reason: &'a str,
+    },
+    /// The process has started, but does not serve yet.
+    StartDelayed {
+        /// What it waits for.
+        waits_for: &'static str,
+        /// Why that has failed, if it has.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        reason: Option<&'a str>,
+        /// The time since the start, in milliseconds.
+        after_ms: u64,
+    },
+    /// The process has started to serve.
+    Started {
+        /// The time since the start, in milliseconds.
+        after_ms: u64,
+    },
     /// Changed settings were reloaded.
     Reload {
         /// The changed settings that apply from now on.
@@ -407,6 +437,8 @@
         request: &'a str,
         /// The service.
         service: &'a str,
+        /// How much of the list of replicas has been read since the start.
+        list: &'static str,
         /// Listed replicas of the service.
         listed: usize,
         /// Replicas that could serve the request if they had capacity.
--- a/crates/shell/src/decisions_tests.rs
+++ b/crates/shell/src/decisions_tests.rs
@@ -99,6 +99,7 @@
         Decision::NoReplica {
             request: "r1",
             service: "pool",
+            list: "whole",
             listed: 9,
             suitable: 4,
             barred: 0,
--- a/crates/shell/src/directory.rs
+++ b/crates/shell/src/directory.rs
@@ -20,7 +20,9 @@
 mod source;
 
 pub use self::counted::{CallKind, CountedDirectory};
-pub use self::facts::{EvacuationAge, Facts, FactsView, Standing, TargetAge};
+pub use self::facts::{
+    EvacuationAge, Facts, FactsView, ReadState, Reading, Standing, TargetAge,
+};
 pub use self::follow::{Follow, follow};
 pub use self::news::News;
 pub use self::published::Published;
--- a/crates/shell/src/directory/facts.rs
+++ b/crates/shell/src/directory/facts.rs
@@ -1,6 +1,7 @@
 //! A process's view of the published records.
 
 mod evacuations;
+mod readings;
 mod targets;
 
 use std::collections::HashSet;
@@ -19,6 +20,8 @@
 use tokio::sync::watch;
 
 pub use self::evacuations::EvacuationAge;
+use self::readings::Readings;
+pub use self::readings::{ReadState, Reading};
 pub use self::targets::TargetAge;
 use super::{Change, Published, Record, Source};
 use crate::decisions::{Decision, DecisionLog};
@@ -98,6 +101,7 @@
     /// When the platform last failed before the first sync, in milliseconds
     /// of the process's clock; the start if it did not.
     out_of_reach: AtomicU64,
+    readings: Readings,
 }
 
 /// The process's clock at its start. It isn't 0, so that times before the
@@ -116,6 +120,7 @@
             routes_known: AtomicU64::new(0),
             documents: AtomicU64::new(0),
             out_of_reach: AtomicU64::new(START.as_millis()),
+            readings: Readings::default(),
             view: ArcSwap::default(),
             writing: Mutex::new(()),
             changed: watch::Sender::new(0),
--- a/crates/shell/src/directory/follow.rs
+++ b/crates/shell/src/directory/follow.rs
@@ -377,6 +377,7 @@
         if self.follow.collection != Collection::Replicas {
             self.facts.note_routes_known(synced);
         }
+        self.facts.note_whole(self.follow.collection);
         if let Some(sharing) = &self.follow.sharing {
             let collection = self.follow.collection;
             sharing.share.note_reads(collection, self.reads.span());
@@ -440,6 +441,7 @@
 
     fn record_failure(&mut self, error: &Error) {
         let now = self.facts.now();
+        self.facts.note_unread(self.follow.collection, error);
         if is_platform_failure(error) {
             self.facts.note_out_of_reach();
             self.reads.record_failure(now);
--- a/crates/shell/src/directory/records.rs
+++ b/crates/shell/src/directory/records.rs
@@ -10,7 +10,9 @@
 use stairhinge::direct::{Replica, RouteTable, VersionTarget};
 
 /// A collection of records that a platform publishes.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(
+    Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize,
+)]
 #[serde(rename_all = "snake_case")]
 pub enum Collection {
     /// All that operators publish: routes, target versions of models and
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod packed;
 pub mod settings;
 
+mod end_report;
 mod link;
 mod listeners;
 mod live_settings;
@@ -27,7 +28,9 @@
 mod refused;
 mod settings_watch;
 mod shutdown;
+mod start_report;
 
+pub use self::end_report::{report_end, report_panics};
 pub use self::link::LinkMbps;
 pub use self::listeners::Listeners;
 pub use self::live_settings::{LiveSettings, Settings};
@@ -40,3 +43,4 @@
 pub use self::shutdown::{
     HangUps, Shutdown, Stopper, on_signals, stop_on_signals,
 };
+pub use self::start_report::{Obstacle, report_start};
--- a/src/code.rs
+++ b/src/code.rs
@@ -213,6 +213,11 @@
         "The entry has no room to buffer the request body.",
         "Retry after the time given in `Retry-After`, \
          or raise the bounds of `buffers`.";
+    ListUnread = 3025, 503, DID_NOT_RUN,
+        "The entry knows no replica of the service, and has not read the \
+         whole list yet.",
+        "Retry after the time given in `Retry-After`; \
+         `start_delayed` in the entry's log says why.";
     CorruptChunk = 4001, 502, None,
         "A chunk's bytes do not have the declared digest.",
         "None: it is fetched elsewhere; check the source that sent it.";
--- a/src/explanation/cause.rs
+++ b/src/explanation/cause.rs
@@ -43,6 +43,12 @@
         /// Of the rest, replicas whose `Retry-After` has not expired.
         resting: usize,
     },
+    /// No replica of the service was known, and the list of replicas had not
+    /// been read to its end since the entry started.
+    ListUnread {
+        /// How much of it had been read: `unread` or `partial`.
+        list: Arc<str>,
+    },
     /// All suitable replicas were full.
     NoCapacity {
         /// Replicas that could serve it if they had free capacity.
@@ -148,6 +154,7 @@
             Cause::WaitedForCapacity { .. } => "waited for capacity",
             Cause::FailedAttempts { .. } => "earlier attempts failed",
             Cause::NoSuitableReplica { .. } => "no suitable replica",
+            Cause::ListUnread { .. } => "list not read",
             Cause::NoCapacity { .. } => "no capacity",
             Cause::Overloaded { .. } => "overloaded",
             Cause::AttemptFailed { .. } => "attempt failed",
@@ -221,6 +228,11 @@
     }
     // The last of these decisions is the reason that the answer gives.
     let cause = find_last(history, |d| match d {
+        LoggedDecision::NoReplica { list: Some(list), listed: 0, .. }
+            if &**list != "whole" =>
+        {
+            Some(Cause::ListUnread { list: Arc::clone(list) })
+        }
         LoggedDecision::NoReplica {
             listed,
             suitable: 0,
@@ -332,6 +344,10 @@
                 )?;
                 write!(f, "that failed, the last with: {reason}")
             }
+            Cause::ListUnread { list } => {
+                write!(f, "no replica is known, and the list is {list}; ")?;
+                write!(f, "`start_delayed` says why")
+            }
             Cause::NoSuitableReplica {
                 listed,
                 barred,
--- a/src/explanation/log_line.rs
+++ b/src/explanation/log_line.rs
@@ -147,6 +147,9 @@
         request: Arc<str>,
         /// The service.
         service: Arc<str>,
+        /// How much of the list has been read: `unread`, `partial` or
+        /// `whole`; absent in older logs.
+        list: Option<Arc<str>>,
         /// Listed replicas of the service.
         listed: usize,
         /// Of these, replicas that could serve it if they had free capacity.
--- a/src/explanation/tests.rs
+++ b/src/explanation/tests.rs
@@ -57,6 +57,26 @@
     assert_eq!(found, expected);
 }
 
+#[test]
+fn a_refusal_distinguishes_an_unread_list_from_an_empty_one() {
+    let refused = ended(503, 3025, "the list is not read yet");
+    let no_replica = |list: &str| {
+        format!(
+            r#"{{"wall":1200,"ms":200,"event":"no_replica","request":"r1",
+            "service":"pool","list":"{list}","listed":0,"suitable":0,
+            "waited_ms":0,"revision":1}}"#
+        )
+    };
+    for state in ["unread", "partial"] {
+        let (_, found) = cause(&[START, &no_replica(state), &refused]);
+        assert_eq!(found, Cause::ListUnread { list: Arc::from(state) });
+        let text = found.to_string();
+        assert!(text.contains(state), "{text}");
+    }
+    let (_, found) = cause(&[START, &no_replica("whole"), &refused]);
+    assert!(matches!(found, Cause::NoSuitableReplica { listed: 0, .. }));
+}
+
 #[test]
 fn a_refusal_distinguishes_full_from_unsuitable_replicas() {
     let refused = ended(503, 3002, "no replica had room in time");
