Use what was read of a list whose rest cannot be read

What callers saw: an entry that had started refused every request for as long as any page of the list failed, though it had read entries of sound replicas; one that ran on kept a replica that had gone.

Cause: an error at any page dropped all pages before it. But a record that was read exists, whatever follows; only absence needs the whole.

Change: a list that breaks off returns its records, the names that it does not tell of, and the failure. Replicas that were read are used, absence counts only for names that the list covers, pages out of order cover none. The process stays out of sync: it reads on, and tells no other process. Declarations are taken whole or not at all, since a version or an evacuation that is missing would change what a route allows.

--- a/crates/loader/src/peer_list.rs
+++ b/crates/loader/src/peer_list.rs
@@ -33,19 +33,24 @@
         return;
     }
     agent.entries.forget_list();
-    let listed =
-        agent.directory.list(Collection::Replicas, Freshness::Stale).await;
-    match listed {
-        Ok(listing) => {
+    let collection = Collection::Replicas;
+    let listed = agent.directory.list_part(collection, Freshness::Stale).await;
+    let failure = match listed {
+        Ok(part) => {
             let mut replicas = Vec::new();
-            for record in listing.records {
+            for record in part.listing.records {
                 if let Ok(Record::Replica(replica)) = record {
                     replicas.push(replica);
                 }
             }
-            agent.facts.replace_replicas(replicas, Absence::Gone);
+            let gone = Absence::Gone;
+            agent.facts.replace_read(replicas, &part.unread, gone);
+            part.failure
         }
-        Err(error) => log_failure(&agent.facts, "replica list", &error),
+        Err(error) => Some(error),
+    };
+    if let Some(error) = failure {
+        log_failure(&agent.facts, "replica list", &error);
     }
 }
 
--- a/crates/shell/src/directory.rs
+++ b/crates/shell/src/directory.rs
@@ -12,6 +12,7 @@
 mod follow;
 mod held_documents;
 mod news;
+mod partial_listing;
 mod published;
 mod records;
 mod share;
@@ -25,6 +26,7 @@
 };
 pub use self::follow::{Follow, follow};
 pub use self::news::News;
+pub use self::partial_listing::{PartialListing, UnreadNames};
 pub use self::published::Published;
 pub use self::records::{
     Change, Collection, Directory, Freshness, Listing, Record, Watched,
--- a/crates/shell/src/directory/counted.rs
+++ b/crates/shell/src/directory/counted.rs
@@ -8,7 +8,9 @@
 use futures::future::BoxFuture;
 use stairhinge::Error;
 
-use super::{Collection, Directory, Freshness, Listing, Record, Watched};
+use super::{
+    Collection, Directory, Freshness, Listing, PartialListing, Record, Watched,
+};
 use crate::decisions::{Decision, DecisionLog};
 
 /// The kind under which a call to the platform is counted: the name of the
@@ -44,16 +46,21 @@
         self.counts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Counts a call when it starts and logs it when it ends.
+    /// Counts a call when it starts and logs it when it ends. `failure`
+    /// returns why an answer is incomplete, if it is.
     async fn count<T>(
         &self,
         kind: CallKind,
         call: BoxFuture<'_, Result<T, Error>>,
+        failure: impl Fn(&T) -> Option<&Error>,
     ) -> Result<T, Error> {
         self.begin(kind);
         let begun = Instant::now();
         let ended = call.await;
-        let failed = ended.as_ref().err();
+        let failed = match &ended {
+            Ok(answer) => failure(answer),
+            Err(error) => Some(error),
+        };
         self.log.write(&Decision::PlatformCalled {
             collection: kind.0,
             way: kind.1,
@@ -64,18 +71,32 @@
     }
 }
 
+const fn list_way(freshness: Freshness) -> &'static str {
+    match freshness {
+        Freshness::Current => "list",
+        Freshness::Stale => "stale list",
+    }
+}
+
 impl Directory for CountedDirectory {
     fn list(
         &self,
         collection: Collection,
         freshness: Freshness,
     ) -> BoxFuture<'_, Result<Listing, Error>> {
-        let way = match freshness {
-            Freshness::Current => "list",
-            Freshness::Stale => "stale list",
-        };
         let call = self.inner.list(collection, freshness);
-        Box::pin(self.count((collection.name(), way), call))
+        let kind = (collection.name(), list_way(freshness));
+        Box::pin(self.count(kind, call, |_| None))
+    }
+
+    fn list_part(
+        &self,
+        collection: Collection,
+        freshness: Freshness,
+    ) -> BoxFuture<'_, Result<PartialListing, Error>> {
+        let call = self.inner.list_part(collection, freshness);
+        let kind = (collection.name(), list_way(freshness));
+        Box::pin(self.count(kind, call, |part| part.failure.as_ref()))
     }
 
     fn parse_routes(&self, document: Bytes) -> Result<Record, Error> {
@@ -89,6 +110,6 @@
         wait: Duration,
     ) -> BoxFuture<'_, Result<Watched, Error>> {
         let call = self.inner.watch(collection, after, wait);
-        Box::pin(self.count((collection.name(), "watch"), call))
+        Box::pin(self.count((collection.name(), "watch"), call, |_| None))
     }
 }
--- a/crates/shell/src/directory/facts/readings.rs
+++ b/crates/shell/src/directory/facts/readings.rs
@@ -70,6 +70,13 @@
         self.readings.lock().insert(collection, reading);
     }
 
+    /// Records that a part of a collection is known, and perhaps not all.
+    pub fn note_partial(&self, collection: Collection) {
+        let mut readings = self.readings.lock();
+        let reading = readings.entry(collection).or_default();
+        reading.state = reading.state.max(ReadState::Partial);
+    }
+
     /// Records that a read of a collection failed.
     pub fn note_unread(&self, collection: Collection, failure: &Error) {
         let mut readings = self.readings.lock();
--- a/crates/shell/src/directory/follow/read.rs
+++ b/crates/shell/src/directory/follow/read.rs
@@ -12,8 +12,8 @@
 use super::Follower;
 use super::contact::{WatchContent, WatchTimes};
 use crate::directory::{
-    Change, Collection, EvacuationAge, Freshness, Listing, Published, Record,
-    Source, Watched,
+    Change, Collection, EvacuationAge, Freshness, Listing, Published,
+    ReadState, Record, Source, Watched,
 };
 
 /// The number of routes revisions in one answer from which on they count as
@@ -191,8 +191,11 @@
     async fn list(&mut self) -> Result<(), Error> {
         let called = self.facts.now();
         let collection = self.follow.collection;
-        let listing =
-            self.directory.list(collection, Freshness::Current).await?;
+        let listing = if collection == Collection::Replicas {
+            self.list_replicas().await?
+        } else {
+            self.directory.list(collection, Freshness::Current).await?
+        };
         let at = listing.at;
         self.record_answer(called, Duration::ZERO);
         if collection == Collection::Declarations {
@@ -211,6 +214,35 @@
         Ok(())
     }
 
+    /// Lists the replicas. Applies what was read of a list that could not be
+    /// read to its end: those replicas exist, whatever else does. Of other
+    /// collections no part is applied, since what is missing may withdraw it.
+    ///
+    /// # Errors
+    ///
+    /// The failure at which the list ends. The process stays out of sync, so
+    /// that it reads on and tells no other one that it knows all replicas.
+    async fn list_replicas(&self) -> Result<Listing, Error> {
+        let collection = Collection::Replicas;
+        let listed = self.directory.list_part(collection, Freshness::Current);
+        let part = listed.await?;
+        let Some(failure) = part.failure else { return Ok(part.listing) };
+        // Retries would log the same invalid records again and again.
+        let first = self.facts.reading(collection).state == ReadState::Unread;
+        let mut replicas = Vec::new();
+        for record in part.listing.records {
+            match record {
+                Ok(Record::Replica(replica)) => replicas.push(replica),
+                Err(error) if first => self.facts.refuse(&error),
+                _ => {}
+            }
+        }
+        let absence = self.reads.absence();
+        self.facts.replace_read(replicas, &part.unread, absence);
+        self.facts.note_partial(collection);
+        Err(failure)
+    }
+
     /// Applies the routes and targets of a list requested at `called`, and
     /// returns its replicas.
     fn take_list(&self, listing: Listing, called: Time) -> Vec<Replica> {
--- a/crates/shell/src/directory/records.rs
+++ b/crates/shell/src/directory/records.rs
@@ -9,6 +9,8 @@
 use stairhinge::Error;
 use stairhinge::direct::{Replica, RouteTable, VersionTarget};
 
+use super::PartialListing;
+
 /// A collection of records that a platform publishes.
 #[derive(
     Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize,
@@ -98,12 +100,30 @@
 /// A platform that can only be read.
 pub trait Directory: Send + Sync {
     /// Reads a whole collection.
+    ///
+    /// # Errors
+    ///
+    /// If it cannot be read to its end.
     fn list(
         &self,
         collection: Collection,
         freshness: Freshness,
     ) -> BoxFuture<'_, Result<Listing, Error>>;
 
+    /// Reads a collection as far as it can be read.
+    ///
+    /// # Errors
+    ///
+    /// If nothing can be read.
+    fn list_part(
+        &self,
+        collection: Collection,
+        freshness: Freshness,
+    ) -> BoxFuture<'_, Result<PartialListing, Error>> {
+        let listed = self.list(collection, freshness);
+        Box::pin(async move { listed.await.map(PartialListing::whole) })
+    }
+
     /// Parses a routes document received from a peer.
     ///
     /// # Errors
