Doubt what a part of a list lacks while reads fail

What callers would see: a service without replicas, because their entries had lapsed in an outage after which the list breaks off.

Cause: the part of a list is judged before its answer counts among the reads, so a failure just before it is not known to the record of reads.

Change: such an absence is a doubt while own reads fail. By reading; the new test passes before it too, since a watch that finds the history forgotten is answered first.

--- a/crates/shell/src/directory/follow/read.rs
+++ b/crates/shell/src/directory/follow/read.rs
@@ -237,7 +237,7 @@
                 _ => {}
             }
         }
-        let absence = self.reads.absence();
+        let absence = self.reads.absence_in_part();
         self.facts.replace_read(replicas, &part.unread, absence);
         self.facts.note_partial(collection);
         Err(failure)
--- a/src/direct/list_reads.rs
+++ b/src/direct/list_reads.rs
@@ -204,6 +204,17 @@
         }
     }
 
+    /// Returns what it means that a replica is missing from the part of a list
+    /// that an own read has returned before it failed. An entry may have lapsed
+    /// if reads have failed before.
+    pub fn absence_in_part(&self) -> Absence {
+        if self.failing_since.is_some() {
+            Absence::Doubtful(self.answered)
+        } else {
+            self.absence()
+        }
+    }
+
     /// Returns whether an own read that is answered now shows that what is
     /// missing has gone, though reads of another process have failed.
     pub fn is_settled_by_answer(&self, now: Time) -> bool {
