Grow the pauses between lists after a forgotten history

What the store saw: an entry whose history was forgotten and whose list breaks off called it every 0.1 s, two watches and a list each time.

Cause: the watch that is answered with 410 counts as an answer, so each failure of the list that follows looks like the first one, after which a call is made at once.

Evidence: a_list_that_breaks_off_is_read_again_after_growing_pauses failed with 35 pages in 4 s where the pauses allow 32; it passes.

Change: a process that knows its history forgotten lists without watching first, so failures in succession are known as such.

--- a/crates/shell/src/directory/follow.rs
+++ b/crates/shell/src/directory/follow.rs
@@ -79,6 +79,7 @@
         contact: Contact::default(),
         reads,
         in_doubt: false,
+        forgotten: false,
         lost_since: None,
         retry_delay: FIRST_RETRY_DELAY,
         burst: false,
@@ -121,6 +122,8 @@
     reads: ListReads,
     /// Whether a replica that is missing was in doubt at the last answer.
     in_doubt: bool,
+    /// Whether the platform has forgotten the changes after `at`.
+    forgotten: bool,
     lost_since: Option<Instant>,
     retry_delay: Duration,
     /// Whether routes are being published in quick succession.
@@ -373,6 +376,7 @@
         self.synced = self.synced.max(Some(synced));
         self.small = None;
         self.rejoined = false;
+        self.forgotten = false;
         self.contact.record_sync(synced);
         if self.follow.collection != Collection::Replicas {
             self.facts.note_routes_known(synced);
--- a/crates/shell/src/directory/follow/read.rs
+++ b/crates/shell/src/directory/follow/read.rs
@@ -26,7 +26,9 @@
 impl Follower {
     /// Reads the platform once and applies the answer.
     pub(super) async fn read_platform(&mut self) -> Result<(), Error> {
-        let Some(after) = self.at else { return self.list().await };
+        let Some(after) = self.at.filter(|_| !self.forgotten) else {
+            return self.list().await;
+        };
         if self.lost_since.is_some()
             && let Some(sharing) = &self.follow.sharing
         {
@@ -47,7 +49,10 @@
         match watched {
             // A process that reads for this one may not know what has changed
             // meanwhile.
-            Watched::Forgotten => self.list().await?,
+            Watched::Forgotten => {
+                self.forgotten = true;
+                self.list().await?;
+            }
             Watched::Changes(changes, at) => {
                 let absence = self.reads.absence();
                 let routes =
