--- a/crates/loader/src/peer_list.rs
+++ b/crates/loader/src/peer_list.rs
@@ -43,8 +43,9 @@
                     replicas.push(replica);
                 }
             }
-            let gone = Absence::Gone;
-            agent.facts.replace_read(replicas, &part.unread, gone);
+            agent.facts.replace_read(replicas, |name| {
+                (!part.unread.contains(name)).then_some(Absence::Gone)
+            });
             part.failure
         }
         Err(error) => Some(error),
--- a/crates/shell/src/directory/facts.rs
+++ b/crates/shell/src/directory/facts.rs
@@ -23,7 +23,7 @@
 use self::readings::Readings;
 pub use self::readings::{ReadState, Reading};
 pub use self::targets::TargetAge;
-use super::{Change, Published, Record, Source, UnreadNames};
+use super::{Change, Published, Record, Source};
 use crate::decisions::{Decision, DecisionLog};
 
 /// A snapshot of [`Facts`].
@@ -241,29 +241,28 @@
 
     /// Applies a full list of replicas, from which all others are absent.
     pub fn replace_replicas(&self, listed: Vec<Replica>, absence: Absence) {
-        self.replace_read(listed, &UnreadNames::default(), absence);
+        self.replace_read(listed, |_| Some(absence));
     }
 
-    /// Applies a list of replicas, from which all others but those with
-    /// `unread` names are absent.
+    /// Applies a list of replicas. `absence` tells what it means for a replica
+    /// that it is missing, or `None` if the list does not tell of its name.
     pub fn replace_read(
         &self,
         listed: Vec<Replica>,
-        unread: &UnreadNames,
-        absence: Absence,
+        absence: impl Fn(&str) -> Option<Absence>,
     ) {
         let names: HashSet<Arc<str>> =
             listed.iter().map(|r| Arc::clone(&r.incarnation)).collect();
         self.change_list(|list| {
             let known = list.incarnations().cloned();
-            let absent: Vec<Arc<str>> = known
-                .filter(|name| !names.contains(name) && !unread.contains(name))
-                .collect();
+            let absent: Vec<Arc<str>> =
+                known.filter(|name| !names.contains(name)).collect();
             let mut changes = Vec::new();
             for replica in listed {
                 changes.extend(set(list, replica));
             }
             for name in absent {
+                let Some(absence) = absence(&name) else { continue };
                 changes.extend(unlist(list, name, absence));
             }
             changes
--- a/crates/shell/src/directory/follow.rs
+++ b/crates/shell/src/directory/follow.rs
@@ -79,6 +79,7 @@
         contact: Contact::default(),
         reads,
         in_doubt: false,
+        has_unread: false,
         forgotten: false,
         lost_since: None,
         retry_delay: FIRST_RETRY_DELAY,
@@ -122,6 +123,8 @@
     reads: ListReads,
     /// Whether a replica that is missing was in doubt at the last answer.
     in_doubt: bool,
+    /// Whether the last list did not tell of all names, though it ended.
+    has_unread: bool,
     /// Whether the platform has forgotten the changes after `at`.
     forgotten: bool,
     lost_since: Option<Instant>,
@@ -310,6 +313,7 @@
             let absence = self.reads.absence();
             share.note_relayed(&replicas, answer.at);
             if replicas.whole {
+                self.has_unread = false;
                 self.facts.replace_replicas(replicas.listed, absence);
             } else {
                 let listed = replicas.listed.into_iter();
@@ -381,7 +385,11 @@
         if self.follow.collection != Collection::Replicas {
             self.facts.note_routes_known(synced);
         }
-        self.facts.note_whole(self.follow.collection);
+        if self.has_unread {
+            self.facts.note_partial(self.follow.collection);
+        } else {
+            self.facts.note_whole(self.follow.collection);
+        }
         if let Some(sharing) = &self.follow.sharing {
             let collection = self.follow.collection;
             sharing.share.note_reads(collection, self.reads.span());
--- a/crates/shell/src/directory/follow/read.rs
+++ b/crates/shell/src/directory/follow/read.rs
@@ -13,7 +13,7 @@
 use super::contact::{WatchContent, WatchTimes};
 use crate::directory::{
     Change, Collection, EvacuationAge, Freshness, Listing, Published,
-    ReadState, Record, Source, Watched,
+    ReadState, Record, Source, UnreadNames, Watched,
 };
 
 /// The number of routes revisions in one answer from which on they count as
@@ -196,10 +196,11 @@
     async fn list(&mut self) -> Result<(), Error> {
         let called = self.facts.now();
         let collection = self.follow.collection;
-        let listing = if collection == Collection::Replicas {
+        let (listing, unread) = if collection == Collection::Replicas {
             self.list_replicas().await?
         } else {
-            self.directory.list(collection, Freshness::Current).await?
+            let list = self.directory.list(collection, Freshness::Current);
+            (list.await?, UnreadNames::default())
         };
         let at = listing.at;
         self.record_answer(called, Duration::ZERO);
@@ -212,8 +213,12 @@
             if let Some(sharing) = &self.follow.sharing {
                 sharing.share.note_list(&replicas, at);
             }
-            self.facts.replace_replicas(replicas, absence);
+            let in_doubt = self.reads.absence_unread();
+            self.facts.replace_read(replicas, |name| {
+                Some(if unread.contains(name) { in_doubt } else { absence })
+            });
         }
+        self.has_unread = !unread.is_empty();
         self.record_sync(at, called);
         self.contact.record_answer(self.facts.now());
         Ok(())
@@ -227,11 +232,13 @@
     ///
     /// The failure at which the list ends. The process stays out of sync, so
     /// that it reads on and tells no other one that it knows all replicas.
-    async fn list_replicas(&self) -> Result<Listing, Error> {
+    async fn list_replicas(&self) -> Result<(Listing, UnreadNames), Error> {
         let collection = Collection::Replicas;
         let listed = self.directory.list_part(collection, Freshness::Current);
         let part = listed.await?;
-        let Some(failure) = part.failure else { return Ok(part.listing) };
+        let Some(failure) = part.failure else {
+            return Ok((part.listing, part.unread));
+        };
         // Retries would log the same invalid records again and again.
         let first = self.facts.reading(collection).state == ReadState::Unread;
         let mut replicas = Vec::new();
@@ -243,7 +250,9 @@
             }
         }
         let absence = self.reads.absence_in_part();
-        self.facts.replace_read(replicas, &part.unread, absence);
+        self.facts.replace_read(replicas, |name| {
+            (!part.unread.contains(name)).then_some(absence)
+        });
         self.facts.note_partial(collection);
         Err(failure)
     }
--- a/src/direct/list_reads.rs
+++ b/src/direct/list_reads.rs
@@ -215,6 +215,13 @@
         }
     }
 
+    /// Returns what it means that a replica is missing from the current list,
+    /// which does not tell of its name. If it lives, it writes its entry again
+    /// within the grace period.
+    pub fn absence_unread(&self) -> Absence {
+        Absence::Doubtful(self.answered + self.grace)
+    }
+
     /// Returns whether an own read that is answered now shows that what is
     /// missing has gone, though reads of another process have failed.
     pub fn is_settled_by_answer(&self, now: Time) -> bool {
