Learn of replicas by heartbeats while a long list is read

What callers saw: after a kill of all processes no entry served within 12 s, beside five entries of another writer of 1 MB each, if the processes share a link of 20 Mbit/s to the store: each reads 7 MB of them first.

Cause: a process that starts knows no replica before the end of the first page that holds one, however long what other writers have put before it takes. A replica writes its entry at each heartbeat, which a watch returns alone.

Why it works: a list that takes over 2 s is read on while heartbeats are watched from the platform's revision of that time. What they tell is newer than the list, so it wins until the list has ended and a watch has returned all since its first page.

--- a/crates/shell/src/directory/follow.rs
+++ b/crates/shell/src/directory/follow.rs
@@ -1,6 +1,7 @@
 //! Keeps a process up to date with the platform.
 
 mod contact;
+mod heartbeats;
 mod overdue;
 mod read;
 mod start;
@@ -80,6 +81,7 @@
         reads,
         in_doubt: false,
         has_unread: false,
+        heard_at: None,
         forgotten: false,
         lost_since: None,
         retry_delay: FIRST_RETRY_DELAY,
@@ -125,6 +127,9 @@
     in_doubt: bool,
     /// Whether the last list did not tell of all names, though it ended.
     has_unread: bool,
+    /// The revision up to which heartbeats were read beside lists since the
+    /// last sync, if they were.
+    heard_at: Option<u64>,
     /// Whether the platform has forgotten the changes after `at`.
     forgotten: bool,
     lost_since: Option<Instant>,
@@ -381,6 +386,7 @@
         self.small = None;
         self.rejoined = false;
         self.forgotten = false;
+        self.heard_at = None;
         self.contact.record_sync(synced);
         if self.follow.collection != Collection::Replicas {
             self.facts.note_routes_known(synced);
--- a/crates/shell/src/directory/follow/read.rs
+++ b/crates/shell/src/directory/follow/read.rs
@@ -1,6 +1,7 @@
 //! Reads the platform: a list first, then watches. Skips intermediate
 //! revisions of routes that are published in quick succession.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,9 +12,10 @@
 
 use super::Follower;
 use super::contact::{WatchContent, WatchTimes};
+use super::heartbeats::ListBesideHeartbeats;
 use crate::directory::{
-    Change, Collection, EvacuationAge, Freshness, Listing, Published,
-    ReadState, Record, Source, UnreadNames, Watched,
+    Change, Collection, EvacuationAge, Freshness, Listing, PartialListing,
+    Published, ReadState, Record, Source, Watched,
 };
 
 /// The number of routes revisions in one answer from which on they count as
@@ -194,31 +196,19 @@
     }
 
     async fn list(&mut self) -> Result<(), Error> {
-        let called = self.facts.now();
         let collection = self.follow.collection;
-        let (listing, unread) = if collection == Collection::Replicas {
-            self.list_replicas().await?
-        } else {
-            let list = self.directory.list(collection, Freshness::Current);
-            (list.await?, UnreadNames::default())
-        };
+        if collection == Collection::Replicas {
+            return self.list_replicas().await;
+        }
+        let called = self.facts.now();
+        let listing =
+            self.directory.list(collection, Freshness::Current).await?;
         let at = listing.at;
         self.record_answer(called, Duration::ZERO);
         if collection == Collection::Declarations {
             self.take_evacuations(&listing);
         }
-        let replicas = self.take_list(listing, called);
-        if collection == Collection::Replicas {
-            let absence = self.reads.absence();
-            if let Some(sharing) = &self.follow.sharing {
-                sharing.share.note_list(&replicas, at);
-            }
-            let in_doubt = self.reads.absence_unread();
-            self.facts.replace_read(replicas, |name| {
-                Some(if unread.contains(name) { in_doubt } else { absence })
-            });
-        }
-        self.has_unread = !unread.is_empty();
+        self.take_list(listing, called);
         self.record_sync(at, called);
         self.contact.record_answer(self.facts.now());
         Ok(())
@@ -232,50 +222,75 @@
     ///
     /// The failure at which the list ends. The process stays out of sync, so
     /// that it reads on and tells no other one that it knows all replicas.
-    async fn list_replicas(&self) -> Result<(Listing, UnreadNames), Error> {
+    async fn list_replicas(&mut self) -> Result<(), Error> {
+        let called = self.facts.now();
+        let listed = self.list_beside_heartbeats().await?;
+        let ListBesideHeartbeats { part, heard } = listed;
+        let PartialListing { listing, unread, failure } = part;
+        let at = listing.at;
         let collection = Collection::Replicas;
-        let listed = self.directory.list_part(collection, Freshness::Current);
-        let part = listed.await?;
-        let Some(failure) = part.failure else {
-            return Ok((part.listing, part.unread));
-        };
         // Retries would log the same invalid records again and again.
         let first = self.facts.reading(collection).state == ReadState::Unread;
+        let is_logged = first || failure.is_none();
         let mut replicas = Vec::new();
-        for record in part.listing.records {
+        for record in listing.records {
             match record {
                 Ok(Record::Replica(replica)) => replicas.push(replica),
-                Err(error) if first => self.facts.refuse(&error),
+                Err(error) if is_logged => self.facts.refuse(&error),
                 _ => {}
             }
         }
-        let absence = self.reads.absence_in_part();
+        if let Some(failure) = failure {
+            let absence = self.reads.absence_in_part();
+            self.take_replicas(replicas, &heard, |name| {
+                (!unread.contains(name)).then_some(absence)
+            });
+            self.facts.note_partial(collection);
+            return Err(failure);
+        }
+        self.record_answer(called, Duration::ZERO);
+        if let Some(sharing) = &self.follow.sharing {
+            sharing.share.note_list(&replicas, at);
+        }
+        let absence = self.reads.absence();
+        let in_doubt = self.reads.absence_unread();
+        self.take_replicas(replicas, &heard, |name| {
+            Some(if unread.contains(name) { in_doubt } else { absence })
+        });
+        self.has_unread = !unread.is_empty();
+        self.record_sync(at, called);
+        self.contact.record_answer(self.facts.now());
+        Ok(())
+    }
+
+    /// Applies a list of replicas but those with `heard` names.
+    fn take_replicas(
+        &self,
+        mut replicas: Vec<Replica>,
+        heard: &HashSet<Arc<str>>,
+        absence: impl Fn(&str) -> Option<Absence>,
+    ) {
+        replicas.retain(|replica| !heard.contains(&replica.incarnation));
         self.facts.replace_read(replicas, |name| {
-            (!part.unread.contains(name)).then_some(absence)
+            if heard.contains(name) { None } else { absence(name) }
         });
-        self.facts.note_partial(collection);
-        Err(failure)
     }
 
-    /// Applies the routes and targets of a list requested at `called`, and
-    /// returns its replicas.
-    fn take_list(&self, listing: Listing, called: Time) -> Vec<Replica> {
+    /// Applies the routes and targets of a list requested at `called`.
+    fn take_list(&self, listing: Listing, called: Time) {
         let routes =
             listing.records.iter().filter(|r| is_routes_record(r)).count();
         let took = self.facts.now().since(called);
         let source = Source::platform("list", took, routes);
         self.facts.note_documents(routes);
-        let mut replicas = Vec::new();
         let published = Published::after(self.synced);
         for record in listing.records {
             match record {
-                Ok(Record::Replica(replica)) => replicas.push(replica),
-                Ok(Record::Evacuation(_)) => {}
+                Ok(Record::Replica(_) | Record::Evacuation(_)) => {}
                 Ok(record) => self.facts.learn(record, source, published),
                 Err(error) => self.facts.refuse(&error),
             }
         }
-        replicas
     }
 
     /// Applies the evacuations of a list that contains all of them.
