Read bodies of the platform for as long as they arrive

Cause: a limit on the whole time of a body takes a link that many share for a peer that has stopped.

A body that stops is given up as before, or a window later.

--- a/crates/shell/src/http.rs
+++ b/crates/shell/src/http.rs
@@ -9,8 +9,8 @@
 mod status;
 
 pub use self::body::{
-    Body, BodyError, empty, full, full_ahead, full_in_turn, read, shaped,
-    stream,
+    Body, BodyError, BodyPace, empty, full, full_ahead, full_in_turn, read,
+    read_steady, shaped, stream,
 };
 pub use self::client::{CallError, Client};
 pub use self::encode::{decoded, query_value, segment};
--- a/crates/shell/src/http/body.rs
+++ b/crates/shell/src/http/body.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures::StreamExt as _;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt as _, Empty, Full, Limited, StreamBody};
@@ -120,16 +120,73 @@
             format_args!("body not whole after {} ms", within.as_millis()),
         )),
         Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(err)) => {
-            let large = err.is::<http_body_util::LengthLimitError>();
-            Err(if large {
-                Error::new(
-                    Code::BodyTooLarge,
-                    format_args!("body above {max_bytes} bytes"),
-                )
-            } else {
-                Error::new(Code::MalformedHttp, err)
-            })
+        Ok(Err(err)) => Err(body_error(err, max_bytes)),
+    }
+}
+
+/// How fast a body has to arrive.
+#[derive(Clone, Copy, Debug)]
+pub struct BodyPace {
+    /// A span in which it may end, or else brings the least number of bytes.
+    pub window: Duration,
+    /// The least number of bytes in each window.
+    pub least: usize,
+}
+
+/// Reads a complete body of at most `max_bytes` bytes for as long as it goes
+/// on arriving.
+///
+/// A time limit for the whole body would abort all of several large ones that
+/// share a slow link, and their retries again.
+///
+/// # Errors
+///
+/// As for [`read`]; [`Code::SlowSender`] if it arrives more slowly than
+/// `pace`.
+pub async fn read_steady<B>(
+    body: B,
+    max_bytes: usize,
+    pace: BodyPace,
+) -> Result<Bytes, Error>
+where
+    B: hyper::body::Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let limited = std::pin::pin!(Limited::new(body, max_bytes));
+    let mut frames = limited.into_data_stream();
+    let mut bytes = BytesMut::new();
+    let mut due = tokio::time::Instant::now() + pace.window;
+    let mut least = pace.least;
+    loop {
+        match tokio::time::timeout_at(due, frames.next()).await {
+            Ok(None) => return Ok(bytes.freeze()),
+            Ok(Some(Ok(data))) => bytes.extend_from_slice(&data),
+            Ok(Some(Err(err))) => return Err(body_error(err, max_bytes)),
+            Err(_) if bytes.len() < least => {
+                let BodyPace { window, least } = pace;
+                let ms = window.as_millis();
+                let why = format_args!("under {least} bytes in {ms} ms");
+                return Err(Error::new(Code::SlowSender, why));
+            }
+            Err(_) => {
+                due += pace.window;
+                least = bytes.len() + pace.least;
+            }
         }
     }
 }
+
+fn body_error(
+    err: Box<dyn std::error::Error + Send + Sync>,
+    max_bytes: usize,
+) -> Error {
+    if err.is::<http_body_util::LengthLimitError>() {
+        let why = format_args!("body above {max_bytes} bytes");
+        return Error::new(Code::BodyTooLarge, why);
+    }
+    Error::new(Code::MalformedHttp, err)
+}
+
+#[cfg(test)]
+#[path = "body_tests.rs"]
+mod tests;
