Ask for the platform's revision under a prefix without items

Heartbeats were not read beside the list, since the revision to watch from came from the list of target versions, among which other writers may put large items, too.

--- a/crates/shell/src/directory/counted.rs
+++ b/crates/shell/src/directory/counted.rs
@@ -99,6 +99,11 @@
         Box::pin(self.count(kind, call, |part| part.failure.as_ref()))
     }
 
+    fn revision(&self) -> BoxFuture<'_, Result<u64, Error>> {
+        let call = self.inner.revision();
+        Box::pin(self.count(("revision", "list"), call, |_| None))
+    }
+
     fn parse_routes(&self, document: Bytes) -> Result<Record, Error> {
         self.inner.parse_routes(document)
     }
--- a/crates/shell/src/directory/follow/heartbeats.rs
+++ b/crates/shell/src/directory/follow/heartbeats.rs
@@ -87,10 +87,7 @@
 
     async fn read_once(&mut self) -> Result<(), Error> {
         let Some(at) = self.at else {
-            // The smallest collection tells the platform's revision.
-            let targets = Collection::Targets;
-            let listed = self.directory.list(targets, Freshness::Current);
-            self.at = Some(listed.await?.at);
+            self.at = Some(self.directory.revision().await?);
             return Ok(());
         };
         let replicas = Collection::Replicas;
--- a/crates/shell/src/directory/records.rs
+++ b/crates/shell/src/directory/records.rs
@@ -124,6 +124,17 @@
         Box::pin(async move { listed.await.map(PartialListing::whole) })
     }
 
+    /// Returns the current revision of the platform, from which on a watch
+    /// returns all later changes.
+    ///
+    /// # Errors
+    ///
+    /// The error of the call.
+    fn revision(&self) -> BoxFuture<'_, Result<u64, Error>> {
+        let listed = self.list(Collection::Targets, Freshness::Current);
+        Box::pin(async move { listed.await.map(|listing| listing.at) })
+    }
+
     /// Parses a routes document received from a peer.
     ///
     /// # Errors
