Bound what an agent logs of entries that have no routes yet

What on-call saw: an agent that starts beside starting entries logs 'source_failed', entry, 'answered 404' up to ten times a second (22 lines in 1.2 s beside 12 entries behind a slow link), which pushes out the rest.

Change: the first failure is logged, then one after pauses that double from 1 s on.

--- a/crates/loader/src/read_routes.rs
+++ b/crates/loader/src/read_routes.rs
@@ -28,6 +28,9 @@
 /// The interval at which entries without routes are asked again at the start.
 const ENTRY_RETRY_INTERVAL: Duration = Duration::from_millis(150);
 
+/// The pause after the first failure of an entry that is logged.
+const FIRST_LOG_PAUSE: Duration = Duration::from_secs(1);
+
 /// The minimum interval between two checks after failures of the origin.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_secs(4);
 
@@ -79,13 +82,14 @@
     let mut relist = Relist::default();
     relist.start(agent);
     let listed = || agent.facts.view().replicas.len();
+    let mut failures = FailureLog::default();
     while agent.entries.relies_on_entries()
         || started.elapsed() < delay.for_agent(listed())
     {
         if next_entry(agent, rotation).is_some() {
             match from_entry(agent, rotation).await {
                 Ok(()) => return true,
-                Err(error) => log_failure(&agent.facts, "entry", &error),
+                Err(error) => failures.note(agent, &error),
             }
         }
         let entry = agent.subscribers.wait_for_join();
@@ -94,6 +98,26 @@
     false
 }
 
+/// Logs failures of entries that are asked again and again: the first one, and
+/// then one after each pause, which doubles.
+#[derive(Default)]
+struct FailureLog {
+    due: Option<Instant>,
+    pause: Duration,
+}
+
+impl FailureLog {
+    fn note(&mut self, agent: &Agent, error: &Error) {
+        let now = Instant::now();
+        if self.due.is_some_and(|due| now < due) {
+            return;
+        }
+        self.pause = (self.pause * 2).max(FIRST_LOG_PAUSE);
+        self.due = Some(now + self.pause);
+        log_failure(&agent.facts, "entry", error);
+    }
+}
+
 /// Reads the first routes from an entry or the platform, with retries.
 async fn read_first(agent: &Agent, rotation: &mut EntryRotation) {
     let mut delay = FIRST_RETRY_DELAY;
