Read heartbeats on from the revision at which a watch failed

By reading the change: after a failed watch heartbeats were read from the platform's revision of then, so that a replica's leaving in between was not told, and what had been heard of it before kept the list from correcting it. A watch that fails is called again from the same revision; if the history is forgotten, the list counts again.

A panic of the main thread is written out at once.

--- a/crates/shell/src/directory/follow/heartbeats.rs
+++ b/crates/shell/src/directory/follow/heartbeats.rs
@@ -13,6 +13,7 @@
 use stairhinge::direct::Absence;
 use tokio::time::sleep;
 
+use super::read::or_forgotten;
 use super::{Follower, MAX_RETRY_DELAY};
 use crate::directory::{
     Change, Collection, Directory, Facts, Freshness, PartialListing,
@@ -92,13 +93,17 @@
         };
         let replicas = Collection::Replicas;
         let watched = self.directory.watch(replicas, at, self.pace).await;
-        let Ok(Watched::Changes(changes, next)) = watched else {
-            // Forgotten, too large or failed: what comes from now on is told.
-            self.at = None;
-            return watched.map(|_| ());
-        };
-        self.at = Some(next);
-        self.apply(changes);
+        match or_forgotten(watched)? {
+            Watched::Changes(changes, next) => {
+                self.at = Some(next);
+                self.apply(changes);
+            }
+            Watched::Forgotten => {
+                // What was heard may be older than the list.
+                self.at = None;
+                self.heard.clear();
+            }
+        }
         Ok(())
     }
 
--- a/crates/shell/src/directory/follow/read.rs
+++ b/crates/shell/src/directory/follow/read.rs
@@ -350,7 +350,9 @@
 
 /// Returns changes that are too large to be read at once as forgotten, so that
 /// a list follows, which comes in pages.
-fn or_forgotten(watched: Result<Watched, Error>) -> Result<Watched, Error> {
+pub(super) fn or_forgotten(
+    watched: Result<Watched, Error>,
+) -> Result<Watched, Error> {
     match watched {
         Err(error) if error.code() == Code::BodyTooLarge => {
             Ok(Watched::Forgotten)
--- a/crates/shell/src/end_report.rs
+++ b/crates/shell/src/end_report.rs
@@ -26,9 +26,17 @@
             place: place.as_deref().unwrap_or_default(),
             reason: message(panic),
         });
+        // The process may end before the log is written next.
+        if std::thread::current().name() == Some("main") {
+            log.flush();
+        }
     }));
 }
 
 fn message<'a>(panic: &'a PanicHookInfo<'_>) -> &'a str {
     panic.payload_as_str().unwrap_or("no message")
 }
+
+#[cfg(test)]
+#[path = "end_report_tests.rs"]
+mod tests;
